--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -272,7 +272,10 @@
     }
 }
 
-async fn until_stopped(work: impl Future<Output = ()>, stop: StopSignal) -> Result<(), ChildError> {
+pub(crate) async fn until_stopped(
+    work: impl Future<Output = ()>,
+    stop: StopSignal,
+) -> Result<(), ChildError> {
     tokio::select! {
         () = work => {}
         () = stop.raised() => {}
@@ -294,13 +297,13 @@
 }
 
 /// Listener that outlives the runs of the child that serves it.
-struct Listener {
+pub(crate) struct Listener {
     address: SocketAddr,
     socket: std::net::TcpListener,
 }
 
 impl Listener {
-    async fn bind(address: SocketAddr) -> io::Result<Self> {
+    pub(crate) async fn bind(address: SocketAddr) -> io::Result<Self> {
         let socket = TcpListener::bind(address).await?.into_std()?;
         Ok(Self {
             address: socket.local_addr()?,
@@ -308,7 +311,7 @@
         })
     }
 
-    fn duplicate(&self) -> io::Result<std::net::TcpListener> {
+    pub(crate) fn duplicate(&self) -> io::Result<std::net::TcpListener> {
         self.socket.try_clone()
     }
 }
--- a/src/daemon/launch.rs
+++ b/src/daemon/launch.rs
@@ -12,9 +12,9 @@
 use crate::telemetry::logger;
 
 /// Exit code for faulty settings.
-const EXIT_SETTINGS: u8 = 3;
+pub const EXIT_SETTINGS: u8 = 3;
 /// Exit code for a daemon that failed while running.
-const EXIT_FAILED: u8 = 1;
+pub const EXIT_FAILED: u8 = 1;
 
 /// Loads the settings and runs the daemon with them, unless they are only to be checked.
 pub(crate) fn launch<E: Error>(
--- a/src/entry/connections.rs
+++ b/src/entry/connections.rs
@@ -20,7 +20,7 @@
 
 /// All connections of callers; clones share them.
 #[derive(Debug, Clone)]
-pub(super) struct Connections {
+pub(crate) struct Connections {
     inner: Arc<Inner>,
 }
 
@@ -47,7 +47,7 @@
 
 /// Connection on the side of its stream; counted until dropped.
 #[derive(Debug)]
-pub(super) struct Connection {
+pub(crate) struct Connection {
     peer: SocketAddr,
     shared: Arc<Shared>,
     connections: Connections,
@@ -56,13 +56,13 @@
 
 /// Request under way on a connection until dropped.
 #[derive(Debug)]
-pub(super) struct ConnectionRequest {
+pub(crate) struct ConnectionRequest {
     shared: Arc<Shared>,
     clock: SharedClock,
 }
 
 impl Connections {
-    pub(super) fn new(limits: &LimitSettings, clock: SharedClock, drain: Drain) -> Self {
+    pub(crate) fn new(limits: &LimitSettings, clock: SharedClock, drain: Drain) -> Self {
         let inner = Inner {
             limits: Limits {
                 idle: limits.connection_idle,
@@ -80,7 +80,7 @@
     }
 
     /// Counts a connection, unless too many are open.
-    pub(super) fn accept(&self, peer: SocketAddr) -> Option<Connection> {
+    pub(crate) fn accept(&self, peer: SocketAddr) -> Option<Connection> {
         self.start_sweeps();
         let open = self.inner.drain.connect(self.inner.connections_max)?;
         let shared = Arc::new(Shared {
@@ -97,7 +97,7 @@
     }
 
     /// Notes that a request arrived on the connection from `peer`.
-    pub(super) fn request(&self, peer: SocketAddr) -> Option<ConnectionRequest> {
+    pub(crate) fn request(&self, peer: SocketAddr) -> Option<ConnectionRequest> {
         let shared = self.lock().get(&peer)?.clone();
         lock(&shared.phase).request();
         shared.has_served.store(true, Ordering::SeqCst);
@@ -145,7 +145,7 @@
 
 impl Connection {
     /// Registers the task to wake and returns what is to become of the connection.
-    pub(super) fn verdict(&self, context: &std::task::Context<'_>) -> Verdict {
+    pub(crate) fn verdict(&self, context: &std::task::Context<'_>) -> Verdict {
         self.shared.reader.register(context.waker());
         if !self.shared.is_due.swap(false, Ordering::SeqCst) {
             return Verdict::Keep;
@@ -156,30 +156,30 @@
     }
 
     /// Notes bytes that arrived; returns the bytes of the head so far, where one is arriving.
-    pub(super) fn received(&self, bytes: usize) -> Option<usize> {
+    pub(crate) fn received(&self, bytes: usize) -> Option<usize> {
         let now = self.connections.inner.clock.now();
         lock(&self.shared.phase).received(bytes, now)
     }
 
     /// Returns whether a request is under way.
-    pub(super) fn is_busy(&self) -> bool {
+    pub(crate) fn is_busy(&self) -> bool {
         lock(&self.shared.phase).is_busy()
     }
 
     /// Returns whether the head of a request is arriving.
-    pub(super) fn is_in_head(&self) -> bool {
+    pub(crate) fn is_in_head(&self) -> bool {
         matches!(*lock(&self.shared.phase), Phase::Head { .. })
     }
 
     /// Returns whether a request has arrived before.
-    pub(super) fn has_served(&self) -> bool {
+    pub(crate) fn has_served(&self) -> bool {
         self.shared.has_served.load(Ordering::SeqCst)
     }
 }
 
 impl Connection {
     /// Notes whether bytes wait for the caller to read.
-    pub(super) fn set_write_blocked(&self, is_blocked: bool) {
+    pub(crate) fn set_write_blocked(&self, is_blocked: bool) {
         let was_blocked = self
             .shared
             .is_write_blocked
@@ -190,14 +190,14 @@
     }
 
     /// Returns whether bytes wait for the caller to read.
-    pub(super) fn is_write_blocked(&self) -> bool {
+    pub(crate) fn is_write_blocked(&self) -> bool {
         self.shared.is_write_blocked.load(Ordering::SeqCst)
     }
 }
 
 impl ConnectionRequest {
     /// Returns whether more of the answer has to wait until the caller has read what was written.
-    pub(super) fn must_wait(&self, context: &std::task::Context<'_>) -> bool {
+    pub(crate) fn must_wait(&self, context: &std::task::Context<'_>) -> bool {
         if !self.shared.is_write_blocked.load(Ordering::SeqCst) {
             return false;
         }
--- a/src/entry/drain.rs
+++ b/src/entry/drain.rs
@@ -24,13 +24,13 @@
 
 /// Counts one request until dropped.
 #[derive(Debug)]
-pub(super) struct UnderWay {
+pub(crate) struct UnderWay {
     drain: Drain,
 }
 
 /// Counts one caller's connection until dropped.
 #[derive(Debug)]
-pub(super) struct OpenConnection {
+pub(crate) struct OpenConnection {
     drain: Drain,
 }
 
@@ -51,7 +51,7 @@
     }
 
     /// Returns whether idle connections are closed.
-    pub(super) fn is_closing(&self) -> bool {
+    pub(crate) fn is_closing(&self) -> bool {
         self.inner.closing.load(Ordering::SeqCst)
     }
 
@@ -71,7 +71,7 @@
     }
 
     /// Counts a connection, unless the limit is reached.
-    pub(super) fn connect(&self, limit: usize) -> Option<OpenConnection> {
+    pub(crate) fn connect(&self, limit: usize) -> Option<OpenConnection> {
         let before = self.inner.connections.fetch_add(1, Ordering::SeqCst);
         let guard = OpenConnection {
             drain: self.clone(),
@@ -96,7 +96,7 @@
     }
 
     /// Counts a request, unless the limit is reached.
-    pub(super) fn enter(&self, limit: usize) -> Option<UnderWay> {
+    pub(crate) fn enter(&self, limit: usize) -> Option<UnderWay> {
         let before = self.inner.under_way.fetch_add(1, Ordering::SeqCst);
         let guard = UnderWay {
             drain: self.clone(),
@@ -107,12 +107,12 @@
 
 impl UnderWay {
     /// Returns whether what is still under way has to end now.
-    pub(super) fn is_cut(&self) -> bool {
+    pub(crate) fn is_cut(&self) -> bool {
         *self.drain.inner.cut.borrow()
     }
 
     /// Waits until what is still under way has to end.
-    pub(super) async fn cut(&self) {
+    pub(crate) async fn cut(&self) {
         let mut cut = self.drain.inner.cut.subscribe();
         let _ = cut.wait_for(|is_cut| *is_cut).await;
     }
--- a/src/entry/guarded.rs
+++ b/src/entry/guarded.rs
@@ -25,14 +25,14 @@
 
 /// Stream of a caller's connection.
 #[derive(Debug)]
-pub(super) struct GuardedStream {
+pub(crate) struct GuardedStream {
     stream: TcpStream,
     connection: Connection,
     metrics: Metrics,
 }
 
 impl GuardedStream {
-    pub(super) fn new(stream: TcpStream, connection: Connection, metrics: Metrics) -> Self {
+    pub(crate) fn new(stream: TcpStream, connection: Connection, metrics: Metrics) -> Self {
         Self {
             stream,
             connection,
--- a/src/entry/headers.rs
+++ b/src/entry/headers.rs
@@ -49,7 +49,7 @@
 const CALLER_ONLY: [HeaderName; 3] = [AUTHORIZATION, HOST, HeaderName::from_static("x-api-key")];
 
 /// Removes what concerns a single connection, including headers that `Connection` names.
-pub(super) fn strip_hop_by_hop(headers: &mut HeaderMap) {
+pub(crate) fn strip_hop_by_hop(headers: &mut HeaderMap) {
     let named: Vec<HeaderName> = headers
         .get_all(CONNECTION)
         .iter()
--- a/src/entry/held.rs
+++ b/src/entry/held.rs
@@ -18,7 +18,7 @@
 ///
 /// It gives nothing more while earlier bytes wait for the caller to read, so that a slow caller
 /// takes little memory.
-pub(super) fn hold(body: Body, request: Option<ConnectionRequest>) -> Body {
+pub(crate) fn hold(body: Body, request: Option<ConnectionRequest>) -> Body {
     Held { body, request }.boxed_unsync()
 }
 
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -25,7 +25,12 @@
 mod whole;
 
 pub use app::App;
+pub(crate) use connections::Connections;
 pub use drain::Drain;
+pub(crate) use drain::UnderWay;
+pub(crate) use guarded::GuardedStream;
+pub(crate) use headers::strip_hop_by_hop;
+pub(crate) use held::hold;
 pub use operator::serve_operators;
 pub use phase::{Limits, Phase, Verdict};
 pub use server::{serve_callers, stop_listening};
--- /dev/null
+++ b/src/gateway/allowance.rs
@@ -0,0 +1,172 @@
+//! Rates of customers over all VMs together, shared by what each VM's callers ask for.
+//!
+//! Load pattern: a customer's requests fall on VMs unevenly, and one customer sends many times its
+//! rate. Each VM is sure of an equal part of the rate whatever the others do. What peers that were
+//! heard a moment ago leave of their parts goes to those whose callers ask for more. A peer that
+//! was not heard counts as using its whole part, so that VMs that are cut off from each other stay
+//! within the rate together.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use super::model::Allowance;
+use crate::clock::Instant;
+use crate::ids::CustomerId;
+
+/// Time over which a customer's demand is averaged.
+const DEMAND_SPAN: Duration = Duration::from_millis(1_000);
+/// Part of the overage that is used, as VMs hear of each other with a delay.
+const OVERAGE_PART: f64 = 0.5;
+/// Part of the slack that is handed out as head starts; the rest covers single large requests.
+const SLACK_PART: f64 = 0.4;
+/// Part of the burst that a VM has at its start, as the one before it may have spent the rest.
+const START_PART: f64 = 0.5;
+/// Bounds of the wait told to a caller.
+const RETRY_AFTER_MIN: Duration = Duration::from_millis(100);
+const RETRY_AFTER_MAX: Duration = Duration::from_secs(10);
+
+/// What may be used beyond a rate.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct AllowanceSettings {
+    /// Share by which all VMs together may pass a rate.
+    pub overage: f64,
+    /// Units that all VMs together may use before they hear of each other.
+    pub slack: u64,
+}
+
+impl Default for AllowanceSettings {
+    fn default() -> Self {
+        Self {
+            overage: 0.0,
+            slack: 0,
+        }
+    }
+}
+
+/// Demand for one customer at a peer, in units a second.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum PeerDemand {
+    /// It was heard a moment ago.
+    Heard(f64),
+    /// It was not heard, but may be serving.
+    Silent,
+}
+
+/// Allowances of all customers at this VM.
+#[derive(Debug)]
+pub struct Allowances {
+    settings: AllowanceSettings,
+    customers: HashMap<CustomerId, Local>,
+}
+
+#[derive(Debug, Default)]
+struct Local {
+    /// Units left, and when they were counted; nothing before the first request.
+    level: Option<(f64, Instant)>,
+    demand: f64,
+    asked_at: Instant,
+}
+
+impl Allowances {
+    /// Creates allowances of which nothing was used.
+    pub fn new(settings: AllowanceSettings) -> Self {
+        Self {
+            settings,
+            customers: HashMap::new(),
+        }
+    }
+
+    /// Takes the cost of a request out of a customer's allowance.
+    ///
+    /// # Errors
+    ///
+    /// Returns when there will be enough, where there is too little.
+    pub fn take(
+        &mut self,
+        customer: &str,
+        allowance: &Allowance,
+        cost: u64,
+        peers: &[PeerDemand],
+        now: Instant,
+    ) -> Result<(), Duration> {
+        let settings = self.settings;
+        let local = self.customers.entry(customer.to_owned()).or_default();
+        local.ask(cost as f64, now);
+        let vms = peers.len() + 1;
+        let rate = allowance.rate_per_s as f64;
+        let share = share(rate, local.demand, peers) * (1.0 + settings.overage * OVERAGE_PART);
+        let head_start = settings.slack as f64 * SLACK_PART / vms as f64;
+        let capacity = allowance.burst as f64 * share / rate.max(1.0) + head_start;
+        let level = local.refill(share, capacity, now);
+        let needed = (cost as f64).min(capacity);
+        if level >= needed {
+            local.level = Some((level - cost as f64, now));
+            return Ok(());
+        }
+        let wait = Duration::try_from_secs_f64((needed - level) / share.max(1.0));
+        let wait = wait.unwrap_or(RETRY_AFTER_MAX);
+        Err(wait.clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX))
+    }
+
+    /// Returns each customer's demand in units a second.
+    pub fn demands(&mut self, now: Instant) -> Vec<(CustomerId, f64)> {
+        let customers = self.customers.iter_mut();
+        let demands = customers.map(|(id, local)| {
+            local.ask(0.0, now);
+            (id.clone(), local.demand)
+        });
+        demands.filter(|(_, demand)| *demand >= 1.0).collect()
+    }
+}
+
+impl Local {
+    /// Averages demand with exponential decay.
+    fn ask(&mut self, cost: f64, now: Instant) {
+        let elapsed = now.saturating_sub(self.asked_at).as_secs_f64();
+        let span = DEMAND_SPAN.as_secs_f64();
+        self.demand = self.demand * (-elapsed / span).exp() + cost / span;
+        self.asked_at = now;
+    }
+
+    /// Adds what came in since the last count and returns the level.
+    fn refill(&mut self, share: f64, capacity: f64, now: Instant) -> f64 {
+        let (level, counted_at) = self.level.unwrap_or((capacity * START_PART, now));
+        let elapsed = now.saturating_sub(counted_at).as_secs_f64();
+        let level = (level + elapsed * share).min(capacity);
+        self.level = Some((level, now));
+        level
+    }
+}
+
+/// Returns this VM's part of a rate.
+fn share(rate: f64, own_demand: f64, peers: &[PeerDemand]) -> f64 {
+    let part = rate / (peers.len() + 1) as f64;
+    let silent = peers
+        .iter()
+        .filter(|peer| **peer == PeerDemand::Silent)
+        .count();
+    let heard = peers.iter().filter_map(|peer| match peer {
+        PeerDemand::Heard(demand) => Some(*demand),
+        PeerDemand::Silent => None,
+    });
+    let mut demands: Vec<f64> = heard.collect();
+    let together = (demands.len() + 1) as f64;
+    let mut left = rate - part * silent as f64;
+    demands.push(own_demand);
+    let total: f64 = demands.iter().sum();
+    if total <= left {
+        return own_demand + (left - total) / together;
+    }
+    // Water-filling: those that ask for less than an equal part get what they ask for.
+    demands.sort_by(f64::total_cmp);
+    let mut level = 0.0;
+    for (index, demand) in demands.iter().enumerate() {
+        let equal = left / (demands.len() - index) as f64;
+        level = equal;
+        if *demand > equal {
+            break;
+        }
+        left -= demand;
+    }
+    own_demand.min(level)
+}
--- /dev/null
+++ b/src/gateway/answer.rs
@@ -0,0 +1,49 @@
+//! Answers that the gateway makes itself.
+
+use std::time::Duration;
+
+use gotham::helpers::http::Body;
+use http::header::{CONTENT_TYPE, RETRY_AFTER};
+use http::{HeaderValue, Response};
+use http_body_util::{BodyExt, Full};
+
+use crate::error::{Code, Refusal};
+
+/// Returns the answer that tells a refusal.
+///
+/// The time to come back is given in fractions of a second, as room comes back within less.
+pub(super) fn refusal(refusal: &Refusal) -> Response<Body> {
+    let mut response = text(
+        refusal.code.status().as_u16(),
+        "application/json",
+        refusal.to_json(),
+    );
+    let retry_after = refusal.retry_after.map(seconds);
+    if let Some(value) = retry_after.and_then(|text| HeaderValue::from_str(&text).ok()) {
+        response.headers_mut().insert(RETRY_AFTER, value);
+    }
+    response
+}
+
+/// Returns a whole answer.
+pub(super) fn text(status: u16, content_type: &'static str, text: String) -> Response<Body> {
+    let body = Full::new(text.into())
+        .map_err(|never| match never {})
+        .boxed_unsync();
+    let mut response = Response::new(body);
+    if let Ok(status) = http::StatusCode::from_u16(status) {
+        *response.status_mut() = status;
+    }
+    let content_type = HeaderValue::from_static(content_type);
+    response.headers_mut().insert(CONTENT_TYPE, content_type);
+    response
+}
+
+/// Returns a refusal of a request that has not run and may come back.
+pub(super) fn come_back(code: Code, message: impl Into<String>, after: Duration) -> Refusal {
+    Refusal::new(code, message).with_retry_after(after)
+}
+
+fn seconds(time: Duration) -> String {
+    format!("{:.3}", time.as_secs_f64())
+}
--- /dev/null
+++ b/src/gateway/call.rs
@@ -0,0 +1,599 @@
+//! One request of a caller: what it may have, and its attempts at upstreams.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use gotham::helpers::http::Body;
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+
+use super::answer::come_back;
+use super::edge::{AnswerHead, Forwarded, RequestHead};
+use super::hub::{Ask, Dispatched, Hub, NotPlaced};
+use super::journal::Event;
+use super::model::{CostUnit, Customer, Route, RouteKind};
+use super::pool::{Connection, SendFailure};
+use super::prompt::cache_salt;
+use super::stream;
+use super::table::RoutingTable;
+use super::waiting::Waiting;
+use crate::clock::Instant;
+use crate::entry::{UnderWay, strip_hop_by_hop};
+use crate::error::{Code, Refusal};
+use crate::ids::RequestId;
+
+/// Time for a request whose caller names none.
+const PATIENCE_DEFAULT: Duration = Duration::from_secs(30);
+/// Largest answer that is read whole.
+const ANSWER_MAX_BYTES: usize = 16 * 1024 * 1024;
+/// Upstreams asked for one request, counting those that state that they did not run it.
+const SENDS_MAX: u32 = 4;
+/// When to come back while no configuration is known.
+const CONFIG_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// When to come back after upstreams refused or could not be reached.
+const UPSTREAM_RETRY_AFTER: Duration = Duration::from_millis(150);
+/// Part of the time left for which a request may wait for room; the rest is for its answer.
+const WAIT_PART: f64 = 0.5;
+/// Time left below which nothing is sent any more.
+const TIME_MIN: Duration = Duration::from_millis(5);
+/// Weight of an upstream's own error in its failure rate, as such errors are part of its service.
+const OWN_ERROR_WEIGHT: f64 = 0.3;
+/// Weight of a statement that a request was not run.
+const NOT_RUN_WEIGHT: f64 = 0.3;
+
+/// Request as received, before anything was decided.
+#[derive(Debug)]
+pub(super) struct Received {
+    pub(super) method: Method,
+    pub(super) uri: Uri,
+    pub(super) headers: HeaderMap,
+    pub(super) body: Body,
+}
+
+/// Request that may be sent to an upstream.
+#[derive(Debug)]
+pub(super) struct Call {
+    pub(super) hub: Arc<Hub>,
+    pub(super) table: Arc<RoutingTable>,
+    pub(super) route: Arc<Route>,
+    pub(super) customer: Option<Arc<Customer>>,
+    pub(super) id: RequestId,
+    pub(super) head: RequestHead,
+    pub(super) arrived: Instant,
+    pub(super) deadline: Instant,
+    pub(super) ask: Ask,
+    pub(super) progress: Progress,
+    method: Method,
+    uri: Uri,
+    headers: HeaderMap,
+    body: Bytes,
+}
+
+/// What the attempts so far have shown.
+#[derive(Debug, Default)]
+pub(super) struct Progress {
+    /// Requests that were sent.
+    pub(super) sends: u32,
+    /// Upstreams that ran the request or may have.
+    pub(super) runs: u32,
+    /// Why the last attempt failed.
+    pub(super) last_failure: Option<&'static str>,
+    /// Whether an upstream may have run it, so that no promise can be made.
+    pub(super) is_in_doubt: bool,
+    unreachable: u32,
+}
+
+/// Why an attempt gave no answer to pass on.
+#[derive(Debug)]
+pub(super) enum AttemptFailure {
+    /// Nothing was sent.
+    NotSent(String),
+    /// The upstream states that it did not run the request.
+    NotRun(u16),
+    /// It may have run.
+    Unknown(String),
+    /// The time is over.
+    Timeout,
+}
+
+/// Head of an answer whose body is to come.
+#[derive(Debug)]
+pub(super) struct Opened {
+    pub(super) response: Response<Incoming>,
+    pub(super) head: AnswerHead,
+    pub(super) connection: Connection,
+}
+
+/// Answers a request, or says why not.
+pub(super) async fn answer(
+    hub: Arc<Hub>,
+    received: Received,
+    under_way: UnderWay,
+) -> (RequestId, Result<Response<Body>, Refusal>) {
+    let head = hub.platform.dialect.request(&received.headers);
+    let id = head.id.clone().unwrap_or_default();
+    let answered = admit(&hub, received, head).await;
+    let answered = match answered {
+        Ok(call) if call.route.kind == RouteKind::Streaming => {
+            stream::answer(call, under_way).await
+        }
+        Ok(call) => call.plain().await,
+        Err(refusal) => Err(refusal),
+    };
+    (id, answered)
+}
+
+/// Checks a request against the configuration and its customer's allowance.
+async fn admit(hub: &Arc<Hub>, received: Received, head: RequestHead) -> Result<Call, Refusal> {
+    let arrived = hub.now();
+    let table = hub.table().ok_or_else(|| {
+        come_back(
+            Code::ConfigurationMissing,
+            "no configuration is known yet",
+            CONFIG_RETRY_AFTER,
+        )
+    })?;
+    let host = received.headers.get(http::header::HOST);
+    let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
+    let path = received.uri.path();
+    let route = table.route(host, path).cloned().ok_or_else(|| {
+        Refusal::new(
+            Code::RouteUnknown,
+            format!("no route of host {host} covers {path}"),
+        )
+    })?;
+    let customer = match table.needs_key(&route) {
+        true => Some(customer_of(&table, &head)?),
+        false => None,
+    };
+    let patience = head.patience.unwrap_or(PATIENCE_DEFAULT).min(route.timeout);
+    let deadline = arrived + patience;
+    let left = deadline.saturating_sub(hub.now());
+    let body = tokio::time::timeout(left, read_body(received.body, table.body_max_bytes))
+        .await
+        .map_err(|_| Refusal::new(Code::BodyTimeout, "the body did not arrive in time"))??;
+    let prompt = head.prompt.clone().map(Arc::new);
+    if let Some(customer) = &customer {
+        charge(hub, customer, &head)?;
+    }
+    let service = service_of(&route).ok_or_else(|| {
+        Refusal::new(
+            Code::UpstreamNone,
+            format!("route {} names no service", route.name),
+        )
+    })?;
+    hub.count_request(&service);
+    let isolated = customer.as_ref().filter(|customer| customer.is_isolated);
+    let ask = Ask {
+        service,
+        prompt,
+        isolated_customer: isolated.map(|customer| customer.id.clone()),
+        objective: route.objective,
+        tried: Vec::new(),
+    };
+    let mut headers = received.headers;
+    strip_hop_by_hop(&mut headers);
+    Ok(Call {
+        hub: hub.clone(),
+        table,
+        route,
+        customer,
+        id: head.id.clone().unwrap_or_default(),
+        head,
+        arrived,
+        deadline,
+        ask,
+        progress: Progress::default(),
+        method: received.method,
+        uri: received.uri,
+        headers,
+        body,
+    })
+}
+
+fn customer_of(table: &RoutingTable, head: &RequestHead) -> Result<Arc<Customer>, Refusal> {
+    let key = head.key.as_deref().ok_or_else(|| {
+        Refusal::new(
+            Code::KeyMissing,
+            "header authorization: expected Bearer KEY",
+        )
+    })?;
+    table
+        .customer_of(key)
+        .cloned()
+        .ok_or_else(|| Refusal::new(Code::KeyUnknown, "the key is wrong, unknown or withdrawn"))
+}
+
+fn charge(hub: &Hub, customer: &Customer, head: &RequestHead) -> Result<(), Refusal> {
+    let Some(allowance) = &customer.allowance else {
+        return Ok(());
+    };
+    let cost = match allowance.unit {
+        CostUnit::Request => 1,
+        CostUnit::Token { plain_tokens } => head
+            .prompt
+            .as_ref()
+            .map_or(plain_tokens, |prompt| prompt.charged_tokens()),
+    };
+    hub.charge(customer, cost).map_err(|wait| {
+        let rate = allowance.rate_per_s;
+        let message = format!("cost {cost} is above what is left of {rate} a second");
+        come_back(Code::RateExceeded, message, wait)
+    })
+}
+
+/// Draws a service by its weight.
+fn service_of(route: &Route) -> Option<String> {
+    let total: u32 = route.services.iter().map(|(_, weight)| weight).sum();
+    let mut drawn = match total {
+        0 => 0,
+        total => rand::random_range(0..total),
+    };
+    for (service, weight) in &route.services {
+        if drawn < *weight || total == 0 {
+            return Some(service.clone());
+        }
+        drawn -= weight;
+    }
+    None
+}
+
+async fn read_body(mut body: Body, max_bytes: usize) -> Result<Bytes, Refusal> {
+    let mut collected = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| {
+            Refusal::new(Code::BodyMalformed, format!("body: broken off: {error}"))
+        })?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if collected.len() + data.len() > max_bytes {
+            let message = format!("body: the limit is {max_bytes} bytes");
+            return Err(Refusal::new(Code::BodyTooLarge, message));
+        }
+        collected.extend_from_slice(&data);
+    }
+    Ok(collected.freeze())
+}
+
+impl Call {
+    /// Passes the request on and returns the upstream's whole answer.
+    async fn plain(mut self) -> Result<Response<Body>, Refusal> {
+        let mut own_error = None;
+        loop {
+            let mut dispatched = match self.next_upstream().await {
+                Ok(dispatched) => dispatched,
+                Err(refusal) => return own_error.ok_or(refusal),
+            };
+            let failure = match self.attempt_whole(&dispatched).await {
+                Ok(response) => {
+                    let status = response.status();
+                    dispatched.started();
+                    if status.is_server_error() {
+                        dispatched.failed(OWN_ERROR_WEIGHT);
+                    }
+                    self.progress.runs += 1;
+                    let may_repeat = self.route.kind == RouteKind::Idempotent
+                        && self.progress.runs < self.route.attempts;
+                    if status.is_server_error() && may_repeat {
+                        self.progress.last_failure = Some("own_error");
+                        own_error = Some(response);
+                        continue;
+                    }
+                    self.answered(&dispatched, status);
+                    return Ok(response);
+                }
+                Err(failure) => failure,
+            };
+            if let Err(refusal) = self.failed(&dispatched, failure) {
+                return own_error.ok_or(refusal);
+            }
+        }
+    }
+
+    /// Places the request at the next upstream.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal for the caller where no other attempt may follow.
+    pub(super) async fn next_upstream(&mut self) -> Result<Dispatched, Refusal> {
+        let now = self.hub.now();
+        let left = self.deadline.saturating_sub(now);
+        if left < TIME_MIN {
+            return Err(self.give_up(Code::UpstreamTimeout, "no time is left"));
+        }
+        if self.progress.sends >= SENDS_MAX || self.progress.unreachable >= SENDS_MAX {
+            return Err(self.give_up(Code::UpstreamRefused, "every upstream asked failed"));
+        }
+        let waiting = Waiting {
+            rank: self.rank(),
+            tokens: self
+                .ask
+                .prompt
+                .as_ref()
+                .map_or(0, |prompt| prompt.prompt_tokens),
+            objective_at: self.arrived + self.route.objective,
+            deadline: now + left.mul_f64(WAIT_PART),
+        };
+        let hub = self.hub.clone();
+        let placed = hub.place(&self.ask, waiting).await;
+        hub.meters.waited(hub.now().saturating_sub(now));
+        let dispatched = placed.map_err(|error| self.not_placed(error))?;
+        let is_repeat = self.progress.sends > 0;
+        if is_repeat && !hub.take_retry(&self.ask.service) {
+            return Err(self.give_up(Code::RetryBudget, "the budget of repeated sends is used up"));
+        }
+        if let Some(reason) = self.progress.last_failure.filter(|_| is_repeat) {
+            hub.meters.repeat(reason);
+        }
+        self.ask.tried.push(dispatched.instance.id.clone());
+        hub.journal.request(
+            &self.id,
+            &Event::Placed {
+                upstream: &dispatched.instance.id,
+                attempt: self.progress.sends + 1,
+                weights: dispatched.weights,
+                held_tokens: dispatched.held_tokens,
+                ahead_tokens: dispatched.ahead_tokens,
+                waited_ms: hub.now().saturating_sub(now).as_millis() as u64,
+                config: self.table.version,
+            },
+        );
+        Ok(dispatched)
+    }
+
+    /// Notes a failed attempt.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal for the caller where no other attempt may follow.
+    pub(super) fn failed(
+        &mut self,
+        dispatched: &Dispatched,
+        failure: AttemptFailure,
+    ) -> Result<(), Refusal> {
+        let (outcome, reason) = match &failure {
+            AttemptFailure::NotSent(reason) => ("not_sent", reason.clone()),
+            AttemptFailure::NotRun(status) => ("not_run", format!("status {status}")),
+            AttemptFailure::Unknown(reason) => ("unknown", reason.clone()),
+            AttemptFailure::Timeout => ("timeout", "no answer in time".to_owned()),
+        };
+        self.hub.meters.attempt_failed(outcome);
+        self.hub.journal.request(
+            &self.id,
+            &Event::AttemptFailed {
+                upstream: &dispatched.instance.id,
+                attempt: self.progress.sends,
+                outcome,
+                reason: &reason,
+                after_ms: self.hub.now().saturating_sub(dispatched.at()).as_millis() as u64,
+            },
+        );
+        self.progress.last_failure = Some(outcome);
+        match failure {
+            AttemptFailure::NotSent(_) => {
+                self.progress.unreachable += 1;
+                dispatched.unreachable();
+                return Ok(());
+            }
+            AttemptFailure::NotRun(_) => {
+                dispatched.failed(NOT_RUN_WEIGHT);
+                return Ok(());
+            }
+            AttemptFailure::Unknown(_) | AttemptFailure::Timeout => {}
+        }
+        dispatched.failed(1.0);
+        self.hub.pool.forget(&dispatched.instance);
+        self.progress.runs += 1;
+        self.progress.is_in_doubt = true;
+        let is_over = matches!(failure, AttemptFailure::Timeout);
+        match self.may_repeat() && !is_over {
+            true => Ok(()),
+            false if is_over => Err(self.give_up(Code::UpstreamTimeout, &reason)),
+            false => Err(self.give_up(Code::UpstreamUnknown, &reason)),
+        }
+    }
+
+    /// Returns whether the request may run again.
+    pub(super) fn may_repeat(&self) -> bool {
+        let is_repeatable = match self.route.kind {
+            RouteKind::Idempotent => true,
+            RouteKind::NonIdempotent => false,
+            RouteKind::Streaming => self.route.is_resumable,
+        };
+        is_repeatable && self.progress.runs < self.route.attempts
+    }
+
+    /// Sends the request to an upstream and waits for the head of its answer.
+    pub(super) async fn open(
+        &mut self,
+        dispatched: &Dispatched,
+        last_event: Option<u64>,
+    ) -> Result<Opened, AttemptFailure> {
+        let hub = self.hub.clone();
+        let left = self.deadline.saturating_sub(hub.now());
+        let request = self.request(dispatched, left, last_event);
+        let request = request.map_err(|error| AttemptFailure::NotSent(error.to_string()))?;
+        self.progress.sends += 1;
+        let send = hub
+            .pool
+            .send(&dispatched.instance, dispatched.address, request);
+        let sent = tokio::time::timeout(left, send).await;
+        let (response, connection) = match sent {
+            Ok(Ok(opened)) => opened,
+            Ok(Err(SendFailure::NotSent(reason))) => {
+                self.progress.sends -= 1;
+                return Err(AttemptFailure::NotSent(reason));
+            }
+            Ok(Err(SendFailure::Broken(reason))) => return Err(AttemptFailure::Unknown(reason)),
+            Err(_) => return Err(AttemptFailure::Timeout),
+        };
+        let head = hub.platform.dialect.answer(response.headers());
+        let status = response.status();
+        if head.request_id.as_deref() != Some(self.id.as_str()) && !head.is_not_run {
+            return Err(AttemptFailure::Unknown(
+                "the answer is for another request".into(),
+            ));
+        }
+        match status {
+            _ if head.is_not_run => Err(AttemptFailure::NotRun(status.as_u16())),
+            StatusCode::MISDIRECTED_REQUEST => Err(AttemptFailure::NotRun(status.as_u16())),
+            _ if !head.is_sealed => Err(AttemptFailure::Unknown("the answer has no seal".into())),
+            StatusCode::SERVICE_UNAVAILABLE
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::REQUEST_TIMEOUT => Err(AttemptFailure::Unknown(format!(
+                "status {status} without a statement"
+            ))),
+            _ => Ok(Opened {
+                response,
+                head,
+                connection,
+            }),
+        }
+    }
+
+    async fn attempt_whole(
+        &mut self,
+        dispatched: &Dispatched,
+    ) -> Result<Response<Body>, AttemptFailure> {
+        let opened = self.open(dispatched, None).await?;
+        let hub = self.hub.clone();
+        let left = self.deadline.saturating_sub(hub.now());
+        let (mut parts, body) = opened.response.into_parts();
+        let whole = tokio::time::timeout(left, read_whole(body))
+            .await
+            .map_err(|_| AttemptFailure::Timeout)?
+            .map_err(AttemptFailure::Unknown)?;
+        let idle = idle_timeout(&parts.headers);
+        if !is_closing(&parts.headers) {
+            let instance = dispatched.instance.clone();
+            let connection = opened.connection;
+            tokio::spawn(async move { hub.pool.give_back(&instance, connection, idle).await });
+        }
+        strip_hop_by_hop(&mut parts.headers);
+        let body = Full::new(whole)
+            .map_err(|never| match never {})
+            .boxed_unsync();
+        Ok(Response::from_parts(parts, body))
+    }
+
+    /// Notes an answer that is passed on.
+    pub(super) fn answered(&self, dispatched: &Dispatched, status: StatusCode) {
+        let after = self.hub.now().saturating_sub(self.arrived);
+        self.hub.meters.answer(status.as_u16(), after);
+        self.hub.journal.request(
+            &self.id,
+            &Event::Answered {
+                upstream: &dispatched.instance.id,
+                status: status.as_u16(),
+                after_ms: after.as_millis() as u64,
+            },
+        );
+    }
+
+    /// Returns the refusal of a request that gets no further attempt.
+    ///
+    /// Where an upstream may have run it, the answer makes no promise.
+    pub(super) fn give_up(&self, code: Code, reason: &str) -> Refusal {
+        match (self.progress.is_in_doubt, code) {
+            (true, Code::UpstreamTimeout) => Refusal::new(code, reason),
+            (true, _) => Refusal::new(Code::UpstreamUnknown, reason),
+            (false, Code::UpstreamTimeout) => {
+                come_back(Code::DeadlineExceeded, reason, UPSTREAM_RETRY_AFTER)
+            }
+            (false, code) => come_back(code, reason, UPSTREAM_RETRY_AFTER),
+        }
+    }
+
+    fn not_placed(&self, error: NotPlaced) -> Refusal {
+        match error {
+            NotPlaced::NoUpstream => {
+                self.give_up(Code::UpstreamNone, "no upstream of the service is left")
+            }
+            NotPlaced::Full(wait) if !self.progress.is_in_doubt => {
+                let wait = wait.max(UPSTREAM_RETRY_AFTER);
+                come_back(
+                    Code::Overloaded,
+                    "the request would not start in time",
+                    wait,
+                )
+            }
+            NotPlaced::Full(_) => self.give_up(Code::Overloaded, "no upstream has room"),
+            NotPlaced::TooLate => self.give_up(Code::Overloaded, "no upstream had room in time"),
+        }
+    }
+
+    fn rank(&self) -> u8 {
+        let customer = self
+            .customer
+            .as_ref()
+            .and_then(|customer| customer.priority);
+        customer.unwrap_or(self.route.priority)
+    }
+
+    fn request(
+        &self,
+        dispatched: &Dispatched,
+        left: Duration,
+        last_event: Option<u64>,
+    ) -> Result<Request<Full<Bytes>>, http::Error> {
+        let mut headers = self.headers.clone();
+        let salt = self.ask.prompt.as_ref().map(|_| {
+            cache_salt(
+                self.ask.isolated_customer.as_deref(),
+                dispatched.weights.unwrap_or_default(),
+            )
+        });
+        let forwarded = Forwarded {
+            patience: left,
+            upstream: &dispatched.instance.id,
+            customer: self.customer.as_ref().map(|customer| customer.id.as_str()),
+            cache_salt: salt.as_deref(),
+            rank: self.ask.prompt.as_ref().map(|_| self.rank()),
+            last_event,
+            weights: dispatched.weights.filter(|_| dispatched.must_match_weights),
+        };
+        self.hub.platform.dialect.forward(&mut headers, &forwarded);
+        let target = self
+            .uri
+            .path_and_query()
+            .map_or("/", |target| target.as_str());
+        let mut request = Request::builder().method(self.method.clone()).uri(target);
+        if let Some(current) = request.headers_mut() {
+            *current = headers;
+        }
+        request.body(Full::new(self.body.clone()))
+    }
+}
+
+async fn read_whole(mut body: Incoming) -> Result<Bytes, String> {
+    let mut collected = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| format!("body: {error}"))?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if collected.len() + data.len() > ANSWER_MAX_BYTES {
+            return Err("body: too large".into());
+        }
+        collected.extend_from_slice(&data);
+    }
+    Ok(collected.freeze())
+}
+
+/// Returns how long an upstream keeps an unused connection.
+pub(super) fn idle_timeout(headers: &HeaderMap) -> Option<Duration> {
+    let value = headers.get("keep-alive")?.to_str().ok()?;
+    let mut parts = value.split(',').map(str::trim);
+    let seconds = parts.find_map(|part| part.strip_prefix("timeout="))?;
+    seconds.parse().ok().map(Duration::from_secs)
+}
+
+/// Returns whether an upstream closes the connection after an answer.
+pub(super) fn is_closing(headers: &HeaderMap) -> bool {
+    let values = headers.get_all(http::header::CONNECTION).iter();
+    let mut texts = values.filter_map(|value: &HeaderValue| value.to_str().ok());
+    texts.any(|text| text.to_ascii_lowercase().contains("close"))
+}
--- /dev/null
+++ b/src/gateway/fleet.rs
@@ -0,0 +1,297 @@
+//! Upstreams as the store lists them, with what this VM has learned of each.
+//!
+//! Pure: the time is passed in. An entry that is removed names an upstream that leaves, so it gets
+//! nothing new. Around an outage of the store entries lapse although their upstream lives; such an
+//! upstream is kept until the store has been back for a while.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use super::model::{UpstreamEntry, UpstreamStage, WeightNumber};
+use super::prompt::ChainHash;
+use crate::clock::Instant;
+use crate::ids::{ModelId, Tokens, UpstreamId};
+
+/// Chains of prompt parts remembered for one engine.
+const CHAINS_MAX: usize = 512;
+/// Share of one outcome in the failure rate of an upstream.
+const FAILURE_SHARE: f64 = 0.2;
+/// Time for which an upstream is avoided whose every request fails.
+const AVOID_MAX: Duration = Duration::from_secs(10);
+
+/// Times of a [`Fleet`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct FleetSettings {
+    /// Time after the store's return within which lapsed entries come back.
+    pub settle: Duration,
+}
+
+impl Default for FleetSettings {
+    fn default() -> Self {
+        Self {
+            // The platform gives lapsed entries two seconds to return.
+            settle: Duration::from_millis(2_000),
+        }
+    }
+}
+
+/// One start of an upstream.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Instance {
+    /// Name.
+    pub id: UpstreamId,
+    /// Unix time of its start, in milliseconds.
+    pub born_ms: u64,
+}
+
+/// Work at an engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Work {
+    /// Requests sent and not ended.
+    pub requests: u32,
+    /// Prompt tokens sent whose first event has not come.
+    pub reading_tokens: Tokens,
+    /// Tokens of requests that take memory.
+    pub memory_tokens: Tokens,
+}
+
+impl Work {
+    /// Returns the sum with other work.
+    pub fn plus(self, other: Self) -> Self {
+        Self {
+            requests: self.requests + other.requests,
+            reading_tokens: self.reading_tokens + other.reading_tokens,
+            memory_tokens: self.memory_tokens + other.memory_tokens,
+        }
+    }
+}
+
+/// Upstream with what is known of it.
+#[derive(Debug, Clone)]
+pub struct Engine {
+    /// One start of it.
+    pub instance: Instance,
+    /// Its entry in the store.
+    pub entry: UpstreamEntry,
+    /// Work that this VM has sent.
+    pub own: Work,
+    weights: HashMap<ModelId, WeightNumber>,
+    chains: HashMap<ChainHash, Instant>,
+    failure_rate: f64,
+    avoided_until: Instant,
+    lapsed_at: Option<Instant>,
+}
+
+impl Engine {
+    fn new(id: &str, entry: UpstreamEntry) -> Self {
+        let mut engine = Self {
+            instance: Instance {
+                id: id.to_owned(),
+                born_ms: entry.born_ms,
+            },
+            own: Work::default(),
+            weights: HashMap::new(),
+            chains: HashMap::new(),
+            failure_rate: 0.0,
+            avoided_until: Instant::ZERO,
+            lapsed_at: None,
+            entry,
+        };
+        engine.take_listed_weights();
+        engine
+    }
+
+    /// Returns the weights of a model that the engine is known to have.
+    pub fn weights(&self, model: &str) -> Option<WeightNumber> {
+        self.weights.get(model).copied()
+    }
+
+    /// Notes the weights of a model; what was cached under older ones is forgotten.
+    pub fn saw_weights(&mut self, model: &str, number: WeightNumber) {
+        let known = self.weights.entry(model.to_owned()).or_insert(number);
+        if number > *known {
+            *known = number;
+            self.chains.clear();
+        }
+    }
+
+    /// Notes the weights of an engine that has a single model.
+    pub fn saw_only_weights(&mut self, number: WeightNumber) {
+        let mut models = self.entry.models.iter().map(|loaded| loaded.model.clone());
+        if let (Some(model), None) = (models.next(), models.next()) {
+            self.saw_weights(&model, number);
+        }
+    }
+
+    /// Notes that the engine has read chains of parts.
+    pub fn read_chains(&mut self, chains: impl IntoIterator<Item = ChainHash>, now: Instant) {
+        self.chains
+            .extend(chains.into_iter().map(|chain| (chain, now)));
+        while self.chains.len() > CHAINS_MAX {
+            let oldest = self.chains.iter().min_by_key(|(_, at)| **at);
+            let Some(oldest) = oldest.map(|(chain, _)| *chain) else {
+                return;
+            };
+            self.chains.remove(&oldest);
+        }
+    }
+
+    /// Returns when the engine was last known to read a chain.
+    pub fn chain_read_at(&self, chain: ChainHash) -> Option<Instant> {
+        self.chains.get(&chain).copied()
+    }
+
+    /// Notes an answer.
+    pub fn succeeded(&mut self) {
+        self.failure_rate *= 1.0 - FAILURE_SHARE;
+        self.avoided_until = Instant::ZERO;
+    }
+
+    /// Notes a failure; `weight` is below one where it says little about the upstream.
+    pub fn failed(&mut self, weight: f64, now: Instant) {
+        let share = FAILURE_SHARE * weight;
+        self.failure_rate = self.failure_rate * (1.0 - share) + share;
+        let time = AVOID_MAX.mul_f64(self.failure_rate * self.failure_rate);
+        self.avoided_until = self.avoided_until.max(now + time);
+    }
+
+    /// Notes that nothing listens or answers at the upstream's address.
+    pub fn unreachable(&mut self, now: Instant) {
+        self.failed(1.0, now);
+        self.avoided_until = self.avoided_until.max(now + UNREACHABLE);
+    }
+
+    /// Returns whether other upstreams are to be preferred.
+    pub fn is_avoided(&self, now: Instant) -> bool {
+        now < self.avoided_until
+    }
+
+    /// Returns whether the upstream may get new work.
+    pub fn is_ready(&self) -> bool {
+        self.entry.stage == UpstreamStage::Ready
+    }
+
+    fn take_listed_weights(&mut self) {
+        for loaded in self.entry.models.clone() {
+            self.saw_weights(&loaded.model, loaded.weights);
+        }
+    }
+}
+
+/// Time for which an upstream is avoided that could not be reached.
+const UNREACHABLE: Duration = Duration::from_millis(1_000);
+
+/// All upstreams.
+#[derive(Debug, Default)]
+pub struct Fleet {
+    settings: FleetSettings,
+    engines: HashMap<UpstreamId, Engine>,
+    is_store_lost: bool,
+    settled_at: Instant,
+}
+
+impl Fleet {
+    /// Creates a fleet that knows of no upstream.
+    pub fn new(settings: FleetSettings) -> Self {
+        Self {
+            settings,
+            ..Self::default()
+        }
+    }
+
+    /// Notes that the store does not answer.
+    pub fn store_lost(&mut self) {
+        self.is_store_lost = true;
+    }
+
+    /// Notes that the store answers again.
+    pub fn store_back(&mut self, now: Instant) {
+        if std::mem::take(&mut self.is_store_lost) {
+            self.settled_at = now + self.settings.settle;
+        }
+    }
+
+    /// Takes an entry, or its removal.
+    pub fn apply(&mut self, id: &str, entry: Option<UpstreamEntry>, now: Instant) {
+        match entry {
+            Some(entry) => self.insert(id, entry),
+            None => self.lapse(id, now),
+        }
+    }
+
+    /// Takes a whole listing.
+    pub fn replace(&mut self, listed: Vec<(UpstreamId, UpstreamEntry)>, now: Instant) {
+        let ids: Vec<UpstreamId> = self.engines.keys().cloned().collect();
+        for id in ids {
+            if !listed.iter().any(|(name, _)| *name == id) {
+                self.lapse(&id, now);
+            }
+        }
+        for (id, entry) in listed {
+            self.insert(&id, entry);
+        }
+    }
+
+    /// Drops upstreams whose entry has not come back in time.
+    pub fn sweep(&mut self, now: Instant) {
+        let is_kept = self.is_settling(now);
+        self.engines
+            .retain(|_, engine| engine.lapsed_at.is_none() || is_kept);
+    }
+
+    /// Returns an upstream by its name.
+    pub fn get(&self, id: &str) -> Option<&Engine> {
+        self.engines.get(id)
+    }
+
+    /// Returns an upstream by its name.
+    pub fn get_mut(&mut self, id: &str) -> Option<&mut Engine> {
+        self.engines.get_mut(id)
+    }
+
+    /// Returns one start of an upstream.
+    pub fn instance_mut(&mut self, instance: &Instance) -> Option<&mut Engine> {
+        let engine = self.engines.get_mut(&instance.id)?;
+        (engine.instance == *instance).then_some(engine)
+    }
+
+    /// Returns the upstreams of a service that may get new work.
+    pub fn ready<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Engine> {
+        let engines = self.engines.values();
+        engines.filter(move |engine| engine.entry.service == service && engine.is_ready())
+    }
+
+    /// Returns every upstream.
+    pub fn iter(&self) -> impl Iterator<Item = &Engine> {
+        self.engines.values()
+    }
+
+    fn insert(&mut self, id: &str, entry: UpstreamEntry) {
+        match self.engines.get_mut(id) {
+            Some(engine) if engine.instance.born_ms == entry.born_ms => {
+                engine.entry = entry;
+                engine.lapsed_at = None;
+                engine.take_listed_weights();
+            }
+            // A late word of an earlier start is no news.
+            Some(engine) if engine.instance.born_ms > entry.born_ms => {}
+            _ => {
+                self.engines.insert(id.to_owned(), Engine::new(id, entry));
+            }
+        }
+    }
+
+    fn lapse(&mut self, id: &str, now: Instant) {
+        if !self.is_settling(now) {
+            self.engines.remove(id);
+            return;
+        }
+        if let Some(engine) = self.engines.get_mut(id) {
+            engine.lapsed_at.get_or_insert(now);
+        }
+    }
+
+    fn is_settling(&self, now: Instant) -> bool {
+        self.is_store_lost || now < self.settled_at
+    }
+}
--- /dev/null
+++ b/src/gateway/journal.rs
@@ -0,0 +1,300 @@
+//! Log lines of decisions, typed in one place, bounded in volume and never waited for.
+
+use std::collections::HashMap;
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+
+use serde::Serialize;
+use slog::{KV, Key, Logger, Record, Serializer, info};
+
+use super::edge::Tracked;
+use super::model::WeightNumber;
+use crate::clock::{Instant, SharedClock};
+use crate::ids::{FencingNumber, ObjectVersion};
+
+/// Lines of one kind a second; a decision for each request of a busy VM fits.
+const LINES_PER_S: f64 = 150.0;
+/// Lines of one kind that may come at once.
+const LINES_BURST: f64 = 300.0;
+/// Time after which lines that were left out are counted in a line of their own.
+const LEFT_OUT_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Decision or change of belief.
+#[derive(Debug, Clone)]
+#[derive(Serialize)]
+#[serde(tag = "event", rename_all = "snake_case")]
+pub(super) enum Event<'a> {
+    Started {
+        vm: &'a str,
+        availability_zone: &'a str,
+        store: String,
+    },
+    Stopping {
+        requests: usize,
+    },
+    Stopped {
+        requests_cut: usize,
+    },
+    Reloaded {
+        is_changed: bool,
+    },
+    ReloadRefused {
+        code: u16,
+        reason: String,
+    },
+    StoreLost {
+        tracked: Tracked,
+        reason: String,
+    },
+    StoreBack {
+        tracked: Tracked,
+        away_ms: u64,
+    },
+    HistoryGone {
+        tracked: Tracked,
+        revision: ObjectVersion,
+    },
+    TakenFromPeer {
+        tracked: Tracked,
+        peer: &'a str,
+        revision: ObjectVersion,
+    },
+    PeerReadFailed {
+        tracked: Tracked,
+        peer: &'a str,
+        reason: String,
+    },
+    ConfigInForce {
+        version: ObjectVersion,
+        earlier: ObjectVersion,
+    },
+    ObjectUnusable {
+        tracked: Tracked,
+        name: &'a str,
+        reason: &'a str,
+    },
+    UpstreamListed {
+        upstream: &'a str,
+        service: &'a str,
+        is_ready: bool,
+        revision: ObjectVersion,
+    },
+    UpstreamGone {
+        upstream: &'a str,
+        revision: ObjectVersion,
+    },
+    WeightsNamed {
+        model: &'a str,
+        weights: WeightNumber,
+        revision: ObjectVersion,
+    },
+    LeaseHeld {
+        fencing: FencingNumber,
+    },
+    LeaseLost {
+        fencing: FencingNumber,
+    },
+    LeaseCallFailed {
+        reason: String,
+    },
+    OrderSent {
+        upstream: &'a str,
+        model: &'a str,
+        weights: WeightNumber,
+        fencing: FencingNumber,
+        expected_orders: u64,
+        reply: String,
+    },
+    OrderNotSent {
+        upstream: &'a str,
+        reason: String,
+    },
+    WeightsInPlace {
+        upstream: &'a str,
+        model: &'a str,
+        weights: WeightNumber,
+    },
+    MembershipCallFailed {
+        call: &'static str,
+        reason: String,
+    },
+    BeatFailed {
+        reason: String,
+    },
+    Placed {
+        upstream: &'a str,
+        attempt: u32,
+        weights: Option<WeightNumber>,
+        held_tokens: u64,
+        ahead_tokens: u64,
+        waited_ms: u64,
+        config: ObjectVersion,
+    },
+    Refused {
+        code: u16,
+        name: &'static str,
+        reason: &'a str,
+        retry_after_ms: u64,
+        customer: &'a str,
+        config: ObjectVersion,
+    },
+    AttemptFailed {
+        upstream: &'a str,
+        attempt: u32,
+        outcome: &'static str,
+        reason: &'a str,
+        after_ms: u64,
+    },
+    Resumed {
+        upstream: &'a str,
+        after_event: Option<u64>,
+    },
+    StreamBroken {
+        upstream: &'a str,
+        reason: &'a str,
+        after_event: Option<u64>,
+    },
+    Answered {
+        upstream: &'a str,
+        status: u16,
+        after_ms: u64,
+    },
+    CallerLeft {
+        upstream: &'a str,
+        after_ms: u64,
+    },
+    LinesLeftOut {
+        kind: &'static str,
+        lines: u64,
+    },
+}
+
+impl Event<'_> {
+    fn kind(&self) -> &'static str {
+        match self {
+            Self::Placed { .. } => "placed",
+            Self::Answered { .. } => "answered",
+            Self::Refused { .. } => "refused",
+            Self::AttemptFailed { .. } | Self::Resumed { .. } | Self::StreamBroken { .. } => {
+                "failed"
+            }
+            Self::CallerLeft { .. } => "caller_left",
+            Self::UpstreamListed { .. } | Self::UpstreamGone { .. } => "upstream",
+            Self::ObjectUnusable { .. } => "object_unusable",
+            Self::StoreLost { .. } | Self::StoreBack { .. } => "store",
+            _ => "state",
+        }
+    }
+}
+
+/// Writer of log lines; clones would not share the bound, so it is not cloned.
+#[derive(Debug)]
+pub struct Journal {
+    log: Logger,
+    clock: SharedClock,
+    limits: Mutex<HashMap<&'static str, Limit>>,
+}
+
+#[derive(Debug)]
+struct Limit {
+    level: f64,
+    updated: Instant,
+    left_out: u64,
+    left_out_since: Instant,
+}
+
+impl Journal {
+    /// Creates a journal that writes to a logger.
+    pub fn new(log: Logger, clock: SharedClock) -> Self {
+        Self {
+            log,
+            clock,
+            limits: Mutex::default(),
+        }
+    }
+
+    /// Returns the logger behind the journal.
+    pub fn logger(&self) -> &Logger {
+        &self.log
+    }
+
+    /// Writes a change of what the process believes.
+    pub(super) fn state(&self, event: &Event<'_>) {
+        self.write(None, event);
+    }
+
+    /// Writes a decision about a request.
+    pub(super) fn request(&self, id: &str, event: &Event<'_>) {
+        self.write(Some(id), event);
+    }
+
+    fn write(&self, request_id: Option<&str>, event: &Event<'_>) {
+        let (is_within, left_out) = self.admit(event.kind());
+        if let Some(lines) = left_out {
+            let kind = event.kind();
+            self.emit(None, &Event::LinesLeftOut { kind, lines });
+        }
+        if is_within {
+            self.emit(request_id, event);
+        }
+    }
+
+    fn emit(&self, request_id: Option<&str>, event: &Event<'_>) {
+        let fields = match serde_json::to_value(event) {
+            Ok(serde_json::Value::Object(fields)) => Fields(fields),
+            Ok(_) | Err(_) => return slog::error!(self.log, "event not serialized"),
+        };
+        match request_id {
+            Some(id) => info!(self.log, "request"; "request_id" => id, fields),
+            None => info!(self.log, "state"; fields),
+        }
+    }
+
+    /// Returns whether a line may be written, and how many were left out before it.
+    fn admit(&self, kind: &'static str) -> (bool, Option<u64>) {
+        let now = self.clock.now();
+        let mut limits = self.limits.lock().unwrap_or_else(PoisonError::into_inner);
+        let limit = limits.entry(kind).or_insert(Limit {
+            level: LINES_BURST,
+            updated: now,
+            left_out: 0,
+            left_out_since: now,
+        });
+        let earned = now.saturating_sub(limit.updated).as_secs_f64() * LINES_PER_S;
+        limit.level = (limit.level + earned).min(LINES_BURST);
+        limit.updated = now;
+        if limit.level < 1.0 {
+            if limit.left_out == 0 {
+                limit.left_out_since = now;
+            }
+            limit.left_out += 1;
+            return (false, None);
+        }
+        limit.level -= 1.0;
+        let is_due = now.saturating_sub(limit.left_out_since) >= LEFT_OUT_INTERVAL;
+        let left_out = (limit.left_out > 0 && is_due).then(|| std::mem::take(&mut limit.left_out));
+        (true, left_out)
+    }
+}
+
+/// Fields of an event as pairs of a log line.
+struct Fields(serde_json::Map<String, serde_json::Value>);
+
+impl KV for Fields {
+    fn serialize(&self, _record: &Record<'_>, serializer: &mut dyn Serializer) -> slog::Result {
+        for (name, value) in &self.0 {
+            let key = Key::from(name.clone());
+            match value {
+                serde_json::Value::String(text) => serializer.emit_str(key, text)?,
+                serde_json::Value::Bool(flag) => serializer.emit_bool(key, *flag)?,
+                serde_json::Value::Null => serializer.emit_none(key)?,
+                serde_json::Value::Number(number) => match number.as_u64() {
+                    Some(number) => serializer.emit_u64(key, number)?,
+                    None => serializer.emit_str(key, &number.to_string())?,
+                },
+                other => serializer.emit_str(key, &other.to_string())?,
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/gateway/mod.rs
@@ -0,0 +1,53 @@
+//! Gateway: serves routes of a host and path over upstreams that register in the platform's store.
+//!
+//! The gateway speaks of requests, upstreams and weights in the project's own terms. How the
+//! platform spells them is behind the traits of [`edge`].
+
+mod allowance;
+mod answer;
+mod call;
+mod daemon;
+mod edge;
+mod events;
+mod fleet;
+mod follow;
+mod gate;
+mod gossip;
+mod hub;
+mod journal;
+mod meters;
+mod model;
+mod orders;
+mod peers;
+mod placement;
+mod pool;
+mod prompt;
+mod rollout;
+mod server;
+mod settings;
+mod steward;
+mod stream;
+mod table;
+mod waiting;
+
+pub use allowance::{AllowanceSettings, Allowances, PeerDemand};
+pub use daemon::{GatewayError, run_gateway};
+pub use edge::{
+    AnswerHead, Change, Changes, Dialect, Failure, Forwarded, Listing, Order, OrderReply, Platform,
+    Record, RequestHead, Store, Tracked, UpstreamReport, WriteResult,
+};
+pub use events::{EventSplitter, SplitError};
+pub use fleet::{Engine, Fleet, FleetSettings, Instance};
+pub use gate::{BudgetBounds, Budgets};
+pub use journal::Journal;
+pub use model::{
+    Allowance, CostUnit, Customer, EngineProfile, LoadedModel, Member, NamedWeights, Route,
+    RouteKind, RoutingConfig, Service, ServiceId, UpstreamEntry, UpstreamStage, WeightNumber,
+};
+pub use peers::{Beat, EngineLoad, Peers, PeersSettings, Revisions};
+pub use placement::{Candidate, Demand, Place, PlacementSettings, choose};
+pub use prompt::{Prompt, PromptPart};
+pub use rollout::{EngineView, Rollout, RolloutSettings, Step};
+pub use settings::{Bounds, GatewaySettings};
+pub use table::RoutingTable;
+pub use waiting::{Queue, QueueSettings, Ticket, Waiting};
--- /dev/null
+++ b/src/gateway/rollout.rs
@@ -0,0 +1,224 @@
+//! Which engine loads new weights next.
+//!
+//! Load pattern: weights are named every few seconds while callers press. Few engines load at a
+//! time, the next ones get no new work shortly before, and a version that was replaced is skipped.
+//! Pure: the time is passed in, and each order names how many the engine must have accepted before,
+//! so that one carried out late is refused.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::fleet::Instance;
+use super::model::WeightNumber;
+use crate::clock::Instant;
+use crate::ids::UpstreamId;
+
+/// Bounds of a rollout.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RolloutSettings {
+    /// Engines that load at once.
+    pub loads_max: usize,
+    /// Engines that get no new work as they come next.
+    pub next_max: usize,
+    /// Time without new work before an order, in which short runs end.
+    pub lead: Duration,
+    /// Time after which an order that is not seen in force is looked into.
+    pub check_after: Duration,
+    /// Time after which an engine that does not answer no longer holds up the others.
+    pub give_up_after: Duration,
+}
+
+impl Default for RolloutSettings {
+    fn default() -> Self {
+        Self {
+            // More than two at once load more slowly.
+            loads_max: 2,
+            next_max: 2,
+            lead: Duration::from_millis(120),
+            check_after: Duration::from_millis(250),
+            give_up_after: Duration::from_millis(2_500),
+        }
+    }
+}
+
+/// Engine as the store and its own answers show it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EngineView {
+    /// One start of it.
+    pub instance: Instance,
+    /// Weights that it is known to have.
+    pub weights: Option<WeightNumber>,
+    /// Requests that run there.
+    pub requests: u32,
+}
+
+/// What to do next about an engine.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Step {
+    /// Ask for its state, and order the weights if it lacks them.
+    Order(Instance),
+    /// Ask whether an earlier order is in force.
+    Check(Instance),
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    /// It gets no new work since a time.
+    Next(Instant),
+    /// A call to it is under way, begun for an order that was first sent at a time.
+    Calling(Option<Instant>),
+    /// An order was sent, first at one time; it is looked into at another.
+    Loading { since: Instant, check_at: Instant },
+}
+
+/// Rollout of one model's weights, as the holder of the lease sees it.
+#[derive(Debug, Default)]
+pub struct Rollout {
+    settings: RolloutSettings,
+    phases: BTreeMap<UpstreamId, (Instance, Phase)>,
+}
+
+impl Rollout {
+    /// Creates a rollout that has ordered nothing.
+    pub fn new(settings: RolloutSettings) -> Self {
+        Self {
+            settings,
+            ..Self::default()
+        }
+    }
+
+    /// Decides what to do now to bring engines to the weights named last.
+    pub fn steps(
+        &mut self,
+        named: WeightNumber,
+        engines: &[EngineView],
+        now: Instant,
+    ) -> Vec<Step> {
+        self.forget_done(named, engines, now);
+        self.announce(named, engines, now);
+        let mut steps = Vec::new();
+        let mut loading = self.loading(now);
+        let is_bulk = loading < self.settings.loads_max;
+        for (instance, phase) in self.phases.values_mut() {
+            match *phase {
+                Phase::Next(since)
+                    if is_bulk
+                        && loading < self.settings.loads_max
+                        && is_drained(engines, instance, since, self.settings.lead, now) =>
+                {
+                    loading += 1;
+                    *phase = Phase::Calling(None);
+                    steps.push(Step::Order(instance.clone()));
+                }
+                Phase::Loading { since, check_at } if now >= check_at => {
+                    *phase = Phase::Calling(Some(since));
+                    steps.push(Step::Check(instance.clone()));
+                }
+                _ => {}
+            }
+        }
+        steps
+    }
+
+    /// Notes that an order was sent, whatever the answer.
+    pub fn ordered(&mut self, instance: &Instance, now: Instant) {
+        let check_at = now + self.settings.check_after;
+        self.set(instance, |earlier| Phase::Loading {
+            since: earlier.unwrap_or(now),
+            check_at,
+        });
+    }
+
+    /// Notes that an engine is still busy.
+    pub fn still_loading(&mut self, instance: &Instance, now: Instant) {
+        self.ordered(instance, now);
+    }
+
+    /// Notes that an engine has the weights, or takes no orders.
+    pub fn done(&mut self, instance: &Instance) {
+        self.phases.retain(|_, (known, _)| known != instance);
+    }
+
+    /// Notes that an engine could not be asked.
+    pub fn unreachable(&mut self, instance: &Instance, now: Instant) {
+        self.ordered(instance, now);
+    }
+
+    /// Returns the engines that load or are about to.
+    pub fn rolling(&self) -> impl Iterator<Item = &UpstreamId> {
+        self.phases.keys()
+    }
+
+    fn set(&mut self, instance: &Instance, phase: impl Fn(Option<Instant>) -> Phase) {
+        if let Some((known, current)) = self.phases.get_mut(&instance.id) {
+            if known == instance {
+                let earlier = match *current {
+                    Phase::Calling(earlier) => earlier,
+                    Phase::Loading { since, .. } => Some(since),
+                    Phase::Next(_) => None,
+                };
+                *current = phase(earlier);
+            }
+        }
+    }
+
+    /// Forgets engines that are gone or have the weights.
+    fn forget_done(&mut self, named: WeightNumber, engines: &[EngineView], now: Instant) {
+        let give_up_after = self.settings.give_up_after;
+        self.phases.retain(|id, (instance, phase)| {
+            let view = engines.iter().find(|view| view.instance.id == *id);
+            let is_same = view.is_some_and(|view| view.instance == *instance);
+            let is_behind = view.is_some_and(|view| is_behind(view, named));
+            let is_given_up = match *phase {
+                Phase::Loading { since, .. } => now.saturating_sub(since) > give_up_after,
+                Phase::Next(_) | Phase::Calling(_) => false,
+            };
+            is_same && is_behind && !is_given_up
+        });
+    }
+
+    /// Takes the next engines out of new work.
+    fn announce(&mut self, named: WeightNumber, engines: &[EngineView], now: Instant) {
+        let mut behind: Vec<_> = engines
+            .iter()
+            .filter(|view| is_behind(view, named))
+            .collect();
+        behind.retain(|view| !self.phases.contains_key(&view.instance.id));
+        behind.sort_by_key(|view| (view.requests, view.instance.id.clone()));
+        let waiting = self
+            .phases
+            .values()
+            .filter(|(_, phase)| matches!(phase, Phase::Next(_)));
+        let free_loads = self.settings.loads_max.saturating_sub(self.loading(now));
+        let wanted = (self.settings.next_max + free_loads).saturating_sub(waiting.count());
+        for view in behind.into_iter().take(wanted) {
+            let instance = view.instance.clone();
+            let phase = Phase::Next(now);
+            self.phases.insert(instance.id.clone(), (instance, phase));
+        }
+    }
+
+    fn loading(&self, _now: Instant) -> usize {
+        let phases = self.phases.values();
+        phases
+            .filter(|(_, phase)| !matches!(phase, Phase::Next(_)))
+            .count()
+    }
+}
+
+fn is_behind(view: &EngineView, named: WeightNumber) -> bool {
+    view.weights.is_none_or(|weights| weights < named)
+}
+
+fn is_drained(
+    engines: &[EngineView],
+    instance: &Instance,
+    since: Instant,
+    lead: Duration,
+    now: Instant,
+) -> bool {
+    let view = engines.iter().find(|view| view.instance == *instance);
+    let is_idle = view.is_some_and(|view| view.requests == 0);
+    let waited = now.saturating_sub(since);
+    waited >= lead || (is_idle && waited >= lead / 2)
+}
--- /dev/null
+++ b/src/gateway/server.rs
@@ -0,0 +1,174 @@
+//! Listeners: callers, questions of readiness, metrics, and reads by peers.
+
+use std::panic::AssertUnwindSafe;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::FutureExt;
+use gotham::handler::HandlerResult;
+use gotham::helpers::http::Body;
+use gotham::state::{FromState, State, client_addr};
+use http::header::CONNECTION;
+use http::{HeaderMap, HeaderValue, Method, Response, Uri};
+use socket2::{SockRef, TcpKeepalive};
+use tokio::net::{TcpListener, TcpStream};
+
+use super::answer;
+use super::call::{self, Received};
+use super::edge::Tracked;
+use super::hub::Hub;
+use super::journal::Event;
+use crate::entry::{GuardedStream, hold};
+use crate::error::{Code, Refusal};
+use crate::ids::RequestId;
+
+/// Requests under way at once; more than the descriptors of a VM would carry.
+const REQUESTS_MAX: usize = 1_800;
+/// When to come back where too many are under way.
+const FULL_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// TCP keep-alive probes start after this much silence.
+const KEEPALIVE_TIME: Duration = Duration::from_secs(5);
+/// Unacknowledged bytes are given up on after this long.
+const USER_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Serves callers until dropped; connections that are open then go on.
+pub(super) async fn serve_callers(listener: TcpListener, hub: Arc<Hub>) {
+    let hub = AssertUnwindSafe(hub);
+    let prepare_hub = Arc::clone(&hub);
+    let new_handler = move || {
+        let hub = Arc::clone(&hub);
+        Ok(move |state: State| respond(hub, state))
+    };
+    gotham::bind_server(listener, new_handler, move |stream| {
+        std::future::ready(prepare(&prepare_hub, stream))
+    })
+    .await;
+}
+
+/// Serves the paths of the fleet and its operators until dropped.
+pub(super) async fn serve_fleet(listener: TcpListener, hub: Arc<Hub>) {
+    let hub = AssertUnwindSafe(hub);
+    let new_handler = move || {
+        let hub = Arc::clone(&hub);
+        Ok(move |state: State| {
+            let response = fleet_answer(&hub, Uri::borrow_from(&state).path());
+            std::future::ready(HandlerResult::Ok((state, response))).boxed()
+        })
+    };
+    gotham::bind_server(listener, new_handler, |stream: TcpStream| {
+        std::future::ready(Ok::<_, ()>(stream))
+    })
+    .await;
+}
+
+fn respond(
+    hub: Arc<Hub>,
+    state: State,
+) -> std::pin::Pin<Box<dyn Future<Output = HandlerResult> + Send>> {
+    let peer = client_addr(&state);
+    let request = peer.and_then(|peer| hub.connections.request(peer));
+    async move {
+        let mut state = state;
+        let received = Received {
+            method: Method::take_from(&mut state),
+            uri: Uri::take_from(&mut state),
+            headers: HeaderMap::take_from(&mut state),
+            body: Body::take_from(&mut state),
+        };
+        let (parts, body) = handle(hub, received).await.into_parts();
+        Ok((state, Response::from_parts(parts, hold(body, request))))
+    }
+    .boxed()
+}
+
+async fn handle(hub: Arc<Hub>, received: Received) -> Response<Body> {
+    let Some(under_way) = hub.drain.enter(REQUESTS_MAX) else {
+        let refusal = answer::come_back(Code::Overloaded, "too many requests", FULL_RETRY_AFTER);
+        return refused(&hub, &RequestId::new(), &refusal);
+    };
+    let answering = AssertUnwindSafe(call::answer(hub.clone(), received, under_way)).catch_unwind();
+    let (id, answered) = answering.await.unwrap_or_else(|_| {
+        hub.telemetry.metrics().handler_panic();
+        let refusal = Refusal::new(Code::Internal, "the request's handler failed");
+        (RequestId::new(), Err(refusal))
+    });
+    let mut response = match answered {
+        Ok(response) => response,
+        Err(refusal) => refused(&hub, &id, &refusal),
+    };
+    if hub.drain.is_started() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    response
+}
+
+fn refused(hub: &Hub, id: &RequestId, refusal: &Refusal) -> Response<Body> {
+    hub.meters.refusal(refusal.code);
+    let retry_after = refusal.retry_after.unwrap_or_default();
+    let event = Event::Refused {
+        code: refusal.code.number(),
+        name: refusal.code.name(),
+        reason: &refusal.message,
+        retry_after_ms: retry_after.as_millis() as u64,
+        customer: "",
+        config: hub.table().map_or(0, |table| table.version),
+    };
+    hub.journal.request(id, &event);
+    let mut response = answer::refusal(refusal);
+    hub.platform
+        .dialect
+        .mark_refusal(response.headers_mut(), id);
+    response
+}
+
+fn prepare(hub: &Hub, stream: TcpStream) -> Result<GuardedStream, ()> {
+    let peer = configure(&stream).and_then(|()| stream.peer_addr());
+    let connection = peer.ok().and_then(|peer| hub.connections.accept(peer));
+    let connection = connection.ok_or(())?;
+    Ok(GuardedStream::new(
+        stream,
+        connection,
+        hub.telemetry.metrics(),
+    ))
+}
+
+fn configure(stream: &TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    socket.set_tcp_keepalive(&TcpKeepalive::new().with_time(KEEPALIVE_TIME))?;
+    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))
+}
+
+fn fleet_answer(hub: &Hub, path: &str) -> Response<Body> {
+    if path == hub.platform.dialect.ready_path() {
+        return readiness(hub);
+    }
+    if path == "/metrics" {
+        return answer::text(200, "text/plain; version=0.0.4", hub.telemetry.render());
+    }
+    let tracked = Tracked::ALL
+        .into_iter()
+        .find(|tracked| path == mirror_path(*tracked));
+    let listing = tracked.and_then(|tracked| hub.listing(tracked));
+    let body = listing.map(|listing| serde_json::to_string(&listing));
+    match body {
+        Some(Ok(body)) => answer::text(200, "application/json", body),
+        Some(Err(error)) => answer::text(500, "text/plain", error.to_string()),
+        None => answer::text(404, "text/plain", String::new()),
+    }
+}
+
+/// Returns the path at which peers read what this VM has seen of the store.
+pub(super) fn mirror_path(tracked: Tracked) -> String {
+    format!("/seen/{}", tracked.name())
+}
+
+fn readiness(hub: &Hub) -> Response<Body> {
+    let (status, reason) = match hub.table() {
+        _ if hub.drain.is_started() => (503, "draining"),
+        None => (503, "no configuration"),
+        Some(_) => (200, "ready"),
+    };
+    answer::text(status, "text/plain", reason.to_owned())
+}
--- /dev/null
+++ b/src/gateway/steward.rs
@@ -0,0 +1,429 @@
+//! Holds the lease on orders and brings engines to the weights that the operator named.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::{mpsc, watch};
+
+use super::edge::{Order, OrderReply, WriteResult};
+use super::fleet::Instance;
+use super::hub::{Hub, Named};
+use super::journal::Event;
+use super::model::WeightNumber;
+use super::orders::{self, CallFailure};
+use super::peers::HeldLease;
+use super::rollout::{EngineView, Rollout, RolloutSettings, Step};
+use crate::clock::Instant;
+use crate::ids::{FencingNumber, ModelId};
+use crate::steward::{
+    Held, Holder, LeaseAction, LeaseCore, LeaseObject, LeaseRecord, LeaseSettings, WriteAnswer,
+};
+use crate::supervisor::StopSignal;
+
+/// Time between two looks at engines while weights are rolled out.
+const STEP_INTERVAL: Duration = Duration::from_millis(40);
+/// Time between two looks while all engines have their weights.
+const IDLE_INTERVAL: Duration = Duration::from_millis(500);
+/// Part of the lease that must be left for an order.
+const LEFT_DIVISOR: u32 = 4;
+/// Time for giving the lease up at the end.
+const RELEASE_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Acquires, renews and releases the lease.
+pub(super) async fn keep_lease(
+    hub: Arc<Hub>,
+    held: Arc<watch::Sender<Option<Held>>>,
+    stop: StopSignal,
+) {
+    let lease = hub.settings.bounds.lease;
+    let settings = LeaseSettings {
+        poll: lease / 2,
+        ..LeaseSettings::with_lease(lease)
+    };
+    let holder = Holder {
+        vm: hub.settings.vm.clone(),
+        incarnation: hub.incarnation,
+    };
+    let mut core = LeaseCore::new(settings, holder);
+    // A VM that shuts down gives the lease up first, so that another may go on at once.
+    while !stop.is_raised() && !hub.drain.is_started() {
+        hear_holder(&hub, &mut core);
+        let now = hub.now();
+        match core.next_action(now) {
+            Some(action) => make_call(&hub, &mut core, action, settings.renewal).await,
+            None => {
+                let until_lapse = core.held(now).map(|held| held.until.saturating_sub(now));
+                let wait = core.wait(now).max(Duration::from_millis(1));
+                let wait = until_lapse.map_or(wait, |lapse| lapse.min(wait));
+                tokio::select! {
+                    () = tokio::time::sleep(wait) => {}
+                    () = hub.lease_heard.notified() => {}
+                    () = stop.clone().raised() => {}
+                }
+            }
+        }
+        publish(&hub, &core, &held);
+    }
+    core.release(hub.now());
+    publish(&hub, &core, &held);
+    let release = async {
+        while !core.is_released() {
+            match core.next_action(hub.now()) {
+                Some(action) => make_call(&hub, &mut core, action, settings.renewal).await,
+                None => tokio::time::sleep(settings.retry).await,
+            }
+        }
+    };
+    if tokio::time::timeout(RELEASE_TIMEOUT, release)
+        .await
+        .is_err()
+    {
+        let reason = "the lease was not given up in time".to_owned();
+        hub.journal.state(&Event::LeaseCallFailed { reason });
+    }
+}
+
+/// Takes in what the holder tells of its renewals, which spares reads of the store.
+fn hear_holder(hub: &Hub, core: &mut LeaseCore) {
+    let now = hub.now();
+    let heard: Vec<HeldLease> = {
+        let state = hub.core();
+        state
+            .peers
+            .fresh(now)
+            .filter_map(|peer| peer.beat.lease.clone())
+            .collect()
+    };
+    for lease in heard {
+        let object = LeaseObject {
+            version: lease.version,
+            record: Some(lease.record),
+        };
+        core.heard(now, object);
+    }
+}
+
+async fn make_call(hub: &Hub, core: &mut LeaseCore, action: LeaseAction, timeout: Duration) {
+    let store = &hub.platform.store;
+    match action {
+        LeaseAction::Read => {
+            let answer = tokio::time::timeout(timeout, store.read_lease()).await;
+            let answer = match answer {
+                Ok(Ok(object)) => Some(object),
+                Ok(Err(failure)) => failed(hub, failure.to_string()),
+                Err(_) => failed(hub, "no answer in time".into()),
+            };
+            core.read_answered(hub.now(), answer);
+        }
+        LeaseAction::Write {
+            expected_version,
+            record,
+        } => {
+            let write = store.write_lease(expected_version, record);
+            let answer = match tokio::time::timeout(timeout, write).await {
+                Ok(Ok(WriteResult::Done(version))) => WriteAnswer::Applied(version),
+                Ok(Ok(WriteResult::Conflict(object))) => WriteAnswer::Conflict(object),
+                Ok(Err(super::edge::Failure::Refused(status))) => {
+                    failed::<()>(hub, format!("status {status}"));
+                    WriteAnswer::NotApplied
+                }
+                Ok(Err(failure)) => {
+                    failed::<()>(hub, failure.to_string());
+                    WriteAnswer::Unknown
+                }
+                Err(_) => {
+                    failed::<()>(hub, "no answer in time".into());
+                    WriteAnswer::Unknown
+                }
+            };
+            core.write_answered(hub.now(), answer);
+        }
+    }
+}
+
+fn failed<T>(hub: &Hub, reason: String) -> Option<T> {
+    hub.journal.state(&Event::LeaseCallFailed { reason });
+    None
+}
+
+fn publish(hub: &Hub, core: &LeaseCore, held: &watch::Sender<Option<Held>>) {
+    let current = core.held(hub.now());
+    let earlier = *held.borrow();
+    let fencing = |held: Option<Held>| held.map(|held| held.fencing_number);
+    if fencing(current) != fencing(earlier) {
+        if let Some(fencing) = fencing(earlier) {
+            hub.journal.state(&Event::LeaseLost { fencing });
+        }
+        if let Some(fencing) = fencing(current) {
+            hub.journal.state(&Event::LeaseHeld { fencing });
+        }
+    }
+    held.send_replace(current);
+    let own = current.and_then(|_| core.object());
+    let own = own.and_then(|object| {
+        let record: LeaseRecord = object.record?;
+        Some(HeldLease {
+            version: object.version,
+            record,
+        })
+    });
+    let mut state = hub.core();
+    let is_news = state.lease != own;
+    state.lease = own;
+    drop(state);
+    if is_news {
+        hub.beat_due.notify_one();
+    }
+}
+
+/// Result of a call about one engine's weights.
+struct Reply {
+    model: ModelId,
+    instance: Instance,
+    outcome: Outcome,
+}
+
+enum Outcome {
+    InPlace(WeightNumber),
+    Ordered,
+    Busy,
+    Unreachable,
+    Fenced(FencingNumber),
+    Gone,
+}
+
+/// Rolls named weights out while the lease is held, until dropped.
+pub(super) async fn roll_out(hub: Arc<Hub>, mut held: watch::Receiver<Option<Held>>) {
+    let mut rollouts: HashMap<ModelId, Rollout> = HashMap::new();
+    let (sender, mut replies) = mpsc::unbounded_channel::<Reply>();
+    let mut term = 0;
+    let mut acquired_at = Instant::ZERO;
+    let mut fenced = 0;
+    loop {
+        let current = *held.borrow_and_update();
+        let now = hub.now();
+        let Some(term_held) = current.filter(|held| held.until > now) else {
+            rollouts.clear();
+            set_rolling(&hub, &rollouts);
+            if held.changed().await.is_err() {
+                return;
+            }
+            continue;
+        };
+        if term_held.fencing_number != term {
+            term = term_held.fencing_number;
+            acquired_at = now;
+            rollouts.clear();
+        }
+        let may_order = may_order(&hub, term_held, acquired_at, now) && term > fenced;
+        let is_busy = may_order && step(&hub, &mut rollouts, term, &sender, now);
+        set_rolling(&hub, &rollouts);
+        let interval = if is_busy {
+            STEP_INTERVAL
+        } else {
+            IDLE_INTERVAL
+        };
+        tokio::select! {
+            () = tokio::time::sleep(interval) => {}
+            () = hub.weights_named.notified() => {}
+            changed = held.changed() => if changed.is_err() { return },
+            reply = replies.recv() => if let Some(reply) = reply {
+                if let Outcome::Fenced(number) = reply.outcome {
+                    fenced = fenced.max(number);
+                }
+                take_reply(&hub, &mut rollouts, reply);
+            },
+        }
+    }
+}
+
+/// Returns whether orders may be sent under a term.
+///
+/// Engines that ignore fencing numbers get none before any order of the term before is over.
+fn may_order(hub: &Hub, held: Held, acquired_at: Instant, now: Instant) -> bool {
+    let lease = hub.settings.bounds.lease;
+    let left = held.until.saturating_sub(now);
+    let is_quiet = hub.settings.bounds.engines_check_fencing || now >= acquired_at + lease;
+    left >= lease / LEFT_DIVISOR && is_quiet
+}
+
+/// Makes the calls that are due; returns whether engines are behind.
+fn step(
+    hub: &Arc<Hub>,
+    rollouts: &mut HashMap<ModelId, Rollout>,
+    fencing: FencingNumber,
+    sender: &mpsc::UnboundedSender<Reply>,
+    now: Instant,
+) -> bool {
+    let named: Vec<(ModelId, Named)> = {
+        let core = hub.core();
+        core.named
+            .iter()
+            .map(|(model, named)| (model.clone(), *named))
+            .collect()
+    };
+    let mut is_busy = false;
+    for (model, named) in named {
+        let views = views(hub, &model);
+        is_busy |= views
+            .iter()
+            .any(|view| view.weights.is_none_or(|has| has < named.weights));
+        let rollout = rollouts
+            .entry(model.clone())
+            .or_insert_with(|| Rollout::new(RolloutSettings::default()));
+        for step in rollout.steps(named.weights, &views, now) {
+            let instance = match step {
+                Step::Order(instance) | Step::Check(instance) => instance,
+            };
+            let (hub, sender, model) = (hub.clone(), sender.clone(), model.clone());
+            tokio::spawn(async move {
+                let outcome = bring(&hub, &instance, &model, named, fencing).await;
+                // The receiver is gone only when the process ends.
+                let _ = sender.send(Reply {
+                    model,
+                    instance,
+                    outcome,
+                });
+            });
+        }
+    }
+    is_busy
+}
+
+fn views(hub: &Hub, model: &str) -> Vec<EngineView> {
+    let core = hub.core();
+    let engines = core.fleet.iter().filter(|engine| engine.is_ready());
+    let with_model = engines.filter(|engine| engine.weights(model).is_some());
+    let views = with_model.map(|engine| EngineView {
+        instance: engine.instance.clone(),
+        weights: engine.weights(model),
+        requests: core.work_at(engine).requests,
+    });
+    views.collect()
+}
+
+/// Asks an engine for its state, and orders the weights if it lacks them and is free.
+async fn bring(
+    hub: &Hub,
+    instance: &Instance,
+    model: &ModelId,
+    named: Named,
+    fencing: FencingNumber,
+) -> Outcome {
+    let report = match orders::report(hub, instance).await {
+        Ok(report) => report,
+        Err(failure) => {
+            let reason = failure.to_string();
+            hub.journal.state(&Event::OrderNotSent {
+                upstream: &instance.id,
+                reason,
+            });
+            return Outcome::Unreachable;
+        }
+    };
+    let has = report
+        .weights
+        .iter()
+        .find(|(name, _)| name == model)
+        .map(|(_, number)| *number);
+    if let Some(has) = has.filter(|has| *has >= named.weights) {
+        return Outcome::InPlace(has);
+    }
+    if report.is_busy {
+        return Outcome::Busy;
+    }
+    let order = Order {
+        engine: instance.id.clone(),
+        model: model.clone(),
+        weights: named.weights,
+        holder: hub.settings.vm.clone(),
+        fencing,
+        expected_orders: report.orders,
+    };
+    let reply = orders::give(hub, instance, &order).await;
+    log_order(hub, &order, &reply);
+    match reply {
+        Ok(OrderReply::Accepted) => Outcome::Ordered,
+        Ok(OrderReply::Holds) => Outcome::InPlace(named.weights),
+        Ok(OrderReply::Busy) => Outcome::Busy,
+        Ok(OrderReply::Fenced) => Outcome::Fenced(fencing),
+        Ok(OrderReply::OtherEngine | OrderReply::Wrong) => Outcome::Gone,
+        Err(CallFailure::NotSent(_)) => Outcome::Unreachable,
+        Err(CallFailure::NoAnswer(_)) => Outcome::Ordered,
+    }
+}
+
+fn log_order(hub: &Hub, order: &Order, reply: &Result<OrderReply, CallFailure>) {
+    let name = match reply {
+        Ok(OrderReply::Accepted) => "accepted",
+        Ok(OrderReply::Holds) => "holds",
+        Ok(OrderReply::Busy) => "busy",
+        Ok(OrderReply::Fenced) => "fenced",
+        Ok(OrderReply::OtherEngine) => "other_engine",
+        Ok(OrderReply::Wrong) => "wrong",
+        Err(CallFailure::NotSent(_)) => "not_sent",
+        Err(CallFailure::NoAnswer(_)) => "no_answer",
+    };
+    hub.meters.order(name);
+    let reply = match reply {
+        Ok(_) => name.to_owned(),
+        Err(failure) => failure.to_string(),
+    };
+    hub.journal.state(&Event::OrderSent {
+        upstream: &order.engine,
+        model: &order.model,
+        weights: order.weights,
+        fencing: order.fencing,
+        expected_orders: order.expected_orders,
+        reply,
+    });
+}
+
+fn take_reply(hub: &Hub, rollouts: &mut HashMap<ModelId, Rollout>, reply: Reply) {
+    let now = hub.now();
+    let Some(rollout) = rollouts.get_mut(&reply.model) else {
+        return;
+    };
+    let instance = &reply.instance;
+    match reply.outcome {
+        Outcome::InPlace(weights) => {
+            rollout.done(instance);
+            let mut core = hub.core();
+            if let Some(engine) = core.fleet.instance_mut(instance) {
+                engine.saw_weights(&reply.model, weights);
+            }
+            let named = core.named.get(&reply.model).copied();
+            drop(core);
+            let after = named.map_or(Duration::ZERO, |named| now.saturating_sub(named.since));
+            hub.meters.weights_in_place(after);
+            let upstream = &instance.id;
+            let event = Event::WeightsInPlace {
+                upstream,
+                model: &reply.model,
+                weights,
+            };
+            hub.journal.state(&event);
+            hub.beat_due.notify_one();
+        }
+        Outcome::Ordered => rollout.ordered(instance, now),
+        Outcome::Busy => rollout.still_loading(instance, now),
+        Outcome::Unreachable => rollout.unreachable(instance, now),
+        Outcome::Fenced(_) | Outcome::Gone => rollout.done(instance),
+    }
+}
+
+fn set_rolling(hub: &Hub, rollouts: &HashMap<ModelId, Rollout>) {
+    let rolling: Vec<_> = rollouts
+        .values()
+        .flat_map(Rollout::rolling)
+        .cloned()
+        .collect();
+    let mut core = hub.core();
+    let is_news = core.rolling != rolling;
+    core.rolling = rolling;
+    drop(core);
+    if is_news {
+        hub.beat_due.notify_one();
+    }
+}
--- /dev/null
+++ b/src/gateway/table.rs
@@ -0,0 +1,85 @@
+//! Configuration compiled for look-ups.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use super::model::{Customer, Route, RoutingConfig, Service, ServiceId};
+use crate::document::{KeyDigest, digest_key};
+use crate::ids::ObjectVersion;
+
+/// Configuration of one version, immutable once compiled.
+#[derive(Debug, Default)]
+pub struct RoutingTable {
+    /// Version.
+    pub version: ObjectVersion,
+    /// Largest body of a request.
+    pub body_max_bytes: usize,
+    needs_keys: bool,
+    hosts: HashMap<String, Vec<Arc<Route>>>,
+    services: HashMap<ServiceId, Service>,
+    keys: HashMap<KeyDigest, Arc<Customer>>,
+    customers: Vec<Arc<Customer>>,
+}
+
+impl RoutingTable {
+    /// Compiles a configuration.
+    pub fn new(config: &RoutingConfig) -> Self {
+        let mut hosts: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
+        for route in &config.routes {
+            let host = hosts.entry(route.host.to_ascii_lowercase()).or_default();
+            host.push(Arc::new(route.clone()));
+        }
+        for routes in hosts.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
+        }
+        let customers: Vec<_> = config.customers.iter().cloned().map(Arc::new).collect();
+        let mut keys = HashMap::new();
+        for customer in &customers {
+            keys.extend(customer.keys.iter().map(|key| (*key, customer.clone())));
+        }
+        let services = config.services.iter().cloned();
+        Self {
+            version: config.version,
+            body_max_bytes: config.body_max_bytes,
+            needs_keys: !customers.is_empty(),
+            hosts,
+            services: services
+                .map(|service| (service.id.clone(), service))
+                .collect(),
+            keys,
+            customers,
+        }
+    }
+
+    /// Returns the route with the longest prefix of a path.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let name = host.split(':').next().unwrap_or_default();
+        let routes = match self.hosts.get(name) {
+            Some(routes) => routes,
+            None => self.hosts.get(&name.to_ascii_lowercase())?,
+        };
+        routes
+            .iter()
+            .find(|route| path.starts_with(&route.path_prefix))
+    }
+
+    /// Returns whether requests to a route need a key.
+    pub fn needs_key(&self, route: &Route) -> bool {
+        self.needs_keys && !route.is_public
+    }
+
+    /// Returns the customer that a key belongs to.
+    pub fn customer_of(&self, key: &str) -> Option<&Arc<Customer>> {
+        self.keys.get(&digest_key(key))
+    }
+
+    /// Returns every customer.
+    pub fn customers(&self) -> &[Arc<Customer>] {
+        &self.customers
+    }
+
+    /// Returns a service by its name.
+    pub fn service(&self, id: &str) -> Option<&Service> {
+        self.services.get(id)
+    }
+}
--- a/src/ini/key.rs
+++ b/src/ini/key.rs
@@ -38,6 +38,8 @@
     Small(RangeInclusive<u64>, Field<T, u32>),
     Count(RangeInclusive<u64>, Field<T, usize>),
     Millis(RangeInclusive<u64>, Field<T, Duration>),
+    Seconds(RangeInclusive<u64>, Field<T, Duration>),
+    Fraction(Field<T, f64>),
     Address(Field<T, SocketAddr>),
     OptionalAddress(Field<T, Option<SocketAddr>>),
     Addresses(Field<T, Vec<SocketAddr>>),
@@ -89,9 +91,11 @@
             Self::Number(range, _)
             | Self::Small(range, _)
             | Self::Count(range, _)
-            | Self::Millis(range, _) => {
+            | Self::Millis(range, _)
+            | Self::Seconds(range, _) => {
                 format!("whole number from {} to {}", range.start(), range.end())
             }
+            Self::Fraction(_) => "number from 0 to 1".into(),
             Self::Address(_) | Self::OptionalAddress(_) => "IP number and port as IP:PORT".into(),
             Self::Addresses(_) => "comma list of distinct IP:PORT".into(),
             Self::Path(_) => "path of a file".into(),
@@ -117,6 +121,10 @@
             Self::Millis(range, field) => {
                 *field(target) = Duration::from_millis(number(text, range)?);
             }
+            Self::Seconds(range, field) => {
+                *field(target) = Duration::from_secs(number(text, range)?);
+            }
+            Self::Fraction(field) => *field(target) = fraction(text)?,
             Self::Address(field) => *field(target) = text.parse().ok()?,
             Self::OptionalAddress(field) => *field(target) = Some(text.parse().ok()?),
             Self::Addresses(field) => *field(target) = each(text, |part| part.parse().ok())?,
@@ -142,6 +150,8 @@
             Self::Small(_, field) => Some(field(source).to_string()),
             Self::Count(_, field) => Some(field(source).to_string()),
             Self::Millis(_, field) => Some(field(source).as_millis().to_string()),
+            Self::Seconds(_, field) => Some(field(source).as_secs().to_string()),
+            Self::Fraction(field) => Some(field(source).to_string()),
             Self::Address(field) => Some(field(source).to_string()),
             Self::OptionalAddress(field) => field(source).map(|address| address.to_string()),
             Self::Addresses(field) => filled(joined(field(source), SocketAddr::to_string)),
@@ -167,6 +177,12 @@
     text.parse().ok().filter(|number| range.contains(number))
 }
 
+fn fraction(text: &str) -> Option<f64> {
+    text.parse()
+        .ok()
+        .filter(|number| (0.0..=1.0).contains(number))
+}
+
 fn each<V: PartialEq>(text: &str, read: impl Fn(&str) -> Option<V>) -> Option<Vec<V>> {
     rules::distinct_parts(text)?.into_iter().map(read).collect()
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod error;
 
 pub mod fair;
+pub mod gateway;
 pub mod idempotency;
 pub mod ids;
 pub mod ini;
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -11,4 +11,5 @@
 pub use error::StoreError;
 pub use gate::VersionGate;
 pub use object::{Kind, Listing, Object, VmListing, VmState};
+pub use transport::{Answer, Call, Transport};
 pub use write::{DeleteOutcome, PutOutcome};
--- a/src/platform/transport.rs
+++ b/src/platform/transport.rs
@@ -15,24 +15,37 @@
 use crate::settings::PlatformSettings;
 
 const POOL_IDLE: Duration = Duration::from_secs(15);
+/// Silence before and between TCP keep-alive probes, which find a waiting watch cut off.
+const KEEPALIVE: Duration = Duration::from_secs(1);
+/// Unanswered probes after which a connection is dead.
+const KEEPALIVE_RETRIES: u32 = 2;
+/// Bytes that stay unacknowledged for this long end their connection.
+const USER_TIMEOUT: Duration = Duration::from_millis(2_000);
 
 type HttpClient = Client<HttpConnector, Full<Bytes>>;
 
 /// Call to make.
 #[derive(Debug)]
-pub(super) struct Call {
-    pub(super) method: Method,
-    pub(super) path: String,
-    pub(super) body: Bytes,
-    pub(super) timeout: Duration,
-    pub(super) answer_max_bytes: usize,
+pub struct Call {
+    /// Method.
+    pub method: Method,
+    /// Path with its query.
+    pub path: String,
+    /// Body.
+    pub body: Bytes,
+    /// Bound on the whole call.
+    pub timeout: Duration,
+    /// Largest body of the answer.
+    pub answer_max_bytes: usize,
 }
 
 /// Whole answer.
 #[derive(Debug)]
-pub(super) struct Answer {
-    pub(super) status: StatusCode,
-    pub(super) body: Bytes,
+pub struct Answer {
+    /// Status.
+    pub status: StatusCode,
+    /// Body.
+    pub body: Bytes,
 }
 
 /// Pool of connections that is replaced as a whole after each failure.
@@ -40,13 +53,14 @@
 /// A connection that went silent is thereby used for at most one call, and so are the pooled ones
 /// beside it.
 #[derive(Debug, Clone)]
-pub(super) struct Transport {
+pub struct Transport {
     client: Arc<ArcSwap<HttpClient>>,
     settings: PlatformSettings,
 }
 
 impl Transport {
-    pub(super) fn new(settings: PlatformSettings) -> Self {
+    /// Creates a transport; it connects with the first call.
+    pub fn new(settings: PlatformSettings) -> Self {
         let client = ArcSwap::from_pointee(new_client(&settings));
         Self {
             client: Arc::new(client),
@@ -55,7 +69,11 @@
     }
 
     /// Makes the call and reads the whole answer.
-    pub(super) async fn call(&self, call: Call) -> Result<Answer, StoreError> {
+    ///
+    /// # Errors
+    ///
+    /// Returns why no whole answer came.
+    pub async fn call(&self, call: Call) -> Result<Answer, StoreError> {
         let mut guard = ReplaceUnlessDone {
             transport: self,
             done: false,
@@ -120,6 +138,10 @@
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
     connector.set_connect_timeout(Some(settings.request_timeout / 2));
+    connector.set_keepalive(Some(KEEPALIVE));
+    connector.set_keepalive_interval(Some(KEEPALIVE));
+    connector.set_keepalive_retries(Some(KEEPALIVE_RETRIES));
+    connector.set_tcp_user_timeout(Some(USER_TIMEOUT));
     Client::builder(TokioExecutor::new())
         .pool_timer(TokioTimer::new())
         .pool_idle_timeout(POOL_IDLE)
--- a/src/steward/core.rs
+++ b/src/steward/core.rs
@@ -210,6 +210,21 @@
         }
     }
 
+    /// Takes in what the holder tells of its lease, as if it had been read.
+    ///
+    /// Nothing is taken in while a call is under way, whose answer would be older or newer.
+    pub fn heard(&mut self, now: Instant, object: LeaseObject) {
+        let seen = self.observed.as_ref().map_or(0, |seen| seen.object.version);
+        if !self.is_reading && self.attempt.is_none() && object.version > seen {
+            self.observe(now, object);
+        }
+    }
+
+    /// Returns the lease's object as it was last seen.
+    pub fn object(&self) -> Option<LeaseObject> {
+        self.observed.as_ref().map(|seen| seen.object.clone())
+    }
+
     /// Reports the answer to a write.
     pub fn write_answered(&mut self, now: Instant, answer: WriteAnswer) {
         let Some(attempt) = self.attempt.take() else {
--- a/src/telemetry/exporter.rs
+++ b/src/telemetry/exporter.rs
@@ -1,6 +1,6 @@
 //! Meter provider with its Prometheus registry.
 
-use opentelemetry::metrics::MeterProvider;
+use opentelemetry::metrics::{Meter, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
 
@@ -13,7 +13,7 @@
 pub struct Telemetry {
     registry: Registry,
     // Instruments go dead once their provider is dropped.
-    _provider: SdkMeterProvider,
+    provider: SdkMeterProvider,
     metrics: Metrics,
 }
 
@@ -30,7 +30,7 @@
         let metrics = Metrics::new(&provider.meter(METER_NAME));
         Self {
             registry,
-            _provider: provider,
+            provider,
             metrics,
         }
     }
@@ -40,6 +40,11 @@
         self.metrics.clone()
     }
 
+    /// Returns the meter for instruments of other modules.
+    pub fn meter(&self) -> Meter {
+        self.provider.meter(METER_NAME)
+    }
+
     /// Renders all metrics in the Prometheus text format.
     pub fn render(&self) -> String {
         TextEncoder::new()
--- a/src/telemetry/logger.rs
+++ b/src/telemetry/logger.rs
@@ -3,7 +3,7 @@
 use std::io;
 
 use slog::{Drain, Logger, o};
-use slog_async::Async;
+use slog_async::{Async, OverflowStrategy};
 use slog_json::Json;
 use slog_term::{FullFormat, TermDecorator};
 
@@ -22,3 +22,18 @@
     };
     Logger::root(drain.fuse(), o!("process" => process_name))
 }
+
+/// Lines that wait for their writer; further ones are dropped and counted.
+const WAITING_LINES_MAX: usize = 4_096;
+
+/// Creates a logger that writes JSON lines to standard output from a thread of its own.
+///
+/// A writer that cannot keep up never holds the caller: lines are dropped and their number logged.
+pub fn output_logger(process_name: &'static str) -> Logger {
+    let json = Json::new(io::stdout()).add_default_keys().build().fuse();
+    let drain = Async::new(json)
+        .chan_size(WAITING_LINES_MAX)
+        .overflow_strategy(OverflowStrategy::DropAndReport)
+        .build();
+    Logger::root(drain.fuse(), o!("process" => process_name))
+}
