feat(gateway): engines fetch cached parts from each other, and weights roll out in parallel

VMs now tell each other which engine read which chain; requests name an engine to fetch from and expect its weights; lateness counts from the first name missed; a third of the engines load at once. Ruled out: late news of the names (all VMs logged them within 5 ms).

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -10,8 +10,9 @@
 use hyper::body::Incoming;
 
 use super::answer::come_back;
+use super::dispatch::Dispatched;
 use super::edge::{AnswerHead, Forwarded, RequestHead};
-use super::hub::{Ask, Dispatched, Hub, NotPlaced};
+use super::hub::{Ask, Hub, NotPlaced};
 use super::journal::Event;
 use super::model::{CostUnit, Customer, Route, RouteKind};
 use super::pool::{Connection, SendFailure};
@@ -368,7 +369,7 @@
                 attempt: self.progress.sends,
                 outcome,
                 reason: &reason,
-                after_ms: self.hub.now().saturating_sub(dispatched.at()).as_millis() as u64,
+                after_ms: self.hub.now().saturating_sub(dispatched.at).as_millis() as u64,
             },
         );
         self.progress.last_failure = Some(outcome);
@@ -551,9 +552,10 @@
             upstream: &dispatched.instance.id,
             customer: self.customer.as_ref().map(|customer| customer.id.as_str()),
             cache_salt: salt.as_deref(),
+            fetch_from: dispatched.fetch_from,
             rank: self.ask.prompt.as_ref().map(|_| self.rank()),
             last_event,
-            weights: dispatched.weights.filter(|_| dispatched.must_match_weights),
+            weights: dispatched.weights,
         };
         self.hub.platform.dialect.forward(&mut headers, &forwarded);
         let target = self
--- a/src/gateway/edge.rs
+++ b/src/gateway/edge.rs
@@ -185,6 +185,8 @@
     pub customer: Option<&'a str>,
     /// Separates cached prompts that must not meet.
     pub cache_salt: Option<&'a str>,
+    /// Engine that holds parts of the prompt.
+    pub fetch_from: Option<SocketAddr>,
     /// Rank at the engine; 0 is first.
     pub rank: Option<u8>,
     /// Event after which the stream is to go on.
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -8,12 +8,9 @@
 use std::time::Duration;
 
 use super::model::{UpstreamEntry, UpstreamStage, WeightNumber};
-use super::prompt::ChainHash;
 use crate::clock::Instant;
 use crate::ids::{ModelId, Tokens, UpstreamId};
 
-/// Chains of prompt parts remembered for one engine.
-const CHAINS_MAX: usize = 512;
 /// Share of one outcome in the failure rate of an upstream.
 const FAILURE_SHARE: f64 = 0.2;
 /// Time for which an upstream is avoided whose every request fails.
@@ -76,7 +73,6 @@
     /// Work that this VM has sent.
     pub own: Work,
     weights: HashMap<ModelId, WeightNumber>,
-    chains: HashMap<ChainHash, Instant>,
     failure_rate: f64,
     avoided_until: Instant,
     lapsed_at: Option<Instant>,
@@ -91,7 +87,6 @@
             },
             own: Work::default(),
             weights: HashMap::new(),
-            chains: HashMap::new(),
             failure_rate: 0.0,
             avoided_until: Instant::ZERO,
             lapsed_at: None,
@@ -106,13 +101,10 @@
         self.weights.get(model).copied()
     }
 
-    /// Notes the weights of a model; what was cached under older ones is forgotten.
+    /// Notes the weights of a model; they only rise.
     pub fn saw_weights(&mut self, model: &str, number: WeightNumber) {
         let known = self.weights.entry(model.to_owned()).or_insert(number);
-        if number > *known {
-            *known = number;
-            self.chains.clear();
-        }
+        *known = number.max(*known);
     }
 
     /// Notes the weights of an engine that has a single model.
@@ -123,24 +115,6 @@
         }
     }
 
-    /// Notes that the engine has read chains of parts.
-    pub fn read_chains(&mut self, chains: impl IntoIterator<Item = ChainHash>, now: Instant) {
-        self.chains
-            .extend(chains.into_iter().map(|chain| (chain, now)));
-        while self.chains.len() > CHAINS_MAX {
-            let oldest = self.chains.iter().min_by_key(|(_, at)| **at);
-            let Some(oldest) = oldest.map(|(chain, _)| *chain) else {
-                return;
-            };
-            self.chains.remove(&oldest);
-        }
-    }
-
-    /// Returns when the engine was last known to read a chain.
-    pub fn chain_read_at(&self, chain: ChainHash) -> Option<Instant> {
-        self.chains.get(&chain).copied()
-    }
-
     /// Notes an answer.
     pub fn succeeded(&mut self) {
         self.failure_rate *= 1.0 - FAILURE_SHARE;
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -10,7 +10,7 @@
 use rand::Rng;
 
 use super::edge::{Change, Failure, Listing, Record, Tracked};
-use super::hub::{Hub, Named};
+use super::hub::Hub;
 use super::journal::Event;
 use super::pool::connect;
 use super::server::mirror_path;
@@ -271,16 +271,8 @@
                     revision,
                 });
                 let mut core = self.core();
-                let known = core.named.entry(named.model.clone()).or_insert(Named {
-                    weights: 0,
-                    since: now,
-                });
-                if weights > known.weights {
-                    *known = Named {
-                        weights,
-                        since: now,
-                    };
-                }
+                let history = core.named.entry(named.model.clone()).or_default();
+                history.named(weights, now);
                 drop(core);
                 self.weights_named.notify_one();
             }
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -20,6 +20,8 @@
 const KNOWN_EVERY: u64 = 10;
 /// Addresses told in one beat.
 const KNOWN_MAX: usize = 24;
+/// Chains told in one beat.
+const HOLDINGS_MAX: usize = 60;
 /// Largest datagram that is surely not split on the way.
 const BEAT_MAX_BYTES: usize = 1_400;
 /// Beats sent to tell that this VM leaves.
@@ -170,6 +172,7 @@
         0 => addresses.iter().copied().take(KNOWN_MAX).collect(),
         _ => Vec::new(),
     };
+    let read = core.holdings.take_untold(HOLDINGS_MAX);
     let beat = Beat {
         vm: settings.vm.clone(),
         incarnation: hub.incarnation,
@@ -183,6 +186,7 @@
         lease: core.lease.clone(),
         rolling: core.rolling.iter().map(|id| short_name(id)).collect(),
         weights: core.own_word_on_weights(),
+        read,
         known,
     };
     (beat, addresses)
--- /dev/null
+++ b/src/gateway/holdings.rs
@@ -0,0 +1,151 @@
+//! Which engines have read which chains of prompt parts.
+//!
+//! Load pattern: many prompts share long parts, engines forget within seconds, and each VM sees
+//! part of the traffic only. VMs tell each other what their requests made engines read, so that the
+//! next reader goes there, or its engine fetches the parts from there.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::model::WeightNumber;
+use super::peers::ShortName;
+use super::prompt::ChainHash;
+use crate::clock::Instant;
+
+/// Age up to which parts that were read count as cached; engines forget after about as long.
+const FRESH: Duration = Duration::from_secs(10);
+/// Chains remembered.
+const CHAINS_MAX: usize = 8_192;
+/// Engines remembered for one chain.
+const HOLDERS_MAX: usize = 8;
+/// Time after which a holding that is still used is told again.
+const TELL_AGAIN: Duration = Duration::from_secs(3);
+
+/// Chain that an engine has read, as told to peers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Holding {
+    /// Chain, cut to the length of a short name.
+    pub chain: ShortName,
+    /// Engine.
+    pub engine: ShortName,
+    /// Weights that it had.
+    pub weights: WeightNumber,
+}
+
+/// Holdings known to this VM.
+#[derive(Debug, Default)]
+pub struct Holdings {
+    chains: HashMap<ShortName, Vec<Holder>>,
+    untold: Vec<Holding>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Holder {
+    engine: ShortName,
+    weights: WeightNumber,
+    used_at: Instant,
+    told_at: Instant,
+}
+
+impl Holdings {
+    /// Notes that a request of this VM makes an engine read a chain.
+    pub fn read(
+        &mut self,
+        chain: ChainHash,
+        engine: ShortName,
+        weights: WeightNumber,
+        now: Instant,
+    ) {
+        let holding = Holding {
+            chain: chain as ShortName,
+            engine,
+            weights,
+        };
+        let holder = self.note(holding, now);
+        let is_told = holder.told_at + TELL_AGAIN > now && holder.told_at != Instant::ZERO;
+        if !is_told {
+            holder.told_at = now;
+            self.untold.push(holding);
+        }
+    }
+
+    /// Takes what a peer tells.
+    pub fn told(&mut self, holding: Holding, now: Instant) {
+        self.note(holding, now).told_at = now;
+    }
+
+    /// Returns up to some of the holdings that peers were not told yet.
+    pub fn take_untold(&mut self, max: usize) -> Vec<Holding> {
+        let count = self.untold.len().min(max);
+        self.untold.drain(..count).collect()
+    }
+
+    /// Returns whether an engine holds a chain under some weights.
+    pub fn holds(
+        &self,
+        chain: ChainHash,
+        engine: ShortName,
+        weights: WeightNumber,
+        now: Instant,
+    ) -> bool {
+        let mut holders = self.holders(chain, weights, now);
+        holders.any(|holder| holder == engine)
+    }
+
+    /// Returns the engines that hold a chain under some weights, latest use first.
+    pub fn holders(
+        &self,
+        chain: ChainHash,
+        weights: WeightNumber,
+        now: Instant,
+    ) -> impl Iterator<Item = ShortName> {
+        let holders = self.chains.get(&(chain as ShortName)).into_iter().flatten();
+        let is_fresh = move |holder: &&Holder| {
+            holder.weights == weights && now.saturating_sub(holder.used_at) < FRESH
+        };
+        holders.filter(is_fresh).map(|holder| holder.engine)
+    }
+
+    /// Forgets what an engine held, as it started anew.
+    pub fn forget_engine(&mut self, engine: ShortName) {
+        for holders in self.chains.values_mut() {
+            holders.retain(|holder| holder.engine != engine);
+        }
+    }
+
+    /// Forgets what is too old to matter.
+    pub fn sweep(&mut self, now: Instant) {
+        if self.chains.len() <= CHAINS_MAX {
+            return;
+        }
+        self.chains.retain(|_, holders| {
+            holders.retain(|holder| now.saturating_sub(holder.used_at) < FRESH);
+            !holders.is_empty()
+        });
+    }
+
+    fn note(&mut self, holding: Holding, now: Instant) -> &mut Holder {
+        let holders = self.chains.entry(holding.chain).or_default();
+        let known = holders.iter().position(|holder| {
+            holder.engine == holding.engine && holder.weights == holding.weights
+        });
+        let holder = match known {
+            Some(index) => Holder {
+                used_at: now,
+                ..holders.remove(index)
+            },
+            None => Holder {
+                engine: holding.engine,
+                weights: holding.weights,
+                used_at: now,
+                told_at: Instant::ZERO,
+            },
+        };
+        holders.insert(0, holder);
+        holders.truncate(HOLDERS_MAX);
+        &mut holders[0]
+    }
+}
--- a/src/gateway/hub.rs
+++ b/src/gateway/hub.rs
@@ -1,51 +1,37 @@
 //! State that the tasks and requests of a gateway share.
 
 use std::collections::{BTreeMap, HashMap};
-use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
 use tokio::sync::{Notify, oneshot};
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::allowance::{AllowanceSettings, Allowances, PeerDemand};
+use super::dispatch::Dispatched;
 use super::edge::{Change, Listing, Platform, Record, Tracked};
-use super::fleet::{Engine, Fleet, FleetSettings, Instance, Work};
+use super::fleet::{Engine, Fleet, FleetSettings, Work};
 use super::gate::{BudgetBounds, Budgets};
+use super::holdings::Holdings;
 use super::journal::{Event, Journal};
 use super::meters::Meters;
-use super::model::{Customer, ServiceId, WeightNumber};
+use super::model::{Customer, EngineProfile, ServiceId, WeightNumber};
 use super::peers::{HeldLease, Peers, PeersSettings, Revisions, ShortName, short_name};
-use super::placement::{Candidate, Demand, Place, PlacementSettings, choose};
+use super::placement::{Place, PlacementSettings};
 use super::pool::Pool;
-use super::prompt::{ChainHash, Prompt};
+use super::prompt::Prompt;
 use super::settings::GatewaySettings;
 use super::table::RoutingTable;
 use super::waiting::{Queue, QueueSettings, Ticket, Waiting};
+use super::weights::NamedHistory;
 use crate::clock::{Instant, SharedClock};
 use crate::entry::{Connections, Drain};
-use crate::ids::{Incarnation, ModelId, ObjectVersion, Tokens, UpstreamId};
+use crate::ids::{Incarnation, ModelId, ObjectVersion, UpstreamId};
 use crate::settings::LimitSettings;
 use crate::telemetry::Telemetry;
 
-/// Requests that a plain service may have for each of its slots before others wait.
-const PLAIN_REQUESTS_PER_SLOT: u32 = 2;
-/// Age up to which a chain that was read counts as cached.
-const CHAIN_FRESH: Duration = Duration::from_secs(15);
 /// Waiting requests looked at in one pass, which bounds the time under the lock.
 const PASS_MAX: usize = 32;
-/// Weight of a new sample in the estimate of an engine's reading speed.
-const SPEED_SHARE: f64 = 0.05;
-/// Shortest prompt whose reading time says something about the speed.
-const SPEED_TOKENS_MIN: Tokens = 4_000;
-/// Speed that no estimate leaves, in tokens a millisecond.
-const SPEED_RANGE: std::ops::RangeInclusive<f64> = 10.0..=500.0;
-/// Time before the bound on older weights in which nothing starts on them any more.
-const OLDER_WEIGHTS_MARGIN: Duration = Duration::from_millis(700);
-/// Age of named weights from which an engine without them is worth less.
-const OLDER_WEIGHTS_GRACE: Duration = Duration::from_millis(1_200);
-
 /// State that all tasks of a gateway share.
 #[derive(Debug)]
 pub(super) struct Hub {
@@ -78,21 +64,15 @@
     pub(super) peers: Peers,
     pub(super) allowances: Allowances,
     pub(super) budgets: Budgets,
-    pub(super) named: HashMap<ModelId, Named>,
+    pub(super) named: HashMap<ModelId, NamedHistory>,
+    pub(super) holdings: Holdings,
+    pub(super) profiles: HashMap<ServiceId, EngineProfile>,
     pub(super) mirrors: HashMap<Tracked, Mirror>,
     pub(super) lease: Option<HeldLease>,
     pub(super) rolling: Vec<UpstreamId>,
     queues: HashMap<ServiceId, ServiceQueue>,
     peer_work: HashMap<ShortName, Work>,
-    placement: PlacementSettings,
-}
-
-/// Weights named by the operator.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) struct Named {
-    pub(super) weights: WeightNumber,
-    /// When this VM learned of them.
-    pub(super) since: Instant,
+    pub(super) placement: PlacementSettings,
 }
 
 /// Objects of one kind as the store has them.
@@ -129,24 +109,6 @@
     pub(super) tried: Vec<UpstreamId>,
 }
 
-/// Request sent to an upstream; what it takes there is given back on drop.
-#[derive(Debug)]
-pub(super) struct Dispatched {
-    hub: Arc<Hub>,
-    pub(super) instance: Instance,
-    pub(super) address: SocketAddr,
-    pub(super) weights: Option<WeightNumber>,
-    /// Whether the engine has to have just these weights.
-    pub(super) must_match_weights: bool,
-    pub(super) held_tokens: Tokens,
-    pub(super) ahead_tokens: Tokens,
-    service: ServiceId,
-    work: Work,
-    chains: Vec<ChainHash>,
-    at: Instant,
-    is_reading: bool,
-}
-
 /// Why a request was not placed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum NotPlaced {
@@ -182,6 +144,8 @@
                 slack: bounds.retry_slack,
             }),
             named: HashMap::new(),
+            holdings: Holdings::default(),
+            profiles: HashMap::new(),
             mirrors: HashMap::new(),
             lease: None,
             rolling: Vec::new(),
@@ -223,6 +187,7 @@
         let current = self.table().map_or(0, |table| table.version);
         if table.version > current {
             let version = table.version;
+            self.core().profiles = table.profiles();
             self.table.store(Some(Arc::new(table)));
             self.meters.config_version(version);
             self.journal.state(&Event::ConfigInForce {
@@ -370,6 +335,9 @@
         let revisions = beat.revisions;
         let mut core = self.core();
         core.take_word_on_weights(&beat.weights);
+        for holding in &beat.read {
+            core.holdings.told(*holding, now);
+        }
         if !core.peers.hear(beat, now) {
             return false;
         }
@@ -391,6 +359,7 @@
         core.peers.sweep(now);
         core.fleet.sweep(now);
         core.refresh_peer_work(now);
+        core.holdings.sweep(now);
         drop(core);
         self.pump();
     }
@@ -502,218 +471,6 @@
         self.queues = queues;
         placed
     }
-
-    fn try_place(&mut self, hub: &Arc<Hub>, ask: &Ask, now: Instant) -> Result<Dispatched, Place> {
-        let chains = ask
-            .prompt
-            .as_ref()
-            .map(|prompt| prompt.chains(ask.isolated_customer.as_deref().unwrap_or_default()));
-        let chains = chains.unwrap_or_default();
-        let shared = chains
-            .len()
-            .checked_sub(2)
-            .and_then(|index| chains.get(index))
-            .copied();
-        let named = ask
-            .prompt
-            .as_ref()
-            .and_then(|prompt| self.named.get(&prompt.model))
-            .copied();
-        let age = named.map_or(Duration::ZERO, |named| now.saturating_sub(named.since));
-        let older_max = hub
-            .settings
-            .bounds
-            .weights
-            .saturating_sub(OLDER_WEIGHTS_MARGIN);
-        let is_expired = age >= older_max;
-        let is_older = |engine: &Engine| {
-            let model = ask
-                .prompt
-                .as_ref()
-                .map_or("", |prompt| prompt.model.as_str());
-            let has = engine.weights(model).unwrap_or_default();
-            named.is_some_and(|named| has < named.weights)
-        };
-        let mut engines: Vec<&Engine> = self
-            .fleet
-            .ready(&ask.service)
-            .filter(|engine| !ask.tried.contains(&engine.instance.id))
-            .filter(|engine| !(is_expired && is_older(engine)))
-            .collect();
-        if engines.is_empty() {
-            let is_any = self
-                .fleet
-                .ready(&ask.service)
-                .any(|engine| !ask.tried.contains(&engine.instance.id));
-            return Err(if is_any { Place::Wait } else { Place::Nowhere });
-        }
-        let seed = shared.map_or_else(rand::random, |(chain, _)| chain);
-        engines.sort_by_cached_key(|engine| {
-            std::cmp::Reverse(xxh3_64_with_seed(engine.instance.id.as_bytes(), seed))
-        });
-        let demand = demand(ask);
-        let memory_max = hub
-            .table()
-            .and_then(|table| table.service(&ask.service)?.engine.clone());
-        let candidates: Vec<Candidate> = engines
-            .iter()
-            .enumerate()
-            .map(|(rank, engine)| {
-                let work = self.work_at(engine);
-                let known = chains.iter().rev().find(|(chain, _)| {
-                    engine
-                        .chain_read_at(*chain)
-                        .is_some_and(|at| now.saturating_sub(at) < CHAIN_FRESH)
-                });
-                let held = known.map_or(0, |(_, tokens)| *tokens);
-                let home = if rank == 0 {
-                    shared.map_or(0, |(_, tokens)| tokens)
-                } else {
-                    0
-                };
-                let is_plain = ask.prompt.is_none();
-                Candidate {
-                    rank: if shared.is_some() { rank } else { 0 },
-                    reading_tokens: work.reading_tokens,
-                    memory_tokens: work.memory_tokens,
-                    memory_max_tokens: memory_max
-                        .as_ref()
-                        .map_or(Tokens::MAX, |profile| profile.memory_tokens),
-                    requests: work.requests,
-                    slots: match is_plain {
-                        true => engine.entry.slots * PLAIN_REQUESTS_PER_SLOT,
-                        false => engine.entry.slots,
-                    },
-                    held_tokens: held.max(home),
-                    is_same_zone: engine.entry.availability_zone == hub.settings.availability_zone,
-                    is_avoided: engine.is_avoided(now),
-                    is_older: age >= OLDER_WEIGHTS_GRACE && is_older(engine),
-                    is_rolling: !is_plain && self.is_rolling(&engine.instance.id, now),
-                }
-            })
-            .collect();
-        let place = choose(&self.placement, &demand, &candidates);
-        let Place::At(index) = place else {
-            return Err(place);
-        };
-        let candidate = candidates[index];
-        let engine = engines[index];
-        let model = ask.prompt.as_ref().map(|prompt| prompt.model.as_str());
-        let missed = demand.prompt_tokens.saturating_sub(candidate.held_tokens);
-        let dispatched = Dispatched {
-            hub: hub.clone(),
-            instance: engine.instance.clone(),
-            address: engine.entry.address,
-            weights: model.and_then(|model| engine.weights(model)),
-            must_match_weights: age + OLDER_WEIGHTS_MARGIN >= older_max && named.is_some(),
-            held_tokens: candidate.held_tokens,
-            ahead_tokens: candidate.reading_tokens,
-            service: ask.service.clone(),
-            work: Work {
-                requests: 1,
-                reading_tokens: missed,
-                memory_tokens: demand.prompt_tokens + demand.output_tokens,
-            },
-            chains: chains.iter().map(|(chain, _)| *chain).collect(),
-            at: now,
-            is_reading: true,
-        };
-        if let Some(engine) = self.fleet.get_mut(&dispatched.instance.id) {
-            engine.own = engine.own.plus(dispatched.work);
-        }
-        Ok(dispatched)
-    }
-
-    fn is_rolling(&self, engine: &UpstreamId, now: Instant) -> bool {
-        self.rolling.contains(engine) || self.peers.is_rolling(short_name(engine), now)
-    }
-}
-
-fn demand(ask: &Ask) -> Demand {
-    let prompt = ask.prompt.as_ref();
-    Demand {
-        prompt_tokens: prompt.map_or(0, |prompt| prompt.prompt_tokens),
-        output_tokens: prompt.map_or(0, |prompt| prompt.expected_output()),
-        objective: ask.objective,
-    }
-}
-
-impl Dispatched {
-    /// Notes that the first event or the answer has come.
-    pub(super) fn started(&mut self) {
-        if !std::mem::take(&mut self.is_reading) {
-            return;
-        }
-        let now = self.hub.now();
-        let mut core = self.hub.core();
-        self.learn_speed(&mut core.placement, now);
-        if let Some(engine) = core.fleet.instance_mut(&self.instance) {
-            engine.own.reading_tokens -= self.work.reading_tokens.min(engine.own.reading_tokens);
-            engine.read_chains(self.chains.iter().copied(), now);
-            engine.succeeded();
-        }
-        drop(core);
-        self.hub.pump();
-    }
-
-    /// Notes the weights that answer.
-    pub(super) fn saw_weights(&mut self, weights: WeightNumber, model: &str) {
-        if let Some(engine) = self.hub.core().fleet.instance_mut(&self.instance) {
-            engine.saw_weights(model, weights);
-        }
-        if self.weights != Some(weights) {
-            // The parts are cached under a salt of other weights than assumed.
-            self.chains.clear();
-            self.weights = Some(weights);
-        }
-    }
-
-    /// Notes a failure of the upstream.
-    pub(super) fn failed(&self, weight: f64) {
-        let now = self.hub.now();
-        if let Some(engine) = self.hub.core().fleet.instance_mut(&self.instance) {
-            engine.failed(weight, now);
-        }
-    }
-
-    /// Notes that the upstream could not be reached.
-    pub(super) fn unreachable(&self) {
-        let now = self.hub.now();
-        self.hub.pool.forget(&self.instance);
-        if let Some(engine) = self.hub.core().fleet.instance_mut(&self.instance) {
-            engine.unreachable(now);
-        }
-    }
-
-    /// Returns when the request was placed.
-    pub(super) fn at(&self) -> Instant {
-        self.at
-    }
-
-    fn learn_speed(&self, placement: &mut PlacementSettings, now: Instant) {
-        let tokens = self.work.reading_tokens + self.ahead_tokens;
-        let elapsed_ms = now.saturating_sub(self.at).as_secs_f64() * 1_000.0;
-        if self.work.reading_tokens < SPEED_TOKENS_MIN || elapsed_ms < 1.0 {
-            return;
-        }
-        let sample = (tokens as f64 / elapsed_ms).clamp(*SPEED_RANGE.start(), *SPEED_RANGE.end());
-        let speed = &mut placement.read_tokens_per_ms;
-        *speed += SPEED_SHARE * (sample - *speed);
-    }
-}
-
-impl Drop for Dispatched {
-    fn drop(&mut self) {
-        if let Some(engine) = self.hub.core().fleet.instance_mut(&self.instance) {
-            let own = &mut engine.own;
-            own.requests = own.requests.saturating_sub(1);
-            own.memory_tokens = own.memory_tokens.saturating_sub(self.work.memory_tokens);
-            if self.is_reading {
-                own.reading_tokens = own.reading_tokens.saturating_sub(self.work.reading_tokens);
-            }
-        }
-        self.hub.pump();
-    }
 }
 
 /// Place in a queue, given up on drop.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -7,18 +7,21 @@
 mod answer;
 mod call;
 mod daemon;
+mod dispatch;
 mod edge;
 mod events;
 mod fleet;
 mod follow;
 mod gate;
 mod gossip;
+mod holdings;
 mod hub;
 mod journal;
 mod meters;
 mod model;
 mod orders;
 mod peers;
+mod place;
 mod placement;
 mod pool;
 mod prompt;
@@ -29,6 +32,7 @@
 mod stream;
 mod table;
 mod waiting;
+mod weights;
 
 pub use allowance::{AllowanceSettings, Allowances, PeerDemand};
 pub use daemon::{GatewayError, run_gateway};
@@ -39,6 +43,7 @@
 pub use events::{EventSplitter, SplitError};
 pub use fleet::{Engine, Fleet, FleetSettings, Instance};
 pub use gate::{BudgetBounds, Budgets};
+pub use holdings::{Holding, Holdings};
 pub use journal::Journal;
 pub use model::{
     Allowance, CostUnit, Customer, EngineProfile, LoadedModel, Member, NamedWeights, Route,
@@ -51,3 +56,4 @@
 pub use settings::{Bounds, GatewaySettings};
 pub use table::RoutingTable;
 pub use waiting::{Queue, QueueSettings, Ticket, Waiting};
+pub use weights::NamedHistory;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -11,19 +11,20 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::fleet::Work;
+use super::holdings::Holding;
 use super::model::WeightNumber;
 use crate::clock::Instant;
 use crate::ids::{AvailabilityZoneId, Incarnation, ObjectVersion, VmId};
 use crate::steward::LeaseRecord;
 
 /// Short name of an upstream or a customer in a beat.
-pub type ShortName = u32;
+pub(super) type ShortName = u32;
 
 /// Tokens in which loads are counted.
 const LOAD_UNIT_TOKENS: u64 = 64;
 
 /// Returns the short name of a text.
-pub fn short_name(text: &str) -> ShortName {
+pub(super) fn short_name(text: &str) -> ShortName {
     xxh3_64(text.as_bytes()) as ShortName
 }
 
@@ -130,6 +131,8 @@
     pub rolling: Vec<ShortName>,
     /// Weights of engines that the store does not list yet.
     pub weights: Vec<(ShortName, WeightNumber)>,
+    /// Chains that its requests made engines read.
+    pub read: Vec<Holding>,
     /// Other VMs that it knows; in some beats only.
     pub known: Vec<SocketAddr>,
 }
--- /dev/null
+++ b/src/gateway/place.rs
@@ -0,0 +1,260 @@
+//! Placing of requests: what is known of the upstreams, put before the choice.
+
+use std::cmp::Reverse;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::dispatch::Dispatched;
+use super::fleet::{Engine, Work};
+use super::hub::{Ask, Core, Hub};
+use super::model::WeightNumber;
+use super::peers::{ShortName, short_name};
+use super::placement::{Candidate, Demand, Place, choose};
+use super::prompt::{ChainHash, Prompt};
+use crate::clock::Instant;
+use crate::ids::Tokens;
+
+/// Requests that a plain service may have for each of its slots before others wait.
+const PLAIN_REQUESTS_PER_SLOT: u32 = 2;
+/// Time before the bound on older weights in which nothing starts on them any more: a request may
+/// wait this long at its engine.
+const OLDER_WEIGHTS_MARGIN: Duration = Duration::from_millis(700);
+/// Time since weights were named from which an engine without them is worth less.
+const OLDER_WEIGHTS_GRACE: Duration = Duration::from_millis(1_300);
+
+/// Prompt with the chains of its parts.
+struct Asked<'a> {
+    prompt: &'a Prompt,
+    chains: Vec<(ChainHash, Tokens)>,
+}
+
+/// Engine with what it has of a prompt.
+struct EngineOption<'a> {
+    engine: &'a Engine,
+    name: ShortName,
+    weights: WeightNumber,
+    held: Tokens,
+    fetched: Tokens,
+    source: Option<SocketAddr>,
+}
+
+impl Asked<'_> {
+    /// Returns the chains that other prompts may share: all but the last part.
+    fn shared(&self) -> &[(ChainHash, Tokens)] {
+        &self.chains[..self.chains.len().saturating_sub(1)]
+    }
+
+    /// Returns the chain that decides where its readers meet.
+    fn home(&self) -> Option<ChainHash> {
+        self.shared().last().map(|(chain, _)| *chain)
+    }
+}
+
+impl Core {
+    /// Chooses an upstream and counts the request as sent to it.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Place::Wait`] or [`Place::Nowhere`].
+    pub(super) fn try_place(
+        &mut self,
+        hub: &Arc<Hub>,
+        ask: &Ask,
+        now: Instant,
+    ) -> Result<Dispatched, Place> {
+        let asked = ask.prompt.as_deref().map(|prompt| Asked {
+            prompt,
+            chains: prompt.chains(ask.isolated_customer.as_deref().unwrap_or_default()),
+        });
+        let demand = demand(ask);
+        let options = self.options(hub, ask, asked.as_ref(), now)?;
+        let candidates: Vec<Candidate> = options
+            .iter()
+            .enumerate()
+            .map(|(rank, option)| {
+                let has_home = asked.as_ref().is_some_and(|asked| asked.home().is_some());
+                let rank = if has_home { rank } else { 0 };
+                self.candidate(hub, ask, option, rank, now)
+            })
+            .collect();
+        let place = choose(&self.placement, &demand, &candidates);
+        let Place::At(index) = place else {
+            return Err(place);
+        };
+        let (option, candidate) = (&options[index], &candidates[index]);
+        let found = option.held.max(option.fetched);
+        let work = Work {
+            requests: 1,
+            reading_tokens: demand.prompt_tokens.saturating_sub(found),
+            memory_tokens: demand.prompt_tokens + demand.output_tokens,
+        };
+        let weights = asked.as_ref().map(|_| option.weights);
+        let dispatched = Dispatched::new(hub, option.engine, work, weights)
+            .with_found(option.held, option.source)
+            .with_ahead(candidate.reading_tokens);
+        let name = option.name;
+        if let Some(engine) = self.fleet.get_mut(&dispatched.instance.id) {
+            engine.own = engine.own.plus(work);
+        }
+        let chains = asked.iter().flat_map(|asked| asked.shared());
+        for (chain, _) in chains {
+            let weights = dispatched.weights.unwrap_or_default();
+            self.holdings.read(*chain, name, weights, now);
+        }
+        Ok(dispatched)
+    }
+
+    /// Returns the upstreams that the request may go to, the home of its shared part first.
+    fn options<'a>(
+        &'a self,
+        hub: &Hub,
+        ask: &'a Ask,
+        asked: Option<&Asked<'_>>,
+        now: Instant,
+    ) -> Result<Vec<EngineOption<'a>>, Place> {
+        let untried = self
+            .fleet
+            .ready(&ask.service)
+            .filter(|engine| !ask.tried.contains(&engine.instance.id));
+        let engines: Vec<&Engine> = untried.collect();
+        if engines.is_empty() {
+            return Err(Place::Nowhere);
+        }
+        let last_start = hub
+            .settings
+            .bounds
+            .weights
+            .saturating_sub(OLDER_WEIGHTS_MARGIN);
+        let in_time = engines
+            .into_iter()
+            .filter(|engine| self.behind(engine, asked, now) < last_start);
+        let seed = asked.and_then(Asked::home).unwrap_or_else(rand::random);
+        let mut options: Vec<_> = in_time
+            .map(|engine| self.option(ask, engine, asked, now))
+            .collect();
+        options.sort_by_cached_key(|option| {
+            Reverse(xxh3_64_with_seed(
+                option.engine.instance.id.as_bytes(),
+                seed,
+            ))
+        });
+        match options.is_empty() {
+            true => Err(Place::Wait),
+            false => Ok(options),
+        }
+    }
+
+    fn option<'a>(
+        &self,
+        ask: &Ask,
+        engine: &'a Engine,
+        asked: Option<&Asked<'_>>,
+        now: Instant,
+    ) -> EngineOption<'a> {
+        let name = short_name(&engine.instance.id);
+        let mut option = EngineOption {
+            engine,
+            name,
+            weights: 0,
+            held: 0,
+            fetched: 0,
+            source: None,
+        };
+        let Some(asked) = asked else {
+            return option;
+        };
+        option.weights = engine.weights(&asked.prompt.model).unwrap_or_default();
+        for (chain, tokens) in asked.shared().iter().rev() {
+            if self.holdings.holds(*chain, name, option.weights, now) {
+                option.held = *tokens;
+                break;
+            }
+            if option.source.is_none() {
+                option.source = self.source(ask, *chain, option.weights, name, now);
+                option.fetched = option.source.map_or(0, |_| *tokens);
+            }
+        }
+        option
+    }
+
+    /// Returns the address of another engine that holds a chain.
+    fn source(
+        &self,
+        ask: &Ask,
+        chain: ChainHash,
+        weights: WeightNumber,
+        but: ShortName,
+        now: Instant,
+    ) -> Option<SocketAddr> {
+        let mut holders = self.holdings.holders(chain, weights, now);
+        holders.find_map(|holder| {
+            let mut engines = self.fleet.ready(&ask.service);
+            let engine = engines.find(|engine| short_name(&engine.instance.id) == holder)?;
+            (holder != but && !engine.is_avoided(now)).then_some(engine.entry.address)
+        })
+    }
+
+    /// Returns for how long an engine has lacked weights that were named.
+    fn behind(&self, engine: &Engine, asked: Option<&Asked<'_>>, now: Instant) -> Duration {
+        let since = asked.and_then(|asked| {
+            let has = engine.weights(&asked.prompt.model).unwrap_or_default();
+            self.named.get(&asked.prompt.model)?.behind_since(has)
+        });
+        since.map_or(Duration::ZERO, |since| now.saturating_sub(since))
+    }
+
+    fn candidate(
+        &self,
+        hub: &Hub,
+        ask: &Ask,
+        option: &EngineOption<'_>,
+        rank: usize,
+        now: Instant,
+    ) -> Candidate {
+        let engine = option.engine;
+        let work = self.work_at(engine);
+        let profile = self.profiles.get(&ask.service);
+        let slots = engine.entry.slots;
+        Candidate {
+            rank,
+            reading_tokens: work.reading_tokens,
+            memory_tokens: work.memory_tokens,
+            memory_max_tokens: profile.map_or(Tokens::MAX, |profile| profile.memory_tokens),
+            requests: work.requests,
+            slots: match ask.prompt {
+                None => slots * PLAIN_REQUESTS_PER_SLOT,
+                Some(_) => slots,
+            },
+            held_tokens: option.held,
+            fetched_tokens: option.fetched,
+            is_same_zone: engine.entry.availability_zone == hub.settings.availability_zone,
+            is_avoided: engine.is_avoided(now),
+            is_older: self.is_older(engine, ask, now),
+            is_rolling: ask.prompt.is_some() && self.is_rolling(option.name, engine, now),
+        }
+    }
+
+    fn is_older(&self, engine: &Engine, ask: &Ask, now: Instant) -> bool {
+        let since = ask.prompt.as_ref().and_then(|prompt| {
+            let has = engine.weights(&prompt.model).unwrap_or_default();
+            self.named.get(&prompt.model)?.behind_since(has)
+        });
+        since.is_some_and(|since| now.saturating_sub(since) >= OLDER_WEIGHTS_GRACE)
+    }
+
+    fn is_rolling(&self, name: ShortName, engine: &Engine, now: Instant) -> bool {
+        self.rolling.contains(&engine.instance.id) || self.peers.is_rolling(name, now)
+    }
+}
+
+fn demand(ask: &Ask) -> Demand {
+    let prompt = ask.prompt.as_ref();
+    Demand {
+        prompt_tokens: prompt.map_or(0, |prompt| prompt.prompt_tokens),
+        output_tokens: prompt.map_or(0, |prompt| prompt.expected_output()),
+        objective: ask.objective,
+    }
+}
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -13,6 +13,8 @@
 pub struct PlacementSettings {
     /// Prompt tokens that an engine reads in a millisecond.
     pub read_tokens_per_ms: f64,
+    /// Cost of fetching parts of a prompt from another engine.
+    pub fetch: Duration,
     /// Cost of another availability zone; a distance of two hops of about a millisecond each, and
     /// bytes between zones that are paid for.
     pub zone_distance: Duration,
@@ -32,6 +34,8 @@
     fn default() -> Self {
         Self {
             read_tokens_per_ms: 80.0,
+            // A long part takes about 10 ms over a link.
+            fetch: Duration::from_millis(12),
             zone_distance: Duration::from_millis(4),
             avoided: Duration::from_secs(2),
             older_weights: Duration::from_millis(150),
@@ -70,6 +74,8 @@
     pub slots: u32,
     /// Tokens of the prompt that it has cached.
     pub held_tokens: Tokens,
+    /// Tokens of the prompt that it can fetch from another engine.
+    pub fetched_tokens: Tokens,
     /// Whether it runs in this VM's availability zone.
     pub is_same_zone: bool,
     /// Whether it failed a moment ago.
@@ -105,7 +111,7 @@
 }
 
 /// Returns the time that an engine takes to read some tokens.
-pub fn read_time(settings: &PlacementSettings, tokens: Tokens) -> Duration {
+pub(super) fn read_time(settings: &PlacementSettings, tokens: Tokens) -> Duration {
     Duration::from_secs_f64(tokens as f64 / settings.read_tokens_per_ms / 1_000.0)
 }
 
@@ -122,8 +128,12 @@
 }
 
 fn cost(settings: &PlacementSettings, demand: &Demand, candidate: &Candidate) -> Duration {
-    let missed = demand.prompt_tokens.saturating_sub(candidate.held_tokens);
+    let found = candidate.held_tokens.max(candidate.fetched_tokens);
+    let missed = demand.prompt_tokens.saturating_sub(found);
     let mut cost = read_time(settings, candidate.reading_tokens + missed);
+    if candidate.fetched_tokens > candidate.held_tokens {
+        cost += settings.fetch;
+    }
     cost += settings.rank_step * candidate.rank as u32;
     if !candidate.is_same_zone {
         cost += settings.zone_distance;
--- a/src/gateway/prompt.rs
+++ b/src/gateway/prompt.rs
@@ -8,7 +8,7 @@
 use crate::ids::{ModelId, Tokens};
 
 /// Identity of a chain of parts under one salt and model.
-pub type ChainHash = u64;
+pub(super) type ChainHash = u64;
 
 /// Part of a prompt.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -65,7 +65,7 @@
 
 /// Returns the text that keeps cached prompts of different weights, or of customers that share
 /// nothing, apart.
-pub fn cache_salt(isolated_customer: Option<&str>, weights: WeightNumber) -> String {
+pub(super) fn cache_salt(isolated_customer: Option<&str>, weights: WeightNumber) -> String {
     match isolated_customer {
         Some(customer) => format!("{weights}/{customer}"),
         None => weights.to_string(),
--- a/src/gateway/rollout.rs
+++ b/src/gateway/rollout.rs
@@ -16,10 +16,8 @@
 /// Bounds of a rollout.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RolloutSettings {
-    /// Engines that load at once.
-    pub loads_max: usize,
-    /// Engines that get no new work as they come next.
-    pub next_max: usize,
+    /// Parts of the engines that load or wait for their runs to end at once: one in so many.
+    pub at_once_divisor: usize,
     /// Time without new work before an order, in which short runs end.
     pub lead: Duration,
     /// Time after which an order that is not seen in force is looked into.
@@ -31,10 +29,10 @@
 impl Default for RolloutSettings {
     fn default() -> Self {
         Self {
-            // More than two at once load more slowly.
-            loads_max: 2,
-            next_max: 2,
-            lead: Duration::from_millis(120),
+            // The runs of a third of the engines end while others load.
+            at_once_divisor: 3,
+            // One beat, so that the other VMs send nothing more.
+            lead: Duration::from_millis(50),
             check_after: Duration::from_millis(250),
             give_up_after: Duration::from_millis(2_500),
         }
@@ -97,16 +95,9 @@
         self.forget_done(named, engines, now);
         self.announce(named, engines, now);
         let mut steps = Vec::new();
-        let mut loading = self.loading(now);
-        let is_bulk = loading < self.settings.loads_max;
         for (instance, phase) in self.phases.values_mut() {
             match *phase {
-                Phase::Next(since)
-                    if is_bulk
-                        && loading < self.settings.loads_max
-                        && is_drained(engines, instance, since, self.settings.lead, now) =>
-                {
-                    loading += 1;
+                Phase::Next(since) if now.saturating_sub(since) >= self.settings.lead => {
                     *phase = Phase::Calling(None);
                     steps.push(Step::Order(instance.clone()));
                 }
@@ -177,48 +168,24 @@
         });
     }
 
-    /// Takes the next engines out of new work.
+    /// Takes the next engines out of new work: those furthest behind, and of these the idlest.
     fn announce(&mut self, named: WeightNumber, engines: &[EngineView], now: Instant) {
         let mut behind: Vec<_> = engines
             .iter()
             .filter(|view| is_behind(view, named))
             .collect();
         behind.retain(|view| !self.phases.contains_key(&view.instance.id));
-        behind.sort_by_key(|view| (view.requests, view.instance.id.clone()));
-        let waiting = self
-            .phases
-            .values()
-            .filter(|(_, phase)| matches!(phase, Phase::Next(_)));
-        let free_loads = self.settings.loads_max.saturating_sub(self.loading(now));
-        let wanted = (self.settings.next_max + free_loads).saturating_sub(waiting.count());
-        for view in behind.into_iter().take(wanted) {
+        behind.sort_by_key(|view| (view.weights, view.requests, view.instance.id.clone()));
+        let at_once = engines.len().div_ceil(self.settings.at_once_divisor.max(1));
+        let free = at_once.saturating_sub(self.phases.len());
+        for view in behind.into_iter().take(free) {
             let instance = view.instance.clone();
             let phase = Phase::Next(now);
             self.phases.insert(instance.id.clone(), (instance, phase));
         }
     }
-
-    fn loading(&self, _now: Instant) -> usize {
-        let phases = self.phases.values();
-        phases
-            .filter(|(_, phase)| !matches!(phase, Phase::Next(_)))
-            .count()
-    }
 }
 
 fn is_behind(view: &EngineView, named: WeightNumber) -> bool {
     view.weights.is_none_or(|weights| weights < named)
 }
-
-fn is_drained(
-    engines: &[EngineView],
-    instance: &Instance,
-    since: Instant,
-    lead: Duration,
-    now: Instant,
-) -> bool {
-    let view = engines.iter().find(|view| view.instance == *instance);
-    let is_idle = view.is_some_and(|view| view.requests == 0);
-    let waited = now.saturating_sub(since);
-    waited >= lead || (is_idle && waited >= lead / 2)
-}
--- a/src/gateway/steward.rs
+++ b/src/gateway/steward.rs
@@ -8,7 +8,7 @@
 
 use super::edge::{Order, OrderReply, WriteResult};
 use super::fleet::Instance;
-use super::hub::{Hub, Named};
+use super::hub::Hub;
 use super::journal::Event;
 use super::model::WeightNumber;
 use super::orders::{self, CallFailure};
@@ -256,11 +256,11 @@
     sender: &mpsc::UnboundedSender<Reply>,
     now: Instant,
 ) -> bool {
-    let named: Vec<(ModelId, Named)> = {
+    let named: Vec<(ModelId, WeightNumber)> = {
         let core = hub.core();
         core.named
             .iter()
-            .map(|(model, named)| (model.clone(), *named))
+            .map(|(model, history)| (model.clone(), history.newest()))
             .collect()
     };
     let mut is_busy = false;
@@ -268,11 +268,11 @@
         let views = views(hub, &model);
         is_busy |= views
             .iter()
-            .any(|view| view.weights.is_none_or(|has| has < named.weights));
+            .any(|view| view.weights.is_none_or(|has| has < named));
         let rollout = rollouts
             .entry(model.clone())
             .or_insert_with(|| Rollout::new(RolloutSettings::default()));
-        for step in rollout.steps(named.weights, &views, now) {
+        for step in rollout.steps(named, &views, now) {
             let instance = match step {
                 Step::Order(instance) | Step::Check(instance) => instance,
             };
@@ -308,7 +308,7 @@
     hub: &Hub,
     instance: &Instance,
     model: &ModelId,
-    named: Named,
+    named: WeightNumber,
     fencing: FencingNumber,
 ) -> Outcome {
     let report = match orders::report(hub, instance).await {
@@ -327,7 +327,7 @@
         .iter()
         .find(|(name, _)| name == model)
         .map(|(_, number)| *number);
-    if let Some(has) = has.filter(|has| *has >= named.weights) {
+    if let Some(has) = has.filter(|has| *has >= named) {
         return Outcome::InPlace(has);
     }
     if report.is_busy {
@@ -336,7 +336,7 @@
     let order = Order {
         engine: instance.id.clone(),
         model: model.clone(),
-        weights: named.weights,
+        weights: named,
         holder: hub.settings.vm.clone(),
         fencing,
         expected_orders: report.orders,
@@ -345,7 +345,7 @@
     log_order(hub, &order, &reply);
     match reply {
         Ok(OrderReply::Accepted) => Outcome::Ordered,
-        Ok(OrderReply::Holds) => Outcome::InPlace(named.weights),
+        Ok(OrderReply::Holds) => Outcome::InPlace(named),
         Ok(OrderReply::Busy) => Outcome::Busy,
         Ok(OrderReply::Fenced) => Outcome::Fenced(fencing),
         Ok(OrderReply::OtherEngine | OrderReply::Wrong) => Outcome::Gone,
@@ -393,9 +393,10 @@
             if let Some(engine) = core.fleet.instance_mut(instance) {
                 engine.saw_weights(&reply.model, weights);
             }
-            let named = core.named.get(&reply.model).copied();
+            let history = core.named.get(&reply.model);
+            let named_at = history.and_then(|history| history.newest_at());
             drop(core);
-            let after = named.map_or(Duration::ZERO, |named| now.saturating_sub(named.since));
+            let after = named_at.map_or(Duration::ZERO, |at| now.saturating_sub(at));
             hub.meters.weights_in_place(after);
             let upstream = &instance.id;
             let event = Event::WeightsInPlace {
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -11,8 +11,8 @@
 use hyper::body::{Frame, Incoming};
 
 use super::call::{AttemptFailure, Call, Opened, idle_timeout, is_closing};
+use super::dispatch::Dispatched;
 use super::events::EventSplitter;
-use super::hub::Dispatched;
 use super::journal::Event;
 use super::pool::Connection;
 use crate::entry::{UnderWay, strip_hop_by_hop};
--- a/src/gateway/table.rs
+++ b/src/gateway/table.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use super::model::{Customer, Route, RoutingConfig, Service, ServiceId};
+use super::model::{Customer, EngineProfile, Route, RoutingConfig, Service, ServiceId};
 use crate::document::{KeyDigest, digest_key};
 use crate::ids::ObjectVersion;
 
@@ -78,6 +78,14 @@
         &self.customers
     }
 
+    /// Returns what the engines of each service are like.
+    pub fn profiles(&self) -> HashMap<ServiceId, EngineProfile> {
+        let services = self.services.values();
+        let engines =
+            services.filter_map(|service| Some((service.id.clone(), service.engine.clone()?)));
+        engines.collect()
+    }
+
     /// Returns a service by its name.
     pub fn service(&self, id: &str) -> Option<&Service> {
         self.services.get(id)
--- /dev/null
+++ b/src/gateway/weights.rs
@@ -0,0 +1,46 @@
+//! Weights that the operator named, and how far an engine is behind them.
+
+use crate::clock::Instant;
+
+use super::model::WeightNumber;
+
+/// Names remembered; engines that are further behind count from the oldest of these.
+const NAMES_MAX: usize = 32;
+
+/// Weights of one model, in the order in which they were named.
+#[derive(Debug, Clone, Default)]
+pub struct NamedHistory {
+    names: Vec<(WeightNumber, Instant)>,
+}
+
+impl NamedHistory {
+    /// Notes weights that this VM learned of; returns whether they are the newest.
+    pub fn named(&mut self, weights: WeightNumber, now: Instant) -> bool {
+        let is_newer = weights > self.newest();
+        if is_newer {
+            self.names.push((weights, now));
+            if self.names.len() > NAMES_MAX {
+                self.names.remove(0);
+            }
+        }
+        is_newer
+    }
+
+    /// Returns the newest weights; 0 before any were named.
+    pub fn newest(&self) -> WeightNumber {
+        self.names.last().map_or(0, |(weights, _)| *weights)
+    }
+
+    /// Returns when the newest weights were named.
+    pub fn newest_at(&self) -> Option<Instant> {
+        self.names.last().map(|(_, at)| *at)
+    }
+
+    /// Returns since when an engine with some weights is behind; nothing where it is not.
+    ///
+    /// Each name counts from its own time, so one that was replaced still makes an engine late.
+    pub fn behind_since(&self, has: WeightNumber) -> Option<Instant> {
+        let first = self.names.iter().find(|(weights, _)| *weights > has);
+        first.map(|(_, at)| *at)
+    }
+}
