--- a/src/entry/drain.rs
+++ b/src/entry/drain.rs
@@ -60,6 +60,13 @@
         self.inner.cut.send_replace(true);
     }
 
+    /// Waits until requests still under way have to end.
+    pub(crate) async fn cut_requested(&self) {
+        let mut cut = self.inner.cut.subscribe();
+        // The sender lives as long as this.
+        let _ = cut.wait_for(|is_cut| *is_cut).await;
+    }
+
     /// Returns the number of requests under way.
     pub fn under_way(&self) -> usize {
         self.inner.under_way.load(Ordering::SeqCst)
@@ -113,8 +120,7 @@
 
     /// Waits until what is still under way has to end.
     pub(crate) async fn cut(&self) {
-        let mut cut = self.drain.inner.cut.subscribe();
-        let _ = cut.wait_for(|is_cut| *is_cut).await;
+        self.drain.cut_requested().await;
     }
 }
 
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -16,6 +16,7 @@
 use super::hub::Hub;
 use super::journal::{Event, Journal};
 use super::settings::GatewaySettings;
+use super::shutdown::ShutdownPlan;
 use super::{follow, gossip, server, steward};
 use crate::clock::SystemClock;
 use crate::daemon::{Listener, stop_requested, until_stopped};
@@ -26,11 +27,6 @@
 };
 use crate::telemetry::Telemetry;
 
-/// Time after the request to stop in which new connections are still served: the balancer asks once
-/// a second and needs two answers.
-const READINESS_LAG: Duration = Duration::from_millis(3_200);
-/// Time kept at the end of the grace for closing what is left.
-const GRACE_MARGIN: Duration = Duration::from_millis(900);
 /// Time for the end of streams that passed the grace.
 const CUT_SLACK: Duration = Duration::from_millis(200);
 
@@ -277,8 +273,10 @@
                 () = stop.raised() => accepting.shutdown().await,
             }
             stop_listening(&listener)?;
-            hub.drain.close_idle();
-            let bound = grace.saturating_sub(READINESS_LAG + GRACE_MARGIN);
+            let plan = ShutdownPlan::within(grace);
+            let bound = plan
+                .cut
+                .saturating_sub(hub.stopping_for().unwrap_or_default());
             finish_requests(&hub, bound).await;
             Ok(())
         }
@@ -304,9 +302,13 @@
         slog::error!(hub.journal.logger(), "signals unavailable"; "error" => %error);
         return std::future::pending().await;
     }
+    let plan = ShutdownPlan::within(hub.settings.bounds.grace);
+    // Set once: a second signal changes nothing.
+    let _ = hub.stopping_at.set(hub.now());
     hub.drain.start();
     let requests = hub.drain.under_way();
     hub.journal.state(&Event::Stopping { requests });
-    let lag = READINESS_LAG.min(hub.settings.bounds.grace / 2);
-    tokio::time::sleep(lag).await;
+    tokio::time::sleep(plan.close_idle).await;
+    hub.drain.close_idle();
+    tokio::time::sleep(plan.stop_listening.saturating_sub(plan.close_idle)).await;
 }
--- a/src/gateway/hub.rs
+++ b/src/gateway/hub.rs
@@ -1,7 +1,7 @@
 //! State that the tasks and requests of a gateway share.
 
 use std::collections::{BTreeMap, HashMap};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
@@ -21,6 +21,7 @@
 use super::pool::Pool;
 use super::prompt::Prompt;
 use super::settings::GatewaySettings;
+use super::shutdown::ShutdownPlan;
 use super::table::RoutingTable;
 use super::waiting::{Queue, QueueSettings, Ticket, Waiting};
 use super::weights::NamedHistory;
@@ -53,6 +54,8 @@
     pub(super) lease_heard: Notify,
     /// Tells that the operator named weights.
     pub(super) weights_named: Notify,
+    /// When the process was told to stop.
+    pub(super) stopping_at: OnceLock<Instant>,
     table: ArcSwapOption<RoutingTable>,
     core: Mutex<Core>,
 }
@@ -161,6 +164,7 @@
             peers_ahead: Notify::new(),
             lease_heard: Notify::new(),
             weights_named: Notify::new(),
+            stopping_at: OnceLock::new(),
             table: ArcSwapOption::empty(),
             core: Mutex::new(core),
             settings,
@@ -177,6 +181,18 @@
         self.clock.now()
     }
 
+    /// Returns how long ago the process was told to stop.
+    pub(super) fn stopping_for(&self) -> Option<Duration> {
+        let at = self.stopping_at.get()?;
+        Some(self.now().saturating_sub(*at))
+    }
+
+    /// Returns whether new requests are sent elsewhere.
+    pub(super) fn turns_away(&self) -> bool {
+        let plan = ShutdownPlan::within(self.settings.bounds.grace);
+        self.stopping_for().is_some_and(|time| time >= plan.refuse)
+    }
+
     /// Returns the configuration in force; nothing before the first.
     pub(super) fn table(&self) -> Option<Arc<RoutingTable>> {
         self.table.load_full()
--- a/src/gateway/journal.rs
+++ b/src/gateway/journal.rs
@@ -150,7 +150,6 @@
         after_event: Option<u64>,
     },
     StreamBroken {
-        upstream: &'a str,
         reason: &'a str,
         after_event: Option<u64>,
     },
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -26,6 +26,8 @@
 const REQUESTS_MAX: usize = 1_800;
 /// When to come back where too many are under way.
 const FULL_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// When to come back to another VM.
+const DRAIN_RETRY_AFTER: Duration = Duration::from_millis(20);
 /// TCP keep-alive probes start after this much silence.
 const KEEPALIVE_TIME: Duration = Duration::from_secs(5);
 /// Unacknowledged bytes are given up on after this long.
@@ -86,20 +88,45 @@
         let refusal = answer::come_back(Code::Overloaded, "too many requests", FULL_RETRY_AFTER);
         return refused(&hub, &RequestId::new(), &refusal);
     };
+    if hub.turns_away() {
+        let refusal = answer::come_back(Code::Draining, "the VM shuts down", DRAIN_RETRY_AFTER);
+        let id = hub
+            .platform
+            .dialect
+            .request(&received.headers)
+            .id
+            .unwrap_or_default();
+        return closing(refused(&hub, &id, &refusal));
+    }
     let answering = AssertUnwindSafe(call::answer(hub.clone(), received, under_way)).catch_unwind();
-    let (id, answered) = answering.await.unwrap_or_else(|_| {
+    let answered = tokio::select! {
+        biased;
+        answered = answering => answered,
+        () = hub.drain.cut_requested() => {
+            // It may be at an upstream, so nothing is promised.
+            let refusal = Refusal::new(Code::UpstreamUnknown, "the VM shuts down");
+            Ok((RequestId::new(), Err(refusal)))
+        }
+    };
+    let (id, answered) = answered.unwrap_or_else(|_| {
         hub.telemetry.metrics().handler_panic();
         let refusal = Refusal::new(Code::Internal, "the request's handler failed");
         (RequestId::new(), Err(refusal))
     });
-    let mut response = match answered {
+    let response = match answered {
         Ok(response) => response,
         Err(refusal) => refused(&hub, &id, &refusal),
     };
-    if hub.drain.is_started() {
-        let close = HeaderValue::from_static("close");
-        response.headers_mut().insert(CONNECTION, close);
+    match hub.drain.is_started() {
+        true => closing(response),
+        false => response,
     }
+}
+
+/// Asks the caller to open another connection for its next request.
+fn closing(mut response: Response<Body>) -> Response<Body> {
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(CONNECTION, close);
     response
 }
 
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -199,7 +199,12 @@
             let read = tokio::select! {
                 biased;
                 read = read(&self.call, engine, &mut self.splitter, stall) => read,
-                () = self.under_way.cut() => Err(AttemptFailure::Unknown("shutting down".into())),
+                () = self.under_way.cut() => {
+                    let refusal = Refusal::new(Code::StreamBroken, "the VM shuts down");
+                    self.source = Source::Ended;
+                    self.broken(&refusal, self.splitter.last_id());
+                    return Err(io::Error::other(refusal));
+                }
             };
             let failure = match read {
                 Ok(Read::Events(events)) => return Ok(Some(events)),
@@ -227,12 +232,11 @@
         let mut failed = self.call.failed(&dispatched, failure);
         loop {
             if let Err(refusal) = failed {
-                self.broken(&dispatched, &refusal, after_event);
+                self.broken(&refusal, after_event);
                 return Err(refusal);
             }
             let next = self.call.next_upstream().await;
-            let next =
-                next.inspect_err(|refusal| self.broken(&dispatched, refusal, after_event))?;
+            let next = next.inspect_err(|refusal| self.broken(refusal, after_event))?;
             match self.call.open(&next, after_event).await {
                 Ok(opened) if opened.response.status() == self.status => {
                     let upstream = &next.instance.id;
@@ -255,9 +259,8 @@
         }
     }
 
-    fn broken(&self, dispatched: &Dispatched, refusal: &Refusal, after_event: Option<u64>) {
+    fn broken(&self, refusal: &Refusal, after_event: Option<u64>) {
         let event = Event::StreamBroken {
-            upstream: &dispatched.instance.id,
             reason: &refusal.message,
             after_event,
         };
