--- a/src/gateway/allowance.rs
+++ b/src/gateway/allowance.rs
@@ -1,10 +1,11 @@
 //! Rates of customers over all VMs together, shared by what each VM's callers ask for.
 //!
 //! Load pattern: a customer's requests fall on VMs unevenly, and one customer sends many times its
-//! rate. Each VM is sure of an equal part of the rate whatever the others do. What peers that were
-//! heard a moment ago leave of their parts goes to those whose callers ask for more. A peer that
-//! was not heard counts as using its whole part, so that VMs that are cut off from each other stay
-//! within the rate together.
+//! rate. The VMs of a zone that hear each other keep one account for each customer. An account is
+//! sure of an equal part of the rate for each of its VMs, whatever the others do. What others that
+//! were heard a moment ago leave of their parts goes to those whose callers ask for more. VMs that
+//! were not heard count as using their whole part, so that those that are cut off from each other
+//! stay within the rate together.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -19,8 +20,8 @@
 const OVERAGE_PART: f64 = 0.5;
 /// Part of the slack that is handed out as head starts; the rest covers single large requests.
 const SLACK_PART: f64 = 0.4;
-/// Part of the burst that a VM has at its start, as the one before it may have spent the rest.
-const START_PART: f64 = 0.5;
+/// Part of the burst that an account starts with, as the one before it may have spent the rest.
+const START_PART: f64 = 0.8;
 /// Bounds of the wait told to a caller.
 const RETRY_AFTER_MIN: Duration = Duration::from_millis(100);
 const RETRY_AFTER_MAX: Duration = Duration::from_secs(10);
@@ -43,13 +44,14 @@
     }
 }
 
-/// Demand for one customer at a peer, in units a second.
+/// VMs that keep one account of a customer together.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub enum PeerDemand {
-    /// It was heard a moment ago.
-    Heard(f64),
-    /// It was not heard, but may be serving.
-    Silent,
+pub struct Group {
+    /// Number of VMs.
+    pub vms: usize,
+    /// Units a second that their callers ask for; nothing where they were not heard for a moment
+    /// and may be serving.
+    pub demand: Option<f64>,
 }
 
 /// Allowances of all customers at this VM.
@@ -76,7 +78,9 @@
         }
     }
 
-    /// Takes the cost of a request out of a customer's allowance.
+    /// Takes the cost of a request out of a customer's account at this VM.
+    ///
+    /// The account stands for `own_vms` VMs; `others` are all further ones.
     ///
     /// # Errors
     ///
@@ -86,16 +90,22 @@
         customer: &str,
         allowance: &Allowance,
         cost: u64,
-        peers: &[PeerDemand],
+        own_vms: usize,
+        others: &[Group],
         now: Instant,
     ) -> Result<(), Duration> {
         let settings = self.settings;
         let local = self.customers.entry(customer.to_owned()).or_default();
         local.ask(cost as f64, now);
-        let vms = peers.len() + 1;
         let rate = allowance.rate_per_s as f64;
-        let share = share(rate, local.demand, peers) * (1.0 + settings.overage * OVERAGE_PART);
-        let head_start = settings.slack as f64 * SLACK_PART / vms as f64;
+        let all_vms = own_vms + others.iter().map(|group| group.vms).sum::<usize>();
+        let own = Group {
+            vms: own_vms,
+            demand: Some(local.demand),
+        };
+        let share = share(rate, own, others) * (1.0 + settings.overage * OVERAGE_PART);
+        let own_part = own_vms as f64 / all_vms.max(1) as f64;
+        let head_start = settings.slack as f64 * SLACK_PART * own_part;
         let capacity = allowance.burst as f64 * share / rate.max(1.0) + head_start;
         let level = local.refill(share, capacity, now);
         let needed = (cost as f64).min(capacity);
@@ -138,35 +148,33 @@
     }
 }
 
-/// Returns this VM's part of a rate.
-fn share(rate: f64, own_demand: f64, peers: &[PeerDemand]) -> f64 {
-    let part = rate / (peers.len() + 1) as f64;
-    let silent = peers
+/// Returns the part of a rate that an account gets.
+fn share(rate: f64, own: Group, others: &[Group]) -> f64 {
+    let all_vms = own.vms + others.iter().map(|group| group.vms).sum::<usize>();
+    let part = rate / all_vms.max(1) as f64;
+    let silent = others.iter().filter(|group| group.demand.is_none());
+    let mut left = rate - part * silent.map(|group| group.vms).sum::<usize>() as f64;
+    let own_demand = own.demand.unwrap_or_default();
+    let mut heard: Vec<(f64, f64)> = others
         .iter()
-        .filter(|peer| **peer == PeerDemand::Silent)
-        .count();
-    let heard = peers.iter().filter_map(|peer| match peer {
-        PeerDemand::Heard(demand) => Some(*demand),
-        PeerDemand::Silent => None,
-    });
-    let mut demands: Vec<f64> = heard.collect();
-    let together = (demands.len() + 1) as f64;
-    let mut left = rate - part * silent as f64;
-    demands.push(own_demand);
-    let total: f64 = demands.iter().sum();
+        .chain([&own])
+        .filter_map(|group| Some((group.demand?, group.vms as f64)))
+        .collect();
+    let total: f64 = heard.iter().map(|(demand, _)| demand).sum();
+    let mut vms: f64 = heard.iter().map(|(_, vms)| vms).sum();
+    let own_vms = own.vms as f64;
     if total <= left {
-        return own_demand + (left - total) / together;
+        return own_demand + (left - total) * own_vms / vms;
     }
-    // Water-filling: those that ask for less than an equal part get what they ask for.
-    demands.sort_by(f64::total_cmp);
-    let mut level = 0.0;
-    for (index, demand) in demands.iter().enumerate() {
-        let equal = left / (demands.len() - index) as f64;
-        level = equal;
-        if *demand > equal {
-            break;
+    // Water-filling: those that ask for less than their equal part get what they ask for.
+    heard.sort_by(|one, other| (one.0 / one.1).total_cmp(&(other.0 / other.1)));
+    for (demand, count) in heard {
+        let level = left / vms;
+        if demand > level * count {
+            return own_demand.min(level * own_vms);
         }
         left -= demand;
+        vms -= count;
     }
-    own_demand.min(level)
+    own_demand
 }
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -157,7 +157,7 @@
         .map_err(|_| Refusal::new(Code::BodyTimeout, "the body did not arrive in time"))??;
     let prompt = head.prompt.clone().map(Arc::new);
     if let Some(customer) = &customer {
-        charge(hub, customer, &head)?;
+        charge(hub, customer, &head).await?;
     }
     let service = service_of(&route).ok_or_else(|| {
         Refusal::new(
@@ -207,7 +207,7 @@
         .ok_or_else(|| Refusal::new(Code::KeyUnknown, "the key is wrong, unknown or withdrawn"))
 }
 
-fn charge(hub: &Hub, customer: &Customer, head: &RequestHead) -> Result<(), Refusal> {
+async fn charge(hub: &Hub, customer: &Customer, head: &RequestHead) -> Result<(), Refusal> {
     let Some(allowance) = &customer.allowance else {
         return Ok(());
     };
@@ -218,7 +218,8 @@
             .as_ref()
             .map_or(plain_tokens, |prompt| prompt.charged_tokens()),
     };
-    hub.charge(customer, cost).map_err(|wait| {
+    let charged = hub.charge(customer, allowance, cost).await;
+    charged.map_err(|wait| {
         let rate = allowance.rate_per_s;
         let message = format!("cost {cost} is above what is left of {rate} a second");
         come_back(Code::RateExceeded, message, wait)
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -87,6 +87,8 @@
     let metrics = Listener::bind(settings.metrics_address).await?;
     let peers = Listener::bind(settings.peer_address).await?;
     let socket = Arc::new(UdpSocket::bind(settings.peer_address).await?);
+    // Bound once, before anything sends.
+    let _ = hub.peer_socket.set(socket.clone());
     let context = SupervisorContext {
         clock: hub.clock.clone(),
         metrics: hub.telemetry.metrics(),
@@ -100,7 +102,7 @@
     let supervisor = with_settings(supervisor, &hub, settings_path.to_path_buf());
     let supervisor = with_callers(supervisor, &hub, callers, traffic);
     supervisor.run(drain_requested(hub.clone())).await?;
-    gossip::send_leaving(&hub, &socket).await;
+    gossip::send_leaving(&hub, &socket);
     Ok(())
 }
 
@@ -147,7 +149,7 @@
             }
         })
         .child("beats_in", ChildSettings::default(), move |stop| {
-            let receive = gossip::receive_beats(receive_hub.clone(), receive_socket.clone());
+            let receive = gossip::receive(receive_hub.clone(), receive_socket.clone());
             async move {
                 tokio::select! {
                     result = receive => result?,
--- a/src/gateway/edge.rs
+++ b/src/gateway/edge.rs
@@ -82,6 +82,8 @@
 
 /// What a watch has brought.
 #[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub struct Changes {
     /// Changes in their order; empty where the wait passed without any.
     pub changes: Vec<Change>,
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -4,19 +4,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http::Request;
-use http_body_util::{BodyExt, Full, Limited};
 use rand::Rng;
 
 use super::edge::{Change, Failure, Listing, Record, Tracked};
 use super::hub::Hub;
 use super::journal::Event;
-use super::pool::connect;
-use super::server::mirror_path;
+use super::mirror::Mirror;
+use super::relay;
 use super::table::RoutingTable;
 use crate::clock::Instant;
-use crate::ids::ObjectVersion;
+use crate::ids::{ObjectVersion, VmId};
 
 /// Longest wait of a watch; TCP keep-alive finds a silent connection sooner.
 const WATCH_WAIT: Duration = Duration::from_secs(15);
@@ -27,69 +24,124 @@
 const RETRY_MAX: Duration = Duration::from_millis(1_500);
 /// Time that a watch has to bring what a peer has seen before it is read from the peer.
 const PEER_GRACE: Duration = Duration::from_millis(400);
-/// Bound on a read from a peer.
-const PEER_TIMEOUT: Duration = Duration::from_millis(700);
-/// Largest answer of a peer.
-const PEER_ANSWER_MAX_BYTES: usize = 16 * 1024 * 1024;
+/// Time after a relay's failure in which this VM follows the store itself.
+const RELAY_PAUSE: Duration = Duration::from_millis(1_500);
+/// Time between two looks at whether the relay still follows the store.
+const RELAY_CHECK: Duration = Duration::from_millis(300);
 
 /// Keeps this VM's view of one kind of object up to date until dropped.
 pub(super) async fn follow(hub: Arc<Hub>, tracked: Tracked) {
-    let mut failures = 0_u32;
-    let mut lost_at: Option<Instant> = None;
-    let mut must_list = true;
+    let mut source = StoreSource::default();
+    let mut relay_after = Instant::ZERO;
     loop {
+        let now = hub.now();
+        let relay = hub.relay(now).filter(|_| now >= relay_after);
+        let is_news = match relay {
+            Some((vm, address)) if source.is_listed => {
+                let found = from_relay(&hub, tracked, &vm, address).await;
+                if found.is_none() {
+                    relay_after = hub.now() + RELAY_PAUSE;
+                }
+                found.unwrap_or(false)
+            }
+            _ => source.step(&hub, tracked).await,
+        };
+        if is_news && tracked == Tracked::Upstreams {
+            tokio::time::sleep(UPSTREAMS_PAUSE).await;
+        }
+    }
+}
+
+/// Waits for changes at another VM; returns whether there are any, or nothing where it failed.
+async fn from_relay(
+    hub: &Arc<Hub>,
+    tracked: Tracked,
+    vm: &str,
+    address: SocketAddr,
+) -> Option<bool> {
+    hub.core().following.remove(&tracked);
+    let after = hub.mirror_revision(tracked);
+    let found = tokio::select! {
+        found = relay::watch(address, tracked, after) => found,
+        () = hub.relay_lost(address) => Err("it no longer follows the store".into()),
+    };
+    match found {
+        Ok(found) => {
+            let is_news = !found.changes.is_empty();
+            hub.take_changes(tracked, found.changes, found.revision);
+            Some(is_news)
+        }
+        Err(reason) => {
+            let event = Event::PeerReadFailed {
+                tracked,
+                peer: vm,
+                reason,
+            };
+            hub.journal.state(&event);
+            None
+        }
+    }
+}
+
+/// Following of the store itself.
+#[derive(Debug, Default)]
+struct StoreSource {
+    is_listed: bool,
+    failures: u32,
+    lost_at: Option<Instant>,
+}
+
+impl StoreSource {
+    /// Makes one call to the store; returns whether it brought changes.
+    async fn step(&mut self, hub: &Arc<Hub>, tracked: Tracked) -> bool {
         let revision = hub.mirror_revision(tracked);
         let started = hub.now();
-        let is_listing = must_list || revision == 0;
+        let is_listing = !self.is_listed || revision == 0;
+        let call = if is_listing { "list" } else { "watch" };
         let result = match is_listing {
-            true => hub.platform.store.list(tracked).await.map(|listing| {
-                hub.take_listing(tracked, listing);
-                true
-            }),
-            false => hub
-                .platform
-                .store
-                .watch(tracked, revision, WATCH_WAIT)
-                .await
-                .map(|found| {
-                    let is_news = !found.changes.is_empty();
-                    hub.store_answered(tracked);
-                    hub.take_changes(tracked, found.changes, found.revision);
-                    is_news
-                }),
+            true => hub.list(tracked).await,
+            false => hub.watch(tracked, revision).await,
         };
-        let call = if is_listing { "list" } else { "watch" };
         let time = hub.now().saturating_sub(started);
         hub.meters.store_call(tracked, call, result.is_ok(), time);
         match result {
             Ok(is_news) => {
-                must_list = false;
-                failures = 0;
-                if let Some(at) = lost_at.take() {
-                    let away_ms = hub.now().saturating_sub(at).as_millis() as u64;
-                    hub.journal.state(&Event::StoreBack { tracked, away_ms });
-                }
-                if is_news && tracked == Tracked::Upstreams {
-                    tokio::time::sleep(UPSTREAMS_PAUSE).await;
-                }
+                self.answered(hub, tracked);
+                is_news
             }
             Err(Failure::HistoryGone) => {
                 hub.journal.state(&Event::HistoryGone { tracked, revision });
-                must_list = true;
+                self.is_listed = false;
+                false
             }
             Err(failure) => {
-                if lost_at.is_none() {
-                    lost_at = Some(hub.now());
-                    let reason = failure.to_string();
-                    hub.journal.state(&Event::StoreLost { tracked, reason });
-                }
-                hub.store_failed(tracked);
-                hub.peers_ahead.notify_one();
-                failures += 1;
-                tokio::time::sleep(pause(failures)).await;
+                self.failed(hub, tracked, &failure).await;
+                false
             }
         }
     }
+
+    fn answered(&mut self, hub: &Hub, tracked: Tracked) {
+        self.is_listed = true;
+        self.failures = 0;
+        hub.core().following.insert(tracked);
+        if let Some(at) = self.lost_at.take() {
+            let away_ms = hub.now().saturating_sub(at).as_millis() as u64;
+            hub.journal.state(&Event::StoreBack { tracked, away_ms });
+        }
+    }
+
+    async fn failed(&mut self, hub: &Hub, tracked: Tracked, failure: &Failure) {
+        if self.lost_at.is_none() {
+            self.lost_at = Some(hub.now());
+            let reason = failure.to_string();
+            hub.journal.state(&Event::StoreLost { tracked, reason });
+        }
+        hub.store_failed(tracked);
+        hub.peers_ahead.notify_one();
+        self.failures += 1;
+        tokio::time::sleep(pause(self.failures)).await;
+    }
 }
 
 /// Reads from peers what they have seen and this VM has not, until dropped.
@@ -101,8 +153,7 @@
             let Some((vm, address)) = hub.peer_ahead(tracked) else {
                 continue;
             };
-            let read = tokio::time::timeout(PEER_TIMEOUT, read_peer(address, tracked)).await;
-            let read = read.unwrap_or_else(|_| Err("no answer in time".into()));
+            let read = relay::read_listing(address, tracked).await;
             match read {
                 Ok(listing) => {
                     let revision = listing.revision;
@@ -127,24 +178,6 @@
     }
 }
 
-async fn read_peer(address: SocketAddr, tracked: Tracked) -> Result<Listing, String> {
-    let mut connection = connect(address).await.map_err(|error| error.to_string())?;
-    let request = Request::get(mirror_path(tracked))
-        .header(http::header::HOST, address.to_string())
-        .body(Full::<Bytes>::default())
-        .map_err(|error| error.to_string())?;
-    let response = connection
-        .request(request)
-        .await
-        .map_err(|error| error.to_string())?;
-    if !response.status().is_success() {
-        return Err(format!("status {}", response.status()));
-    }
-    let body = Limited::new(response.into_body(), PEER_ANSWER_MAX_BYTES);
-    let body = body.collect().await.map_err(|error| error.to_string())?;
-    serde_json::from_slice(&body.to_bytes()).map_err(|error| error.to_string())
-}
-
 /// Returns a pause that doubles with each failure, drawn so that VMs do not call together.
 fn pause(failures: u32) -> Duration {
     let bound = (RETRY_MIN * 2_u32.pow(failures.min(5))).min(RETRY_MAX);
@@ -152,11 +185,56 @@
 }
 
 impl Hub {
+    /// Returns the VM through which this one follows the store; nothing where it does so itself.
+    fn relay(&self, now: Instant) -> Option<(VmId, SocketAddr)> {
+        let core = self.core();
+        let peer = core.peers.relay(now)?;
+        Some((peer.beat.vm.clone(), peer.beat.address))
+    }
+
+    /// Completes once this VM is to follow the store through another one, or itself.
+    async fn relay_lost(&self, address: SocketAddr) {
+        loop {
+            tokio::time::sleep(RELAY_CHECK).await;
+            let now = self.now();
+            if self
+                .relay(now)
+                .is_none_or(|(_, current)| current != address)
+            {
+                return;
+            }
+        }
+    }
+
+    async fn list(&self, tracked: Tracked) -> Result<bool, Failure> {
+        let listing = self.platform.store.list(tracked).await?;
+        self.store_answered(tracked);
+        self.take_listing(tracked, listing);
+        Ok(true)
+    }
+
+    async fn watch(&self, tracked: Tracked, revision: ObjectVersion) -> Result<bool, Failure> {
+        let found = self
+            .platform
+            .store
+            .watch(tracked, revision, WATCH_WAIT)
+            .await?;
+        let is_news = !found.changes.is_empty();
+        self.store_answered(tracked);
+        self.take_changes(tracked, found.changes, found.revision);
+        Ok(is_news)
+    }
+
     fn mirror_revision(&self, tracked: Tracked) -> ObjectVersion {
         self.core()
             .mirrors
             .get(&tracked)
-            .map_or(0, |mirror| mirror.revision)
+            .map_or(0, Mirror::revision)
+    }
+
+    /// Returns all objects of a kind as this VM has seen them; nothing before the first listing.
+    pub(super) fn listing(&self, tracked: Tracked) -> Option<Listing> {
+        self.core().mirrors.get(&tracked)?.listing()
     }
 
     fn store_answered(&self, tracked: Tracked) {
@@ -167,8 +245,10 @@
     }
 
     fn store_failed(&self, tracked: Tracked) {
+        let mut core = self.core();
+        core.following.remove(&tracked);
         if tracked == Tracked::Upstreams {
-            self.core().fleet.store_lost();
+            core.fleet.store_lost();
         }
     }
 
@@ -179,10 +259,9 @@
         let core = self.core();
         let seen = match tracked {
             Tracked::Config => config,
-            Tracked::Upstreams | Tracked::Weights => core
-                .mirrors
-                .get(&tracked)
-                .map_or(0, |mirror| mirror.revision),
+            Tracked::Upstreams | Tracked::Weights => {
+                core.mirrors.get(&tracked).map_or(0, Mirror::revision)
+            }
         };
         let ahead = core.peers.fresh(now).map(|peer| {
             let revisions = peer.beat.revisions;
@@ -199,24 +278,14 @@
 
     /// Takes all objects of a kind, unless newer changes were seen.
     pub(super) fn take_listing(&self, tracked: Tracked, listing: Listing) {
-        let mut changes = listing.objects;
-        {
-            let core = self.core();
-            let mirror = core.mirrors.get(&tracked);
-            if mirror.is_some_and(|mirror| mirror.revision > listing.revision) {
-                return;
-            }
-            let known = mirror.map(|mirror| mirror.objects.keys().cloned().collect::<Vec<_>>());
-            let is_listed = |name: &String| changes.iter().any(|change| change.name == *name);
-            let gone: Vec<_> = known
-                .unwrap_or_default()
-                .into_iter()
-                .filter(|name| !is_listed(name))
-                .collect();
-            changes.extend(gone.into_iter().map(|name| Change { name, record: None }));
-        }
-        self.store_answered(tracked);
-        self.take_changes(tracked, changes, listing.revision);
+        let revision = listing.revision;
+        let news = self
+            .core()
+            .mirrors
+            .entry(tracked)
+            .or_default()
+            .replace(listing);
+        self.take_news(tracked, news, revision);
     }
 
     /// Takes changes that the store or a peer told.
@@ -226,28 +295,24 @@
         changes: Vec<Change>,
         revision: ObjectVersion,
     ) {
+        let news = self
+            .core()
+            .mirrors
+            .entry(tracked)
+            .or_default()
+            .apply(changes, revision);
+        self.take_news(tracked, news, revision);
+    }
+
+    fn take_news(&self, tracked: Tracked, news: Vec<Change>, revision: ObjectVersion) {
         let now = self.now();
-        for change in changes {
-            let is_news = {
-                let mut core = self.core();
-                let mirror = core.mirrors.entry(tracked).or_default();
-                let is_news = mirror.objects.get(&change.name) != change.record.as_ref();
-                match &change.record {
-                    Some(record) => mirror.objects.insert(change.name.clone(), record.clone()),
-                    None => mirror.objects.remove(&change.name),
-                };
-                if is_news {
-                    mirror.changed = mirror.changed.max(revision);
-                }
-                is_news
-            };
-            if is_news {
-                self.take_change(tracked, change, revision, now);
-            }
+        let is_any = !news.is_empty();
+        for change in news {
+            self.take_change(tracked, change, revision, now);
+        }
+        if is_any {
+            self.seen.notify_waiters();
         }
-        let mut core = self.core();
-        let mirror = core.mirrors.entry(tracked).or_default();
-        mirror.revision = mirror.revision.max(revision);
     }
 
     fn take_change(&self, tracked: Tracked, change: Change, revision: ObjectVersion, now: Instant) {
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -5,12 +5,15 @@
 use std::time::Duration;
 
 use rand::Rng;
+use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
-use super::hub::Hub;
+use super::charge::{Charge, Charged};
+use super::hub::{Core, Hub};
 use super::journal::Event;
 use super::model::Member;
-use super::peers::{Beat, EngineLoad, short_name};
+use super::peers::{Beat, EngineLoad, Revisions, Scope, short_name};
+use crate::clock::Instant;
 
 /// Time between two beats; sums that are a fifth of a second old still steer well.
 const BEAT_INTERVAL: Duration = Duration::from_millis(200);
@@ -19,20 +22,36 @@
 /// Beats after which one tells the addresses of all known VMs.
 const KNOWN_EVERY: u64 = 10;
 /// Addresses told in one beat.
-const KNOWN_MAX: usize = 24;
+const KNOWN_MAX: usize = 12;
 /// Chains told in one beat.
-const HOLDINGS_MAX: usize = 60;
+const HOLDINGS_MAX: usize = 24;
 /// Largest datagram that is surely not split on the way.
-const BEAT_MAX_BYTES: usize = 1_400;
+const DATAGRAM_MAX_BYTES: usize = 1_400;
 /// Beats sent to tell that this VM leaves.
-const LEAVING_BEATS: usize = 2;
+const LEAVING_BEATS: u64 = 2;
 /// Time between two looks at the list of VMs in the store.
 const MEMBERS_INTERVAL: Duration = Duration::from_secs(20);
+/// Time to the second look, after which all VMs of a common start are registered.
+const MEMBERS_SOON: Duration = Duration::from_millis(2_000);
 /// Time between two tries to register.
 const REGISTER_RETRY: Duration = Duration::from_millis(800);
 /// Time between two looks for unused connections that are over their time.
 const SWEEP_BEATS: u64 = 5;
 
+/// Datagram between VMs.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub(super) enum Message {
+    /// Beat of its sender.
+    Beat(Box<Beat>),
+    /// Beat of another zone, passed on within this one.
+    Forwarded(Box<Beat>),
+    /// Charge of a customer's account that the receiver keeps.
+    Charge(Charge),
+    /// Answer to a charge.
+    Charged(Charged),
+}
+
 /// Sends beats until dropped.
 pub(super) async fn send_beats(hub: Arc<Hub>, socket: Arc<UdpSocket>) {
     let mut sequence = 0;
@@ -41,7 +60,7 @@
         if sequence % SWEEP_BEATS == 0 {
             hub.pool.sweep();
         }
-        send(&hub, &socket, sequence, false).await;
+        send_beat(&hub, &socket, sequence, false);
         sequence += 1;
         tokio::time::sleep(BEAT_INTERVAL_MIN).await;
         let rest = BEAT_INTERVAL.saturating_sub(BEAT_INTERVAL_MIN);
@@ -51,42 +70,54 @@
 }
 
 /// Tells the peers that this VM leaves.
-pub(super) async fn send_leaving(hub: &Hub, socket: &UdpSocket) {
+pub(super) fn send_leaving(hub: &Hub, socket: &UdpSocket) {
     for repeat in 0..LEAVING_BEATS {
-        send(
-            hub,
-            socket,
-            u64::MAX - (LEAVING_BEATS - repeat) as u64,
-            true,
-        )
-        .await;
+        send_beat(hub, socket, u64::MAX - (LEAVING_BEATS - repeat), true);
     }
 }
 
-/// Takes beats in until dropped.
-pub(super) async fn receive_beats(hub: Arc<Hub>, socket: Arc<UdpSocket>) -> std::io::Result<()> {
-    let mut buffer = vec![0; BEAT_MAX_BYTES * 2];
+/// Takes datagrams in until dropped.
+pub(super) async fn receive(hub: Arc<Hub>, socket: Arc<UdpSocket>) -> std::io::Result<()> {
+    let mut buffer = vec![0; DATAGRAM_MAX_BYTES * 2];
     loop {
-        let (length, _) = socket.recv_from(&mut buffer).await?;
-        let beat = match postcard::from_bytes::<Beat>(&buffer[..length]) {
-            Ok(beat) => beat,
+        let (length, from) = socket.recv_from(&mut buffer).await?;
+        match postcard::from_bytes::<Message>(&buffer[..length]) {
+            Ok(Message::Beat(beat)) => {
+                forward(&hub, &socket, &beat);
+                take_beat(&hub, *beat);
+            }
+            Ok(Message::Forwarded(beat)) => take_beat(&hub, *beat),
+            Ok(Message::Charge(charge)) => hub.charged_by(charge, from),
+            Ok(Message::Charged(charged)) => hub.charge_answered(charged),
             Err(error) => {
                 let reason = format!("unreadable: {error}");
                 hub.journal.state(&Event::BeatFailed { reason });
-                continue;
             }
-        };
-        let has_lease = beat.lease.is_some();
-        if hub.heard(beat) {
-            hub.peers_ahead.notify_one();
         }
-        if has_lease {
-            hub.lease_heard.notify_one();
-        }
-        hub.pump();
     }
 }
 
+/// Passes the beat of another zone on within this one.
+fn forward(hub: &Hub, socket: &UdpSocket, beat: &Beat) {
+    let is_other = beat.availability_zone != hub.settings.availability_zone;
+    if is_other && matches!(beat.scope, Scope::Zone { .. }) {
+        let addresses = hub.core().peers.in_zone(hub.settings.peer_address);
+        let message = Message::Forwarded(Box::new(beat.clone()));
+        send_all(hub, socket, &message, &addresses);
+    }
+}
+
+fn take_beat(hub: &Arc<Hub>, beat: Beat) {
+    let has_lease = beat.lease.is_some();
+    if hub.heard(beat) {
+        hub.peers_ahead.notify_one();
+    }
+    if has_lease {
+        hub.lease_heard.notify_one();
+    }
+    hub.pump();
+}
+
 /// Keeps this VM's record in the store, and learns of others from theirs, until dropped.
 pub(super) async fn keep_member(hub: Arc<Hub>) {
     let member = Member {
@@ -102,15 +133,17 @@
         });
         tokio::time::sleep(jittered(REGISTER_RETRY)).await;
     }
+    let mut interval = MEMBERS_SOON;
     loop {
         let wait = match hub.platform.store.members().await {
             Ok(members) => {
                 let now = hub.now();
                 let mut core = hub.core();
                 for member in members.iter().filter(|member| member.vm != hub.settings.vm) {
-                    core.peers.list(member.peer_address, now);
+                    let zone = member.availability_zone.clone();
+                    core.peers.list(member.peer_address, zone, now);
                 }
-                MEMBERS_INTERVAL
+                std::mem::replace(&mut interval, MEMBERS_INTERVAL)
             }
             Err(failure) => {
                 let reason = failure.to_string();
@@ -129,65 +162,130 @@
     rand::rng().random_range(time / 2..=time)
 }
 
-async fn send(hub: &Hub, socket: &UdpSocket, sequence: u64, is_leaving: bool) {
-    let (beat, addresses) = beat(hub, sequence, is_leaving);
-    let bytes = match postcard::to_stdvec(&beat) {
-        Ok(bytes) if bytes.len() <= BEAT_MAX_BYTES => bytes,
-        Ok(bytes) => {
-            let reason = format!("{} bytes do not fit", bytes.len());
-            return hub.journal.state(&Event::BeatFailed { reason });
-        }
-        Err(error) => {
-            let reason = error.to_string();
-            return hub.journal.state(&Event::BeatFailed { reason });
-        }
-    };
-    for address in addresses {
-        // A peer that is down is found by its silence, and the next beat replaces this one.
-        let _ = socket.try_send_to(&bytes, address);
-    }
-}
-
-fn beat(hub: &Hub, sequence: u64, is_leaving: bool) -> (Beat, Vec<SocketAddr>) {
+fn send_beat(hub: &Hub, socket: &UdpSocket, sequence: u64, is_leaving: bool) {
     let revisions = hub.revisions();
     let now = hub.now();
-    let settings = &hub.settings;
+    let me = hub.settings.peer_address;
     let mut core = hub.core();
-    let mut addresses = core.peers.addresses(settings.peer_address);
-    if core.peers.is_empty() {
-        addresses.extend(&settings.peer_seeds);
-        addresses.retain(|address| *address != settings.peer_address);
-        addresses.sort_unstable();
-        addresses.dedup();
+    let own = own_beat(hub, &mut core, revisions, sequence, is_leaving);
+    let mut in_zone = core.peers.in_zone(me);
+    if in_zone.is_empty() && core.peers.zones().next().is_none() {
+        in_zone.extend(
+            hub.settings
+                .peer_seeds
+                .iter()
+                .filter(|address| **address != me),
+        );
+    }
+    let zone = core.peers.is_speaker(now).then(|| {
+        let beat = zone_beat(&mut core, &own, now);
+        (beat, core.peers.contacts(sequence as usize))
+    });
+    drop(core);
+    send_all(hub, socket, &Message::Beat(Box::new(own)), &in_zone);
+    if let Some((beat, contacts)) = zone {
+        send_all(hub, socket, &Message::Beat(Box::new(beat)), &contacts);
     }
+}
+
+fn own_beat(
+    hub: &Hub,
+    core: &mut Core,
+    revisions: Revisions,
+    sequence: u64,
+    is_leaving: bool,
+) -> Beat {
+    let settings = &hub.settings;
     let busy = core.fleet.iter().filter(|engine| engine.own.requests > 0);
     let loads = busy
         .map(|engine| EngineLoad::new(&engine.instance.id, engine.own))
         .collect();
-    let demands = core.allowances.demands(now);
-    let demands = demands
-        .into_iter()
-        .map(|(id, units)| (short_name(&id), units as u32));
+    let demands = core.allowances.demands(hub.now()).into_iter();
     let known = match sequence % KNOWN_EVERY {
-        0 => addresses.iter().copied().take(KNOWN_MAX).collect(),
+        0 => core.peers.known(KNOWN_MAX),
         _ => Vec::new(),
     };
-    let read = core.holdings.take_untold(HOLDINGS_MAX);
-    let beat = Beat {
+    Beat {
+        scope: Scope::Vm,
         vm: settings.vm.clone(),
         incarnation: hub.incarnation,
         sequence,
         address: settings.peer_address,
         availability_zone: settings.availability_zone.clone(),
         is_leaving,
+        follows_store: core.follows_store() && !is_leaving,
         revisions,
         loads,
-        demands: demands.collect(),
+        demands: demands
+            .map(|(id, units)| (short_name(&id), units as u32))
+            .collect(),
         lease: core.lease.clone(),
         rolling: core.rolling.iter().map(|id| short_name(id)).collect(),
         weights: core.own_word_on_weights(),
-        read,
+        read: core.holdings.take_untold(HOLDINGS_MAX),
         known,
+    }
+}
+
+/// Sums up what the VMs of this zone tell.
+fn zone_beat(core: &mut Core, own: &Beat, now: Instant) -> Beat {
+    let mut beat = Beat {
+        known: Vec::new(),
+        read: core.holdings.take_untold_of_zone(HOLDINGS_MAX),
+        ..own.clone()
     };
-    (beat, addresses)
+    let mut vms = 1;
+    for peer in core.peers.fresh_in_zone(now) {
+        vms += 1;
+        add(&mut beat, &peer.beat);
+    }
+    beat.scope = Scope::Zone { vms };
+    beat
+}
+
+fn add(sum: &mut Beat, other: &Beat) {
+    sum.revisions = sum.revisions.max(other.revisions);
+    for load in &other.loads {
+        match sum
+            .loads
+            .iter_mut()
+            .find(|known| known.engine == load.engine)
+        {
+            Some(known) => *known = known.plus(load),
+            None => sum.loads.push(*load),
+        }
+    }
+    for (customer, units) in &other.demands {
+        match sum.demands.iter_mut().find(|(known, _)| known == customer) {
+            Some((_, known)) => *known += units,
+            None => sum.demands.push((*customer, *units)),
+        }
+    }
+    if other.lease.is_some() {
+        sum.lease.clone_from(&other.lease);
+    }
+    if !other.rolling.is_empty() {
+        sum.rolling.clone_from(&other.rolling);
+    }
+    if !other.weights.is_empty() {
+        sum.weights.clone_from(&other.weights);
+    }
+}
+
+fn send_all(hub: &Hub, socket: &UdpSocket, message: &Message, addresses: &[SocketAddr]) {
+    let bytes = match postcard::to_stdvec(message) {
+        Ok(bytes) if bytes.len() <= DATAGRAM_MAX_BYTES => bytes,
+        Ok(bytes) => {
+            let reason = format!("{} bytes do not fit", bytes.len());
+            return hub.journal.state(&Event::BeatFailed { reason });
+        }
+        Err(error) => {
+            let reason = error.to_string();
+            return hub.journal.state(&Event::BeatFailed { reason });
+        }
+    };
+    for address in addresses {
+        // A peer that is down is found by its silence, and the next beat replaces this one.
+        let _ = socket.try_send_to(&bytes, *address);
+    }
 }
--- a/src/gateway/holdings.rs
+++ b/src/gateway/holdings.rs
@@ -20,6 +20,8 @@
 const CHAINS_MAX: usize = 8_192;
 /// Engines remembered for one chain.
 const HOLDERS_MAX: usize = 8;
+/// Holdings kept for other zones.
+const UNTOLD_MAX: usize = 64;
 /// Time after which a holding that is still used is told again.
 const TELL_AGAIN: Duration = Duration::from_secs(3);
 
@@ -40,6 +42,7 @@
 pub struct Holdings {
     chains: HashMap<ShortName, Vec<Holder>>,
     untold: Vec<Holding>,
+    untold_of_zone: Vec<Holding>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -69,12 +72,30 @@
         if !is_told {
             holder.told_at = now;
             self.untold.push(holding);
+            self.keep_for_zones(holding);
         }
     }
 
-    /// Takes what a peer tells.
-    pub fn told(&mut self, holding: Holding, now: Instant) {
+    /// Takes what a peer tells; what a VM of this zone tells is kept for the other zones.
+    pub fn told(&mut self, holding: Holding, is_own_zone: bool, now: Instant) {
         self.note(holding, now).told_at = now;
+        if is_own_zone {
+            self.keep_for_zones(holding);
+        }
+    }
+
+    /// Returns up to some of the holdings of this zone that the others were not told yet.
+    pub fn take_untold_of_zone(&mut self, max: usize) -> Vec<Holding> {
+        let count = self.untold_of_zone.len().min(max);
+        self.untold_of_zone.drain(..count).collect()
+    }
+
+    /// Only the zone's speaker tells them, so the oldest go where there are too many.
+    fn keep_for_zones(&mut self, holding: Holding) {
+        if self.untold_of_zone.len() >= UNTOLD_MAX {
+            self.untold_of_zone.remove(0);
+        }
+        self.untold_of_zone.push(holding);
     }
 
     /// Returns up to some of the holdings that peers were not told yet.
--- a/src/gateway/hub.rs
+++ b/src/gateway/hub.rs
@@ -1,21 +1,24 @@
 //! State that the tasks and requests of a gateway share.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
+use tokio::net::UdpSocket;
 use tokio::sync::{Notify, oneshot};
 
-use super::allowance::{AllowanceSettings, Allowances, PeerDemand};
+use super::allowance::{AllowanceSettings, Allowances};
+use super::charge::PendingCharges;
 use super::dispatch::Dispatched;
-use super::edge::{Change, Listing, Platform, Record, Tracked};
+use super::edge::{Platform, Tracked};
 use super::fleet::{Engine, Fleet, FleetSettings, Work};
 use super::gate::{BudgetBounds, Budgets};
 use super::holdings::Holdings;
 use super::journal::{Event, Journal};
 use super::meters::Meters;
-use super::model::{Customer, EngineProfile, ServiceId, WeightNumber};
+use super::mirror::Mirror;
+use super::model::{EngineProfile, ServiceId, WeightNumber};
 use super::peers::{HeldLease, Peers, PeersSettings, Revisions, ShortName, short_name};
 use super::placement::{Place, PlacementSettings};
 use super::pool::Pool;
@@ -27,7 +30,7 @@
 use super::weights::NamedHistory;
 use crate::clock::{Instant, SharedClock};
 use crate::entry::{Connections, Drain};
-use crate::ids::{Incarnation, ModelId, ObjectVersion, UpstreamId};
+use crate::ids::{Incarnation, ModelId, UpstreamId};
 use crate::settings::LimitSettings;
 use crate::telemetry::Telemetry;
 
@@ -50,10 +53,15 @@
     pub(super) beat_due: Notify,
     /// Tells that a peer has seen more than this VM.
     pub(super) peers_ahead: Notify,
+    /// Tells that something of the store was seen.
+    pub(super) seen: Notify,
     /// Tells that the holder of the lease was heard.
     pub(super) lease_heard: Notify,
     /// Tells that the operator named weights.
     pub(super) weights_named: Notify,
+    pub(super) charges: PendingCharges,
+    /// Socket for datagrams between VMs, once it is bound.
+    pub(super) peer_socket: OnceLock<Arc<UdpSocket>>,
     /// When the process was told to stop.
     pub(super) stopping_at: OnceLock<Instant>,
     table: ArcSwapOption<RoutingTable>,
@@ -71,6 +79,8 @@
     pub(super) holdings: Holdings,
     pub(super) profiles: HashMap<ServiceId, EngineProfile>,
     pub(super) mirrors: HashMap<Tracked, Mirror>,
+    /// Kinds that the store itself told this VM last.
+    pub(super) following: HashSet<Tracked>,
     pub(super) lease: Option<HeldLease>,
     pub(super) rolling: Vec<UpstreamId>,
     queues: HashMap<ServiceId, ServiceQueue>,
@@ -78,16 +88,6 @@
     pub(super) placement: PlacementSettings,
 }
 
-/// Objects of one kind as the store has them.
-#[derive(Debug, Clone, Default)]
-pub(super) struct Mirror {
-    pub(super) objects: BTreeMap<String, Record>,
-    /// Revision up to which everything was seen; 0 before the first listing.
-    pub(super) revision: ObjectVersion,
-    /// Revision at which something changed last.
-    pub(super) changed: ObjectVersion,
-}
-
 #[derive(Debug, Default)]
 struct ServiceQueue {
     queue: Queue,
@@ -137,7 +137,11 @@
         let bounds = &settings.bounds;
         let core = Core {
             fleet: Fleet::new(FleetSettings::default()),
-            peers: Peers::new(PeersSettings::default(), settings.vm.clone()),
+            peers: Peers::new(
+                PeersSettings::default(),
+                settings.vm.clone(),
+                settings.availability_zone.clone(),
+            ),
             allowances: Allowances::new(AllowanceSettings {
                 overage: bounds.allowance_overage,
                 slack: bounds.allowance_slack,
@@ -150,6 +154,7 @@
             holdings: Holdings::default(),
             profiles: HashMap::new(),
             mirrors: HashMap::new(),
+            following: HashSet::new(),
             lease: None,
             rolling: Vec::new(),
             queues: HashMap::new(),
@@ -162,8 +167,11 @@
             pool: Pool::new(clock.clone()),
             beat_due: Notify::new(),
             peers_ahead: Notify::new(),
+            seen: Notify::new(),
             lease_heard: Notify::new(),
             weights_named: Notify::new(),
+            charges: PendingCharges::default(),
+            peer_socket: OnceLock::new(),
             stopping_at: OnceLock::new(),
             table: ArcSwapOption::empty(),
             core: Mutex::new(core),
@@ -217,32 +225,11 @@
         self.core.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns all objects of a kind as this VM has seen them; nothing before the first listing.
-    pub(super) fn listing(&self, tracked: Tracked) -> Option<Listing> {
-        let core = self.core();
-        let mirror = core
-            .mirrors
-            .get(&tracked)
-            .filter(|mirror| mirror.revision > 0)?;
-        let objects = mirror.objects.iter().map(|(name, record)| Change {
-            name: name.clone(),
-            record: Some(record.clone()),
-        });
-        Some(Listing {
-            objects: objects.collect(),
-            revision: mirror.revision,
-        })
-    }
-
     /// Returns what this VM has seen of the store.
     pub(super) fn revisions(&self) -> Revisions {
         let config = self.table().map_or(0, |table| table.version);
         let core = self.core();
-        let changed = |tracked| {
-            core.mirrors
-                .get(&tracked)
-                .map_or(0, |mirror| mirror.changed)
-        };
+        let changed = |tracked| core.mirrors.get(&tracked).map_or(0, Mirror::changed);
         Revisions {
             config,
             upstreams: changed(Tracked::Upstreams),
@@ -250,39 +237,11 @@
         }
     }
 
-    /// Takes a request's cost out of its customer's allowance.
-    ///
-    /// # Errors
-    ///
-    /// Returns when to come back.
-    pub(super) fn charge(&self, customer: &Customer, cost: u64) -> Result<(), Duration> {
-        let Some(allowance) = &customer.allowance else {
-            return Ok(());
-        };
-        let now = self.now();
-        let mut core = self.core();
-        let name = short_name(&customer.id);
-        let peers: Vec<PeerDemand> = core
-            .peers
-            .all()
-            .map(|peer| match core.peers.is_fresh(peer, now) {
-                true => {
-                    let demands = &peer.beat.demands;
-                    let demand = demands.iter().find(|(customer, _)| *customer == name);
-                    PeerDemand::Heard(demand.map_or(0.0, |(_, units)| f64::from(*units)))
-                }
-                false => PeerDemand::Silent,
-            })
-            .collect();
-        core.allowances
-            .take(&customer.id, allowance, cost, &peers, now)
-    }
-
     /// Notes a request for a service, which earns its share of a repeated send.
     pub(super) fn count_request(&self, service: &str) {
         let now = self.now();
         let mut core = self.core();
-        let vms = core.peers.len() + 1;
+        let vms = core.vms();
         core.budgets.request(service, vms, now);
     }
 
@@ -290,7 +249,7 @@
     pub(super) fn take_retry(&self, service: &str) -> bool {
         let now = self.now();
         let mut core = self.core();
-        let vms = core.peers.len() + 1;
+        let vms = core.vms();
         core.budgets.take(service, vms, now)
     }
 
@@ -351,18 +310,15 @@
         let revisions = beat.revisions;
         let mut core = self.core();
         core.take_word_on_weights(&beat.weights);
+        let is_own_zone = beat.availability_zone == self.settings.availability_zone;
         for holding in &beat.read {
-            core.holdings.told(*holding, now);
+            core.holdings.told(*holding, is_own_zone, now);
         }
         if !core.peers.hear(beat, now) {
             return false;
         }
         core.refresh_peer_work(now);
-        let seen = |tracked| {
-            core.mirrors
-                .get(&tracked)
-                .map_or(0, |mirror| mirror.revision)
-        };
+        let seen = |tracked| core.mirrors.get(&tracked).map_or(0, Mirror::revision);
         revisions.config > mine.config
             || revisions.upstreams > seen(Tracked::Upstreams)
             || revisions.weights > seen(Tracked::Weights)
@@ -384,7 +340,14 @@
 impl Core {
     /// Returns how many VMs the fleet counts.
     pub(super) fn vms(&self) -> usize {
-        self.peers.len() + 1
+        self.peers.fleet_size()
+    }
+
+    /// Returns whether this VM follows the store itself and is answered.
+    pub(super) fn follows_store(&self) -> bool {
+        Tracked::ALL
+            .iter()
+            .all(|tracked| self.following.contains(tracked))
     }
 
     /// Returns all work at an engine.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 mod allowance;
 mod answer;
 mod call;
+mod charge;
 mod daemon;
 mod dispatch;
 mod edge;
@@ -18,6 +19,7 @@
 mod hub;
 mod journal;
 mod meters;
+mod mirror;
 mod model;
 mod orders;
 mod peers;
@@ -25,6 +27,7 @@
 mod placement;
 mod pool;
 mod prompt;
+mod relay;
 mod rollout;
 mod server;
 mod settings;
@@ -35,7 +38,7 @@
 mod waiting;
 mod weights;
 
-pub use allowance::{AllowanceSettings, Allowances, PeerDemand};
+pub use allowance::{AllowanceSettings, Allowances, Group};
 pub use daemon::{GatewayError, run_gateway};
 pub use edge::{
     AnswerHead, Change, Changes, Dialect, Failure, Forwarded, Listing, Order, OrderReply, Platform,
@@ -46,11 +49,12 @@
 pub use gate::{BudgetBounds, Budgets};
 pub use holdings::{Holding, Holdings};
 pub use journal::Journal;
+pub use mirror::Mirror;
 pub use model::{
     Allowance, CostUnit, Customer, EngineProfile, LoadedModel, Member, NamedWeights, Route,
     RouteKind, RoutingConfig, Service, ServiceId, UpstreamEntry, UpstreamStage, WeightNumber,
 };
-pub use peers::{Beat, EngineLoad, Peers, PeersSettings, Revisions};
+pub use peers::{Beat, EngineLoad, HeldLease, Peers, PeersSettings, Revisions, Scope};
 pub use placement::{Candidate, Demand, Place, PlacementSettings, choose};
 pub use prompt::{Prompt, PromptPart};
 pub use rollout::{EngineView, Rollout, RolloutSettings, Step};
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -1,14 +1,17 @@
 //! What the VMs of the fleet tell each other a few times a second.
 //!
 //! A beat is a small datagram that nobody answers: it holds sums that the next one replaces, so a
-//! lost one costs a moment of older knowledge and nothing else.
+//! lost one costs a moment of older knowledge and nothing else. VMs of one availability zone tell
+//! each other directly. One of them, the speaker, tells the other zones the sums of its zone, and
+//! whoever hears another zone's speaker passes that on within its own. So the bytes between zones
+//! do not grow with the square of the fleet.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use super::fleet::Work;
 use super::holdings::Holding;
@@ -35,6 +38,8 @@
     pub fresh: Duration,
     /// Silence after which a peer counts as gone.
     pub gone: Duration,
+    /// Silence of a zone's speaker after which another one is heard.
+    pub speaker_change: Duration,
 }
 
 impl Default for PeersSettings {
@@ -44,6 +49,7 @@
             fresh: Duration::from_millis(1_000),
             // Longer than the cuts after which VMs are expected back.
             gone: Duration::from_secs(30),
+            speaker_change: Duration::from_millis(300),
         }
     }
 }
@@ -60,6 +66,17 @@
     pub weights: ObjectVersion,
 }
 
+impl Revisions {
+    /// Returns the newest of each.
+    pub fn max(self, other: Self) -> Self {
+        Self {
+            config: self.config.max(other.config),
+            upstreams: self.upstreams.max(other.upstreams),
+            weights: self.weights.max(other.weights),
+        }
+    }
+}
+
 /// Work that a VM has sent to one engine, in a compact form.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -83,6 +100,16 @@
         }
     }
 
+    /// Returns the sum with the load of another VM.
+    pub fn plus(&self, other: &Self) -> Self {
+        Self {
+            engine: self.engine,
+            requests: self.requests.saturating_add(other.requests),
+            reading_units: self.reading_units.saturating_add(other.reading_units),
+            memory_units: self.memory_units.saturating_add(other.memory_units),
+        }
+    }
+
     /// Returns the work.
     pub fn work(&self) -> Work {
         Work {
@@ -103,10 +130,25 @@
     pub record: LeaseRecord,
 }
 
+/// Whom a beat speaks for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub enum Scope {
+    /// The sender.
+    Vm,
+    /// All VMs of the sender's availability zone.
+    Zone {
+        /// Their number.
+        vms: u16,
+    },
+}
+
 /// What one VM tells the others.
 #[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub struct Beat {
+    /// Whom it speaks for.
+    pub scope: Scope,
     /// Sender.
     pub vm: VmId,
     /// Start of the sender's process.
@@ -119,22 +161,34 @@
     pub availability_zone: AvailabilityZoneId,
     /// Whether the sender shuts down.
     pub is_leaving: bool,
+    /// Whether the sender follows the store itself.
+    pub follows_store: bool,
     /// What it has seen of the store.
     pub revisions: Revisions,
-    /// Work that it has sent to engines.
+    /// Work that was sent to engines.
     pub loads: Vec<EngineLoad>,
-    /// Units a second that its callers ask for, by customer.
+    /// Units a second that callers ask for, by customer.
     pub demands: Vec<(ShortName, u32)>,
-    /// Lease that it holds.
+    /// Lease that the sender holds.
     pub lease: Option<HeldLease>,
     /// Engines that load weights or are about to; from the holder of the lease.
     pub rolling: Vec<ShortName>,
     /// Weights of engines that the store does not list yet.
     pub weights: Vec<(ShortName, WeightNumber)>,
-    /// Chains that its requests made engines read.
+    /// Chains that requests made engines read.
     pub read: Vec<Holding>,
-    /// Other VMs that it knows; in some beats only.
-    pub known: Vec<SocketAddr>,
+    /// VMs that the sender knows, with their availability zone; in some beats only.
+    pub known: Vec<(SocketAddr, AvailabilityZoneId)>,
+}
+
+impl Beat {
+    /// Returns for how many VMs it speaks.
+    pub fn vms(&self) -> usize {
+        match self.scope {
+            Scope::Vm => 1,
+            Scope::Zone { vms } => usize::from(vms),
+        }
+    }
 }
 
 /// Peer as it was heard last.
@@ -151,16 +205,27 @@
 pub struct Peers {
     settings: PeersSettings,
     me: VmId,
-    heard: HashMap<VmId, Peer>,
-    listed: HashMap<SocketAddr, Instant>,
+    zone: AvailabilityZoneId,
+    /// VMs of this zone.
+    vms: HashMap<VmId, Peer>,
+    /// Other zones, as their speakers told.
+    zones: HashMap<AvailabilityZoneId, Peer>,
+    listed: HashMap<SocketAddr, Listed>,
+}
+
+#[derive(Debug)]
+struct Listed {
+    zone: AvailabilityZoneId,
+    at: Instant,
 }
 
 impl Peers {
     /// Creates the knowledge of a VM that has heard nobody.
-    pub fn new(settings: PeersSettings, me: VmId) -> Self {
+    pub fn new(settings: PeersSettings, me: VmId, zone: AvailabilityZoneId) -> Self {
         Self {
             settings,
             me,
+            zone,
             ..Self::default()
         }
     }
@@ -170,63 +235,158 @@
         if beat.vm == self.me {
             return false;
         }
-        self.listed.remove(&beat.address);
-        for address in &beat.known {
-            self.listed.entry(*address).or_insert(now);
+        self.list(beat.address, beat.availability_zone.clone(), now);
+        for (address, zone) in &beat.known {
+            self.listed.entry(*address).or_insert_with(|| Listed {
+                zone: zone.clone(),
+                at: now,
+            });
+        }
+        let is_own_zone = beat.availability_zone == self.zone;
+        match beat.scope {
+            Scope::Vm if is_own_zone => self.hear_vm(beat, now),
+            Scope::Zone { .. } if !is_own_zone => self.hear_zone(beat, now),
+            // The beat of a VM elsewhere tells that it is there, and no more.
+            Scope::Vm | Scope::Zone { .. } => false,
         }
+    }
+
+    fn hear_vm(&mut self, beat: Beat, now: Instant) -> bool {
         let order = (beat.incarnation, beat.sequence);
-        let known = self.heard.get(&beat.vm);
+        let known = self.vms.get(&beat.vm);
         if known.is_some_and(|peer| (peer.beat.incarnation, peer.beat.sequence) >= order) {
             return false;
         }
         if beat.is_leaving {
-            self.heard.remove(&beat.vm);
+            self.vms.remove(&beat.vm);
+            self.listed.remove(&beat.address);
             return true;
         }
         let peer = Peer {
             heard_at: now,
             beat,
         };
-        self.heard.insert(peer.beat.vm.clone(), peer);
+        self.vms.insert(peer.beat.vm.clone(), peer);
         true
     }
 
-    /// Notes an address at which a peer may be.
-    pub fn list(&mut self, address: SocketAddr, now: Instant) {
-        let is_heard = self.heard.values().any(|peer| peer.beat.address == address);
-        if !is_heard {
-            self.listed.insert(address, now);
+    fn hear_zone(&mut self, beat: Beat, now: Instant) -> bool {
+        let known = self.zones.get(&beat.availability_zone);
+        let is_old = known.is_some_and(|peer| {
+            let is_same = peer.beat.vm == beat.vm && peer.beat.incarnation == beat.incarnation;
+            match is_same {
+                true => peer.beat.sequence >= beat.sequence,
+                // Two speakers overlap for a moment only; the one heard first goes on.
+                false => now.saturating_sub(peer.heard_at) < self.settings.speaker_change,
+            }
+        });
+        if !is_old {
+            let peer = Peer {
+                heard_at: now,
+                beat,
+            };
+            let zone = peer.beat.availability_zone.clone();
+            self.zones.insert(zone, peer);
         }
+        !is_old
+    }
+
+    /// Notes an address at which a VM may be.
+    pub fn list(&mut self, address: SocketAddr, zone: AvailabilityZoneId, now: Instant) {
+        self.listed.insert(address, Listed { zone, at: now });
     }
 
     /// Forgets peers that have been silent for long.
     pub fn sweep(&mut self, now: Instant) {
         let gone = self.settings.gone;
-        self.heard
-            .retain(|_, peer| now.saturating_sub(peer.heard_at) < gone);
-        self.listed.retain(|_, at| now.saturating_sub(*at) < gone);
+        let is_there = |at: Instant| now.saturating_sub(at) < gone;
+        self.vms.retain(|_, peer| is_there(peer.heard_at));
+        self.zones.retain(|_, peer| is_there(peer.heard_at));
+        self.listed.retain(|_, listed| is_there(listed.at));
     }
 
-    /// Returns the addresses to send beats to.
-    pub fn addresses(&self, me: SocketAddr) -> Vec<SocketAddr> {
-        let heard = self.heard.values().map(|peer| peer.beat.address);
-        let mut addresses: Vec<_> = heard.chain(self.listed.keys().copied()).collect();
+    /// Returns the addresses of the VMs of this zone.
+    pub fn in_zone(&self, me: SocketAddr) -> Vec<SocketAddr> {
+        let heard = self.vms.values().map(|peer| peer.beat.address);
+        let listed = self
+            .listed
+            .iter()
+            .filter(|(_, listed)| listed.zone == self.zone);
+        let mut addresses: Vec<_> = heard.chain(listed.map(|(address, _)| *address)).collect();
         addresses.retain(|address| *address != me);
         addresses.sort_unstable();
         addresses.dedup();
         addresses
     }
 
-    /// Returns the peers that count as part of the fleet.
-    pub fn all(&self) -> impl Iterator<Item = &Peer> {
-        self.heard.values()
+    /// Returns where to tell another zone: its speaker, and a VM drawn by a number.
+    ///
+    /// The drawn one finds the zone again when its speaker has changed.
+    pub fn contacts(&self, drawn: usize) -> Vec<SocketAddr> {
+        let mut zones: Vec<&AvailabilityZoneId> =
+            self.listed.values().map(|listed| &listed.zone).collect();
+        zones.extend(self.zones.keys());
+        zones.retain(|zone| **zone != self.zone);
+        zones.sort_unstable();
+        zones.dedup();
+        let contacts = zones.into_iter().flat_map(|zone| {
+            let speaker = self.zones.get(zone).map(|peer| peer.beat.address);
+            let listed = self
+                .listed
+                .iter()
+                .filter(|(_, listed)| listed.zone == *zone);
+            let mut members: Vec<_> = listed.map(|(address, _)| *address).collect();
+            members.sort_unstable();
+            let drawn = match members.len() {
+                0 => None,
+                len => Some(members[drawn % len]),
+            };
+            let drawn = drawn.filter(|drawn| Some(*drawn) != speaker);
+            speaker.into_iter().chain(drawn)
+        });
+        contacts.collect()
+    }
+
+    /// Returns the VMs known, with their zones.
+    pub fn known(&self, max: usize) -> Vec<(SocketAddr, AvailabilityZoneId)> {
+        let listed = self.listed.iter().take(max);
+        listed
+            .map(|(address, listed)| (*address, listed.zone.clone()))
+            .collect()
     }
 
-    /// Returns the peers whose sums may be used.
+    /// Returns the VMs of this zone and the other zones whose sums may be used.
     pub fn fresh(&self, now: Instant) -> impl Iterator<Item = &Peer> {
-        let fresh = self.settings.fresh;
-        let peers = self.heard.values();
-        peers.filter(move |peer| now.saturating_sub(peer.heard_at) <= fresh)
+        let all = self.vms.values().chain(self.zones.values());
+        all.filter(move |peer| self.is_fresh(peer, now))
+    }
+
+    /// Returns the VMs of this zone whose sums may be used.
+    pub fn fresh_in_zone(&self, now: Instant) -> impl Iterator<Item = &Peer> {
+        self.vms
+            .values()
+            .filter(move |peer| self.is_fresh(peer, now))
+    }
+
+    /// Returns the VMs of this zone that were not heard for a moment.
+    pub fn silent_in_zone(&self, now: Instant) -> usize {
+        self.vms
+            .values()
+            .filter(|peer| !self.is_fresh(peer, now))
+            .count()
+    }
+
+    /// Returns the other zones.
+    pub fn zones(&self) -> impl Iterator<Item = &Peer> {
+        self.zones.values()
+    }
+
+    /// Returns the number of VMs in zones that are listed but were never heard.
+    pub fn unheard(&self) -> usize {
+        let listed = self.listed.values();
+        let is_unheard =
+            |listed: &&Listed| listed.zone != self.zone && !self.zones.contains_key(&listed.zone);
+        listed.filter(is_unheard).count()
     }
 
     /// Returns whether a peer's sums may be used.
@@ -234,21 +394,30 @@
         now.saturating_sub(peer.heard_at) <= self.settings.fresh
     }
 
-    /// Returns how many peers count as part of the fleet.
-    pub fn len(&self) -> usize {
-        self.heard.len()
+    /// Returns the VMs that the fleet counts, this one included.
+    pub fn fleet_size(&self) -> usize {
+        let zones: usize = self.zones.values().map(|peer| peer.beat.vms()).sum();
+        1 + self.vms.len() + zones + self.unheard()
+    }
+
+    /// Returns whether this VM speaks for its zone.
+    pub fn is_speaker(&self, now: Instant) -> bool {
+        self.first_in_zone(self.me.as_str(), now, |_| true)
+            .is_none()
     }
 
-    /// Returns whether no peer is known.
-    pub fn is_empty(&self) -> bool {
-        self.heard.is_empty()
+    /// Returns the VM of this zone through which the store is followed; nothing where this VM
+    /// follows it itself.
+    pub fn relay(&self, now: Instant) -> Option<&Peer> {
+        self.first_in_zone("", now, |peer| peer.beat.follows_store)
+            .filter(|peer| rank(&peer.beat.vm, "") < rank(&self.me, ""))
     }
 
-    /// Returns the work that peers have sent to an engine.
-    pub fn work_at(&self, engine: ShortName, now: Instant) -> Work {
-        let loads = self.fresh(now).flat_map(|peer| &peer.beat.loads);
-        let at_engine = loads.filter(|load| load.engine == engine);
-        at_engine.fold(Work::default(), |sum, load| sum.plus(load.work()))
+    /// Returns the VM of this zone that keeps the account of a customer; nothing where it is this.
+    pub fn account_keeper(&self, customer: &str, now: Instant) -> Option<&Peer> {
+        let others = self.fresh_in_zone(now);
+        let first = others.min_by_key(|peer| rank(&peer.beat.vm, customer))?;
+        (rank(&first.beat.vm, customer) < rank(&self.me, customer)).then_some(first)
     }
 
     /// Returns whether a holder of the lease said that an engine loads weights or is about to.
@@ -256,4 +425,21 @@
         self.fresh(now)
             .any(|peer| peer.beat.rolling.contains(&engine))
     }
+
+    /// Returns the first VM of this zone by rank, where that is another than `me`.
+    fn first_in_zone(
+        &self,
+        me: &str,
+        now: Instant,
+        is_fit: impl Fn(&Peer) -> bool,
+    ) -> Option<&Peer> {
+        let fit = self.fresh_in_zone(now).filter(|peer| is_fit(peer));
+        let first = fit.min_by_key(|peer| rank(&peer.beat.vm, ""))?;
+        (me.is_empty() || rank(&first.beat.vm, "") < rank(me, "")).then_some(first)
+    }
+}
+
+/// Returns the place of a VM in an order that all VMs agree on.
+fn rank(vm: &str, purpose: &str) -> u64 {
+    xxh3_64_with_seed(vm.as_bytes(), xxh3_64(purpose.as_bytes()))
 }
--- /dev/null
+++ b/src/gateway/relay.rs
@@ -0,0 +1,123 @@
+//! Following the store through another VM of the zone, which spares calls to the store.
+//!
+//! One VM of each zone watches the store. The others wait for the same changes at that VM, over the
+//! zone's own network. A VM whose relay falls silent or lags watches the store itself.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use gotham::helpers::http::Body;
+use http::{Request, Response};
+use http_body_util::{BodyExt, Full, Limited};
+use serde::de::DeserializeOwned;
+
+use super::answer;
+use super::edge::{Changes, Listing, Tracked};
+use super::hub::Hub;
+use super::pool::connect;
+use crate::ids::ObjectVersion;
+
+/// Longest wait for changes in one call.
+const WAIT_MAX: Duration = Duration::from_secs(10);
+/// Time that an answer may take beyond its wait.
+const ANSWER_SLACK: Duration = Duration::from_millis(700);
+/// Largest answer of a peer.
+const ANSWER_MAX_BYTES: usize = 16 * 1024 * 1024;
+/// Start of the paths at which a VM tells what it has seen of the store.
+const SEEN_PATH: &str = "/seen/";
+/// Status of an answer that cannot name all changes.
+const STATUS_GONE: u16 = 410;
+
+/// Reads all objects of a kind from a peer.
+///
+/// # Errors
+///
+/// Returns why there is no whole answer.
+pub(super) async fn read_listing(peer: SocketAddr, tracked: Tracked) -> Result<Listing, String> {
+    let path = format!("{SEEN_PATH}{}", tracked.name());
+    within(ANSWER_SLACK, get(peer, path)).await
+}
+
+/// Waits at a peer for changes of a kind.
+///
+/// # Errors
+///
+/// Returns why there is no whole answer.
+pub(super) async fn watch(
+    peer: SocketAddr,
+    tracked: Tracked,
+    after: ObjectVersion,
+) -> Result<Changes, String> {
+    let path = format!("{SEEN_PATH}{}?after={after}", tracked.name());
+    within(WAIT_MAX + ANSWER_SLACK, get(peer, path)).await
+}
+
+/// Answers a peer that asks what this VM has seen of the store.
+pub(super) async fn answer_peer(
+    hub: &Arc<Hub>,
+    path: &str,
+    query: Option<&str>,
+) -> Option<Response<Body>> {
+    let name = path.strip_prefix(SEEN_PATH)?;
+    let tracked = Tracked::ALL
+        .into_iter()
+        .find(|tracked| tracked.name() == name)?;
+    let after = query.and_then(|query| query.strip_prefix("after=")?.parse().ok());
+    let body = match after {
+        Some(after) => json(changes(hub, tracked, after).await),
+        None => json(hub.listing(tracked)),
+    };
+    Some(match body {
+        Ok(Some(body)) => answer::text(200, "application/json", body),
+        Ok(None) => answer::text(STATUS_GONE, "text/plain", String::new()),
+        Err(error) => answer::text(500, "text/plain", error.to_string()),
+    })
+}
+
+/// Waits until there are changes after a revision, but not for long.
+async fn changes(hub: &Arc<Hub>, tracked: Tracked, after: ObjectVersion) -> Option<Changes> {
+    let until = hub.now() + WAIT_MAX;
+    loop {
+        let mut seen = std::pin::pin!(hub.seen.notified());
+        seen.as_mut().enable();
+        let changes = hub.core().mirrors.get(&tracked)?.changes_after(after)?;
+        let left = until.saturating_sub(hub.now());
+        if !changes.changes.is_empty() || left.is_zero() {
+            return Some(changes);
+        }
+        // The end of the wait is no failure: it answers with what there is.
+        let _ = tokio::time::timeout(left, seen).await;
+    }
+}
+
+fn json<T: serde::Serialize>(value: Option<T>) -> Result<Option<String>, serde_json::Error> {
+    value.map(|value| serde_json::to_string(&value)).transpose()
+}
+
+async fn within<T>(
+    time: Duration,
+    work: impl Future<Output = Result<T, String>>,
+) -> Result<T, String> {
+    let result = tokio::time::timeout(time, work).await;
+    result.unwrap_or_else(|_| Err("no answer in time".into()))
+}
+
+async fn get<T: DeserializeOwned>(peer: SocketAddr, path: String) -> Result<T, String> {
+    let mut connection = connect(peer).await.map_err(|error| error.to_string())?;
+    let request = Request::get(path)
+        .header(http::header::HOST, peer.to_string())
+        .body(Full::<Bytes>::default())
+        .map_err(|error| error.to_string())?;
+    let response = connection
+        .request(request)
+        .await
+        .map_err(|error| error.to_string())?;
+    if !response.status().is_success() {
+        return Err(format!("status {}", response.status()));
+    }
+    let body = Limited::new(response.into_body(), ANSWER_MAX_BYTES);
+    let body = body.collect().await.map_err(|error| error.to_string())?;
+    serde_json::from_slice(&body.to_bytes()).map_err(|error| error.to_string())
+}
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -15,9 +15,9 @@
 
 use super::answer;
 use super::call::{self, Received};
-use super::edge::Tracked;
 use super::hub::Hub;
 use super::journal::Event;
+use super::relay;
 use crate::entry::{GuardedStream, hold};
 use crate::error::{Code, Refusal};
 use crate::ids::RequestId;
@@ -53,8 +53,12 @@
     let new_handler = move || {
         let hub = Arc::clone(&hub);
         Ok(move |state: State| {
-            let response = fleet_answer(&hub, Uri::borrow_from(&state).path());
-            std::future::ready(HandlerResult::Ok((state, response))).boxed()
+            async move {
+                let uri = Uri::borrow_from(&state).clone();
+                let response = fleet_answer(&hub, &uri).await;
+                Ok((state, response))
+            }
+            .boxed()
         })
     };
     gotham::bind_server(listener, new_handler, |stream: TcpStream| {
@@ -167,28 +171,16 @@
     socket.set_tcp_user_timeout(Some(USER_TIMEOUT))
 }
 
-fn fleet_answer(hub: &Hub, path: &str) -> Response<Body> {
+async fn fleet_answer(hub: &Arc<Hub>, uri: &Uri) -> Response<Body> {
+    let path = uri.path();
     if path == hub.platform.dialect.ready_path() {
         return readiness(hub);
     }
     if path == "/metrics" {
         return answer::text(200, "text/plain; version=0.0.4", hub.telemetry.render());
     }
-    let tracked = Tracked::ALL
-        .into_iter()
-        .find(|tracked| path == mirror_path(*tracked));
-    let listing = tracked.and_then(|tracked| hub.listing(tracked));
-    let body = listing.map(|listing| serde_json::to_string(&listing));
-    match body {
-        Some(Ok(body)) => answer::text(200, "application/json", body),
-        Some(Err(error)) => answer::text(500, "text/plain", error.to_string()),
-        None => answer::text(404, "text/plain", String::new()),
-    }
-}
-
-/// Returns the path at which peers read what this VM has seen of the store.
-pub(super) fn mirror_path(tracked: Tracked) -> String {
-    format!("/seen/{}", tracked.name())
+    let seen = relay::answer_peer(hub, path, uri.query()).await;
+    seen.unwrap_or_else(|| answer::text(404, "text/plain", String::new()))
 }
 
 fn readiness(hub: &Hub) -> Response<Body> {
