perf(rollout): trial of fewer engines out of service while callers press, in time for the bound

Kept: engines that turn away are closed for 200 ms, those out of reach come last, zones hear of rolling engines at once.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -382,6 +382,7 @@
             }
             AttemptFailure::NotRun(_) => {
                 dispatched.failed(NOT_RUN_WEIGHT);
+                dispatched.turned_away();
                 return Ok(());
             }
             AttemptFailure::Unknown(_) | AttemptFailure::Timeout => {}
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -108,6 +108,14 @@
         }
     }
 
+    /// Notes that the upstream turned the request away.
+    pub(super) fn turned_away(&self) {
+        let now = self.hub.now();
+        if let Some(engine) = self.hub.core().fleet.instance_mut(&self.instance) {
+            engine.turned_away(now);
+        }
+    }
+
     /// Notes that the upstream could not be reached.
     pub(super) fn unreachable(&self) {
         let now = self.hub.now();
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -75,6 +75,7 @@
     weights: HashMap<ModelId, WeightNumber>,
     failure_rate: f64,
     avoided_until: Instant,
+    closed_until: Instant,
     lapsed_at: Option<Instant>,
 }
 
@@ -89,6 +90,7 @@
             weights: HashMap::new(),
             failure_rate: 0.0,
             avoided_until: Instant::ZERO,
+            closed_until: Instant::ZERO,
             lapsed_at: None,
             entry,
         };
@@ -129,6 +131,18 @@
         self.avoided_until = self.avoided_until.max(now + time);
     }
 
+    /// Notes that the upstream turned a request away that it has not run.
+    ///
+    /// It is about to do so with the next ones as well: it is full, or it loads weights.
+    pub fn turned_away(&mut self, now: Instant) {
+        self.closed_until = now + CLOSED;
+    }
+
+    /// Returns whether the upstream turned a request away a moment ago.
+    pub fn is_closed(&self, now: Instant) -> bool {
+        now < self.closed_until
+    }
+
     /// Notes that nothing listens or answers at the upstream's address.
     pub fn unreachable(&mut self, now: Instant) {
         self.failed(1.0, now);
@@ -152,6 +166,8 @@
     }
 }
 
+/// Time for which an upstream gets nothing that turned a request away.
+const CLOSED: Duration = Duration::from_millis(200);
 /// Time for which an upstream is avoided that could not be reached.
 const UNREACHABLE: Duration = Duration::from_millis(1_000);
 
--- a/src/gateway/hub.rs
+++ b/src/gateway/hub.rs
@@ -309,6 +309,9 @@
         let now = self.now();
         let revisions = beat.revisions;
         let mut core = self.core();
+        if core.peers.is_speaker(now) && core.peers.is_urgent(&beat) {
+            self.beat_due.notify_one();
+        }
         core.take_word_on_weights(&beat.weights);
         let is_own_zone = beat.availability_zone == self.settings.availability_zone;
         for holding in &beat.read {
--- a/src/gateway/journal.rs
+++ b/src/gateway/journal.rs
@@ -113,6 +113,7 @@
         upstream: &'a str,
         model: &'a str,
         weights: WeightNumber,
+        after_ms: u64,
     },
     MembershipCallFailed {
         call: &'static str,
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -291,6 +291,17 @@
         !is_old
     }
 
+    /// Returns whether a beat of this zone tells what the other zones should hear at once: engines
+    /// that load weights, or have loaded them.
+    pub fn is_urgent(&self, beat: &Beat) -> bool {
+        let is_own_zone = beat.availability_zone == self.zone && beat.scope == Scope::Vm;
+        let before = self.vms.get(&beat.vm);
+        let is_news = before.map_or(!beat.rolling.is_empty(), |peer| {
+            peer.beat.rolling != beat.rolling || peer.beat.weights != beat.weights
+        });
+        is_own_zone && is_news
+    }
+
     /// Notes an address at which a VM may be.
     pub fn list(&mut self, address: SocketAddr, zone: AvailabilityZoneId, now: Instant) {
         self.listed.insert(address, Listed { zone, at: now });
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -19,9 +19,9 @@
 
 /// Requests that a plain service may have for each of its slots before others wait.
 const PLAIN_REQUESTS_PER_SLOT: u32 = 2;
-/// Time before the bound on older weights in which nothing starts on them any more: a request may
-/// wait this long at its engine.
-const OLDER_WEIGHTS_MARGIN: Duration = Duration::from_millis(700);
+/// Part of the time for new weights after which nothing is sent to older ones any more; a request
+/// may wait for the rest of it at its engine.
+const OLDER_WEIGHTS_PART: f64 = 0.8;
 /// Time since weights were named from which an engine without them is worth less.
 const OLDER_WEIGHTS_GRACE: Duration = Duration::from_millis(1_300);
 
@@ -123,11 +123,7 @@
         if engines.is_empty() {
             return Err(Place::Nowhere);
         }
-        let last_start = hub
-            .settings
-            .bounds
-            .weights
-            .saturating_sub(OLDER_WEIGHTS_MARGIN);
+        let last_start = hub.settings.bounds.weights.mul_f64(OLDER_WEIGHTS_PART);
         let in_time = engines
             .into_iter()
             .filter(|engine| self.behind(engine, asked, now) < last_start);
@@ -233,7 +229,8 @@
             is_same_zone: engine.entry.availability_zone == hub.settings.availability_zone,
             is_avoided: engine.is_avoided(now),
             is_older: self.is_older(engine, ask, now),
-            is_rolling: ask.prompt.is_some() && self.is_rolling(option.name, engine, now),
+            is_rolling: engine.is_closed(now)
+                || (ask.prompt.is_some() && self.is_rolling(option.name, engine, now)),
         }
     }
 
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -82,7 +82,7 @@
     pub is_avoided: bool,
     /// Whether its weights are older than the newest named.
     pub is_older: bool,
-    /// Whether it is about to load weights.
+    /// Whether it is about to load weights, or turned a request away a moment ago.
     pub is_rolling: bool,
 }
 
--- a/src/gateway/rollout.rs
+++ b/src/gateway/rollout.rs
@@ -11,17 +11,25 @@
 use super::fleet::Instance;
 use super::model::WeightNumber;
 use crate::clock::Instant;
-use crate::ids::UpstreamId;
+use crate::ids::{Tokens, UpstreamId};
 
 /// Bounds of a rollout.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RolloutSettings {
     /// Parts of the engines that load or wait for their runs to end at once: one in so many.
     pub at_once_divisor: usize,
+    /// The same while callers press.
+    pub pressed_divisor: usize,
+    /// Prompt tokens that wait at an engine on average from which on callers press.
+    pub pressed_tokens: Tokens,
     /// Time without new work before an order, in which short runs end.
     pub lead: Duration,
     /// Time after which an order that is not seen in force is looked into.
     pub check_after: Duration,
+    /// Time between further looks.
+    pub check_again: Duration,
+    /// Time that an engine takes, with the end of its runs.
+    pub engine_time: Duration,
     /// Time after which an engine that does not answer no longer holds up the others.
     pub give_up_after: Duration,
 }
@@ -31,9 +39,16 @@
         Self {
             // The runs of a third of the engines end while others load.
             at_once_divisor: 3,
+            // Each engine out of service then makes all others late.
+            pressed_divisor: 4,
+            // About 80 ms of reading.
+            pressed_tokens: 8_000,
             // One beat, so that the other VMs send nothing more.
             lead: Duration::from_millis(50),
             check_after: Duration::from_millis(250),
+            check_again: Duration::from_millis(120),
+            // Runs of some 50 tokens end, and a load takes a third of a second.
+            engine_time: Duration::from_millis(800),
             give_up_after: Duration::from_millis(2_500),
         }
     }
@@ -48,6 +63,10 @@
     pub weights: Option<WeightNumber>,
     /// Requests that run there.
     pub requests: u32,
+    /// Prompt tokens that wait to be read there.
+    pub reading_tokens: Tokens,
+    /// Whether it could not be reached a moment ago.
+    pub is_unreachable: bool,
 }
 
 /// What to do next about an engine.
@@ -85,15 +104,17 @@
         }
     }
 
-    /// Decides what to do now to bring engines to the weights named last.
+    /// Decides what to do now to bring all engines to the weights named last by the time `due`.
     pub fn steps(
         &mut self,
         named: WeightNumber,
         engines: &[EngineView],
+        due: Instant,
         now: Instant,
     ) -> Vec<Step> {
         self.forget_done(named, engines, now);
-        self.announce(named, engines, now);
+        let time_left = due.saturating_sub(now);
+        self.announce(named, engines, time_left, now);
         let mut steps = Vec::new();
         for (instance, phase) in self.phases.values_mut() {
             match *phase {
@@ -113,10 +134,13 @@
 
     /// Notes that an order was sent, whatever the answer.
     pub fn ordered(&mut self, instance: &Instance, now: Instant) {
-        let check_at = now + self.settings.check_after;
+        let settings = self.settings;
         self.set(instance, |earlier| Phase::Loading {
             since: earlier.unwrap_or(now),
-            check_at,
+            check_at: match earlier {
+                None => now + settings.check_after,
+                Some(_) => now + settings.check_again,
+            },
         });
     }
 
@@ -130,11 +154,6 @@
         self.phases.retain(|_, (known, _)| known != instance);
     }
 
-    /// Notes that an engine could not be asked.
-    pub fn unreachable(&mut self, instance: &Instance, now: Instant) {
-        self.ordered(instance, now);
-    }
-
     /// Returns the engines that load or are about to.
     pub fn rolling(&self) -> impl Iterator<Item = &UpstreamId> {
         self.phases.keys()
@@ -169,15 +188,45 @@
         });
     }
 
+    /// Returns how many engines may be out of service at once: few while callers press, but as many
+    /// as it takes to be done in the time left, and never more than half.
+    fn at_once(&self, engines: &[EngineView], time_left: Duration, named: WeightNumber) -> usize {
+        let live = engines.iter().filter(|view| !view.is_unreachable);
+        let (count, waiting) = live.fold((0_usize, 0), |(count, waiting), view| {
+            (count + 1, waiting + view.reading_tokens)
+        });
+        let is_pressed = waiting >= self.settings.pressed_tokens * count.max(1) as Tokens;
+        let divisor = match is_pressed {
+            true => self.settings.pressed_divisor,
+            false => self.settings.at_once_divisor,
+        };
+        let behind = engines
+            .iter()
+            .filter(|view| !view.is_unreachable && is_behind(view, named));
+        let work = self.settings.engine_time * behind.count() as u32;
+        let needed = work.as_millis().div_ceil(time_left.as_millis().max(1)) as usize;
+        let most = count.div_ceil(2).max(1);
+        count.max(1).div_ceil(divisor.max(1)).max(needed.min(most))
+    }
+
     /// Takes the next engines out of new work: those furthest behind, and of these the idlest.
-    fn announce(&mut self, named: WeightNumber, engines: &[EngineView], now: Instant) {
+    fn announce(
+        &mut self,
+        named: WeightNumber,
+        engines: &[EngineView],
+        time_left: Duration,
+        now: Instant,
+    ) {
         let mut behind: Vec<_> = engines
             .iter()
             .filter(|view| is_behind(view, named))
             .collect();
         behind.retain(|view| !self.phases.contains_key(&view.instance.id));
-        behind.sort_by_key(|view| (view.weights, view.requests, view.instance.id.clone()));
-        let at_once = engines.len().div_ceil(self.settings.at_once_divisor.max(1));
+        behind.sort_by_key(|view| {
+            let id = view.instance.id.clone();
+            (view.is_unreachable, view.weights, view.requests, id)
+        });
+        let at_once = self.at_once(engines, time_left, named);
         let free = at_once.saturating_sub(self.phases.len());
         for view in behind.into_iter().take(free) {
             let instance = view.instance.clone();
--- a/src/gateway/steward.rs
+++ b/src/gateway/steward.rs
@@ -27,6 +27,9 @@
 const IDLE_INTERVAL: Duration = Duration::from_millis(500);
 /// Part of the lease that must be left for an order.
 const LEFT_DIVISOR: u32 = 4;
+/// Part of the time for new weights in which all engines should have them; the rest is for orders
+/// that are lost.
+const DUE_PART: f64 = 0.85;
 /// Time for giving the lease up at the end.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -200,6 +203,7 @@
     let mut term = 0;
     let mut acquired_at = Instant::ZERO;
     let mut fenced = 0;
+    let mut in_place = HashMap::new();
     loop {
         let current = *held.borrow_and_update();
         let now = hub.now();
@@ -217,7 +221,7 @@
             rollouts.clear();
         }
         let may_order = may_order(&hub, term_held, acquired_at, now) && term > fenced;
-        let is_busy = may_order && step(&hub, &mut rollouts, term, &sender, now);
+        let is_busy = may_order && step(&hub, &mut rollouts, &mut in_place, term, &sender, now);
         set_rolling(&hub, &rollouts);
         let interval = if is_busy {
             STEP_INTERVAL
@@ -252,6 +256,7 @@
 fn step(
     hub: &Arc<Hub>,
     rollouts: &mut HashMap<ModelId, Rollout>,
+    in_place: &mut HashMap<Instance, WeightNumber>,
     fencing: FencingNumber,
     sender: &mpsc::UnboundedSender<Reply>,
     now: Instant,
@@ -265,14 +270,16 @@
     };
     let mut is_busy = false;
     for (model, named) in named {
-        let views = views(hub, &model);
+        let views = views(hub, &model, now);
+        log_in_place(hub, in_place, &model, named, &views, now);
         is_busy |= views
             .iter()
             .any(|view| view.weights.is_none_or(|has| has < named));
         let rollout = rollouts
             .entry(model.clone())
             .or_insert_with(|| Rollout::new(RolloutSettings::default()));
-        for step in rollout.steps(named, &views, now) {
+        let due = due(hub, &model, &views, now);
+        for step in rollout.steps(named, &views, due, now) {
             let instance = match step {
                 Step::Order(instance) | Step::Check(instance) => instance,
             };
@@ -291,7 +298,47 @@
     is_busy
 }
 
-fn views(hub: &Hub, model: &str) -> Vec<EngineView> {
+/// Returns when all engines have to have the weights named last.
+fn due(hub: &Hub, model: &ModelId, views: &[EngineView], now: Instant) -> Instant {
+    let core = hub.core();
+    let has = views.iter().map(|view| view.weights.unwrap_or_default());
+    let first = core
+        .named
+        .get(model)
+        .and_then(|history| history.first_missed(has));
+    first.unwrap_or(now) + hub.settings.bounds.weights.mul_f64(DUE_PART)
+}
+
+/// Tells of engines that have the weights named last since the step before.
+fn log_in_place(
+    hub: &Hub,
+    in_place: &mut HashMap<Instance, WeightNumber>,
+    model: &ModelId,
+    named: WeightNumber,
+    views: &[EngineView],
+    now: Instant,
+) {
+    let named_at = hub
+        .core()
+        .named
+        .get(model)
+        .and_then(|history| history.newest_at());
+    let after = named_at.map_or(Duration::ZERO, |at| now.saturating_sub(at));
+    for view in views.iter().filter(|view| view.weights == Some(named)) {
+        if in_place.insert(view.instance.clone(), named) != Some(named) {
+            hub.meters.weights_in_place(after);
+            let event = Event::WeightsInPlace {
+                upstream: &view.instance.id,
+                model,
+                weights: named,
+                after_ms: after.as_millis() as u64,
+            };
+            hub.journal.state(&event);
+        }
+    }
+}
+
+fn views(hub: &Hub, model: &str, now: Instant) -> Vec<EngineView> {
     let core = hub.core();
     let engines = core.fleet.iter().filter(|engine| engine.is_ready());
     let with_model = engines.filter(|engine| engine.weights(model).is_some());
@@ -299,6 +346,8 @@
         instance: engine.instance.clone(),
         weights: engine.weights(model),
         requests: core.work_at(engine).requests,
+        reading_tokens: core.work_at(engine).reading_tokens,
+        is_unreachable: engine.is_avoided(now),
     });
     views.collect()
 }
@@ -393,23 +442,18 @@
             if let Some(engine) = core.fleet.instance_mut(instance) {
                 engine.saw_weights(&reply.model, weights);
             }
-            let history = core.named.get(&reply.model);
-            let named_at = history.and_then(|history| history.newest_at());
             drop(core);
-            let after = named_at.map_or(Duration::ZERO, |at| now.saturating_sub(at));
-            hub.meters.weights_in_place(after);
-            let upstream = &instance.id;
-            let event = Event::WeightsInPlace {
-                upstream,
-                model: &reply.model,
-                weights,
-            };
-            hub.journal.state(&event);
             hub.beat_due.notify_one();
         }
         Outcome::Ordered => rollout.ordered(instance, now),
         Outcome::Busy => rollout.still_loading(instance, now),
-        Outcome::Unreachable => rollout.unreachable(instance, now),
+        Outcome::Unreachable => {
+            // It comes up again once it can be reached, and holds up no other until then.
+            rollout.done(instance);
+            if let Some(engine) = hub.core().fleet.instance_mut(instance) {
+                engine.unreachable(now);
+            }
+        }
         Outcome::Fenced(_) | Outcome::Gone => rollout.done(instance),
     }
 }
--- a/src/gateway/weights.rs
+++ b/src/gateway/weights.rs
@@ -36,6 +36,11 @@
         self.names.last().map(|(_, at)| *at)
     }
 
+    /// Returns when the first weights were named that some engine lacks.
+    pub fn first_missed(&self, has: impl Iterator<Item = WeightNumber>) -> Option<Instant> {
+        has.filter_map(|has| self.behind_since(has)).min()
+    }
+
     /// Returns since when an engine with some weights is behind; nothing where it is not.
     ///
     /// Each name counts from its own time, so one that was replaced still makes an engine late.
