--- a/src/gateway/rollout.rs
+++ b/src/gateway/rollout.rs
@@ -11,7 +11,7 @@
 use super::fleet::Instance;
 use super::model::WeightNumber;
 use crate::clock::Instant;
-use crate::ids::{Tokens, UpstreamId};
+use crate::ids::UpstreamId;
 
 /// Bounds of a rollout.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -39,10 +39,6 @@
         Self {
             // The runs of a third of the engines end while others load.
             at_once_divisor: 3,
-            // Each engine out of service then makes all others late.
-            pressed_divisor: 4,
-            // About 80 ms of reading.
-            pressed_tokens: 8_000,
             // One beat, so that the other VMs send nothing more.
             lead: Duration::from_millis(50),
             check_after: Duration::from_millis(250),
@@ -63,8 +59,6 @@
     pub weights: Option<WeightNumber>,
     /// Requests that run there.
     pub requests: u32,
-    /// Prompt tokens that wait to be read there.
-    pub reading_tokens: Tokens,
     /// Whether it could not be reached a moment ago.
     pub is_unreachable: bool,
 }
@@ -188,25 +182,16 @@
         });
     }
 
-    /// Returns how many engines may be out of service at once: few while callers press, but as many
-    /// as it takes to be done in the time left, and never more than half.
+    /// Returns how many engines may be out of service at once: a fixed share, or as many as it takes
+    /// to be done in the time left, but never more than half.
     fn at_once(&self, engines: &[EngineView], time_left: Duration, named: WeightNumber) -> usize {
         let live = engines.iter().filter(|view| !view.is_unreachable);
-        let (count, waiting) = live.fold((0_usize, 0), |(count, waiting), view| {
-            (count + 1, waiting + view.reading_tokens)
-        });
-        let is_pressed = waiting >= self.settings.pressed_tokens * count.max(1) as Tokens;
-        let divisor = match is_pressed {
-            true => self.settings.pressed_divisor,
-            false => self.settings.at_once_divisor,
-        };
-        let behind = engines
-            .iter()
-            .filter(|view| !view.is_unreachable && is_behind(view, named));
-        let work = self.settings.engine_time * behind.count() as u32;
+        let count = live.clone().count().max(1);
+        let behind = live.filter(|view| is_behind(view, named)).count();
+        let work = self.settings.engine_time * behind as u32;
         let needed = work.as_millis().div_ceil(time_left.as_millis().max(1)) as usize;
-        let most = count.div_ceil(2).max(1);
-        count.max(1).div_ceil(divisor.max(1)).max(needed.min(most))
+        let share = count.div_ceil(self.settings.at_once_divisor.max(1));
+        share.max(needed.min(count.div_ceil(2)))
     }
 
     /// Takes the next engines out of new work: those furthest behind, and of these the idlest.
--- a/src/gateway/steward.rs
+++ b/src/gateway/steward.rs
@@ -346,7 +346,6 @@
         instance: engine.instance.clone(),
         weights: engine.weights(model),
         requests: core.work_at(engine).requests,
-        reading_tokens: core.work_at(engine).reading_tokens,
         is_unreachable: engine.is_avoided(now),
     });
     views.collect()
