--- a/src/gateway/rollout.rs
+++ b/src/gateway/rollout.rs
@@ -18,10 +18,6 @@
 pub struct RolloutSettings {
     /// Parts of the engines that load or wait for their runs to end at once: one in so many.
     pub at_once_divisor: usize,
-    /// The same while callers press.
-    pub pressed_divisor: usize,
-    /// Prompt tokens that wait at an engine on average from which on callers press.
-    pub pressed_tokens: Tokens,
     /// Time without new work before an order, in which short runs end.
     pub lead: Duration,
     /// Time after which an order that is not seen in force is looked into.
