perf(place): keep long prompts in the cache store, and always name a source to fetch from

Cause: shared parts read again cost most of all prices. Engines forget within some five seconds, so a part believed to be held was read anew without a fetch.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -561,6 +561,7 @@
             customer: self.customer.as_ref().map(|customer| customer.id.as_str()),
             cache_salt: salt.as_deref(),
             fetch_from: dispatched.fetch_from,
+            save_to: dispatched.save_to,
             rank: self.ask.prompt.as_ref().map(|_| self.rank()),
             last_event,
             weights: dispatched.weights,
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -29,6 +29,8 @@
     pub(super) held_tokens: Tokens,
     /// Engine that holds more of the prompt.
     pub(super) fetch_from: Option<SocketAddr>,
+    /// Store that keeps the prompt, as no engine was known to hold its shared parts.
+    pub(super) save_to: Option<SocketAddr>,
     /// Prompt tokens that the engine reads before.
     pub(super) ahead_tokens: Tokens,
     /// When the request was placed.
@@ -52,6 +54,7 @@
             weights,
             held_tokens: 0,
             fetch_from: None,
+            save_to: None,
             ahead_tokens: 0,
             at: hub.now(),
             work,
@@ -69,6 +72,11 @@
         self
     }
 
+    pub(super) fn with_save_to(mut self, save_to: Option<SocketAddr>) -> Self {
+        self.save_to = save_to;
+        self
+    }
+
     pub(super) fn with_ahead(mut self, ahead_tokens: Tokens) -> Self {
         self.ahead_tokens = ahead_tokens;
         self
--- a/src/gateway/edge.rs
+++ b/src/gateway/edge.rs
@@ -189,6 +189,8 @@
     pub cache_salt: Option<&'a str>,
     /// Engine that holds parts of the prompt.
     pub fetch_from: Option<SocketAddr>,
+    /// Store that the parts of the prompt are kept in once they are read.
+    pub save_to: Option<SocketAddr>,
     /// Rank at the engine; 0 is first.
     pub rank: Option<u8>,
     /// Event after which the stream is to go on.
--- a/src/gateway/holdings.rs
+++ b/src/gateway/holdings.rs
@@ -45,11 +45,14 @@
     untold_of_zone: Vec<Holding>,
 }
 
-#[derive(Debug, Clone, Copy)]
-struct Holder {
-    engine: ShortName,
+/// Engine that holds a chain.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Holder {
+    /// Engine.
+    pub engine: ShortName,
+    /// When the chain was used there last.
+    pub used_at: Instant,
     weights: WeightNumber,
-    used_at: Instant,
     told_at: Instant,
 }
 
@@ -113,7 +116,7 @@
         now: Instant,
     ) -> bool {
         let mut holders = self.holders(chain, weights, now);
-        holders.any(|holder| holder == engine)
+        holders.any(|holder| holder.engine == engine)
     }
 
     /// Returns the engines that hold a chain under some weights, latest use first.
@@ -122,12 +125,12 @@
         chain: ChainHash,
         weights: WeightNumber,
         now: Instant,
-    ) -> impl Iterator<Item = ShortName> {
+    ) -> impl Iterator<Item = Holder> {
         let holders = self.chains.get(&(chain as ShortName)).into_iter().flatten();
         let is_fresh = move |holder: &&Holder| {
             holder.weights == weights && now.saturating_sub(holder.used_at) < FRESH
         };
-        holders.filter(is_fresh).map(|holder| holder.engine)
+        holders.filter(is_fresh).copied()
     }
 
     /// Forgets what an engine held, as it started anew.
--- a/src/gateway/hub.rs
+++ b/src/gateway/hub.rs
@@ -1,6 +1,7 @@
 //! State that the tasks and requests of a gateway share.
 
 use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
@@ -78,6 +79,7 @@
     pub(super) named: HashMap<ModelId, NamedHistory>,
     pub(super) holdings: Holdings,
     pub(super) profiles: HashMap<ServiceId, EngineProfile>,
+    pub(super) cache_store: Option<SocketAddr>,
     pub(super) mirrors: HashMap<Tracked, Mirror>,
     /// Kinds that the store itself told this VM last.
     pub(super) following: HashSet<Tracked>,
@@ -153,6 +155,7 @@
             named: HashMap::new(),
             holdings: Holdings::default(),
             profiles: HashMap::new(),
+            cache_store: None,
             mirrors: HashMap::new(),
             following: HashSet::new(),
             lease: None,
@@ -211,7 +214,10 @@
         let current = self.table().map_or(0, |table| table.version);
         if table.version > current {
             let version = table.version;
-            self.core().profiles = table.profiles();
+            let mut core = self.core();
+            core.profiles = table.profiles();
+            core.cache_store = table.cache_store();
+            drop(core);
             self.table.store(Some(Arc::new(table)));
             self.meters.config_version(version);
             self.journal.state(&Event::ConfigInForce {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -47,7 +47,7 @@
 pub use events::{EventSplitter, SplitError};
 pub use fleet::{Engine, Fleet, FleetSettings, Instance};
 pub use gate::{BudgetBounds, Budgets};
-pub use holdings::{Holding, Holdings};
+pub use holdings::{Holder, Holding, Holdings};
 pub use journal::Journal;
 pub use mirror::Mirror;
 pub use model::{
--- a/src/gateway/model.rs
+++ b/src/gateway/model.rs
@@ -78,6 +78,8 @@
     pub connections_max: u32,
     /// What its engines are like, where they are model engines.
     pub engine: Option<EngineProfile>,
+    /// Where it keeps cached prompts, where it is no more than a store of these.
+    pub cache_store: Option<SocketAddr>,
 }
 
 /// What a request costs a customer's allowance.
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -25,6 +25,13 @@
 /// Time since weights were named from which an engine without them is worth less.
 const OLDER_WEIGHTS_GRACE: Duration = Duration::from_millis(1_300);
 
+/// Name under which the store of cached prompts stands among the holders.
+const CACHE_STORE: &str = "cache store";
+/// Time since its last use in which an engine has surely not forgotten a chain.
+const SURELY_HELD: Duration = Duration::from_secs(3);
+/// Shortest shared part that is worth keeping beside the engines.
+const SAVED_TOKENS_MIN: Tokens = 1_000;
+
 /// Prompt with the chains of its parts.
 struct Asked<'a> {
     prompt: &'a Prompt,
@@ -92,8 +99,10 @@
             memory_tokens: demand.prompt_tokens + demand.output_tokens,
         };
         let weights = asked.as_ref().map(|_| option.weights);
+        let save_to = asked.as_ref().and_then(|asked| self.save_to(asked, found));
         let dispatched = Dispatched::new(hub, option.engine, work, weights)
             .with_found(option.held, option.source)
+            .with_save_to(save_to)
             .with_ahead(candidate.reading_tokens);
         let name = option.name;
         if let Some(engine) = self.fleet.get_mut(&dispatched.instance.id) {
@@ -103,6 +112,10 @@
         for (chain, _) in chains {
             let weights = dispatched.weights.unwrap_or_default();
             self.holdings.read(*chain, name, weights, now);
+            if save_to.is_some() {
+                let store = short_name(CACHE_STORE);
+                self.holdings.read(*chain, store, weights, now);
+            }
         }
         Ok(dispatched)
     }
@@ -164,11 +177,10 @@
         };
         option.weights = engine.weights(&asked.prompt.model).unwrap_or_default();
         for (chain, tokens) in asked.shared().iter().rev() {
-            if self.holdings.holds(*chain, name, option.weights, now) {
+            if option.held == 0 && self.holdings.holds(*chain, name, option.weights, now) {
                 option.held = *tokens;
-                break;
             }
-            if option.source.is_none() {
+            if option.source.is_none() && *tokens >= option.held {
                 option.source = self.source(ask, *chain, option.weights, name, now);
                 option.fetched = option.source.map_or(0, |_| *tokens);
             }
@@ -176,7 +188,11 @@
         option
     }
 
-    /// Returns the address of another engine that holds a chain.
+    /// Returns where else a chain is held: at an engine that used it a moment ago, else in the store
+    /// of cached prompts, which forgets more slowly, else at any engine that used it.
+    ///
+    /// A source is named also for an engine that is believed to hold the chain: it may have
+    /// forgotten it, and a fetch of nothing costs next to nothing.
     fn source(
         &self,
         ask: &Ask,
@@ -185,12 +201,39 @@
         but: ShortName,
         now: Instant,
     ) -> Option<SocketAddr> {
-        let mut holders = self.holdings.holders(chain, weights, now);
-        holders.find_map(|holder| {
-            let mut engines = self.fleet.ready(&ask.service);
-            let engine = engines.find(|engine| short_name(&engine.instance.id) == holder)?;
-            (holder != but && !engine.is_avoided(now)).then_some(engine.entry.address)
-        })
+        let mut others = self
+            .holdings
+            .holders(chain, weights, now)
+            .filter_map(|holder| {
+                let mut engines = self.fleet.ready(&ask.service);
+                let engine =
+                    engines.find(|engine| short_name(&engine.instance.id) == holder.engine)?;
+                let is_usable = holder.engine != but && !engine.is_avoided(now);
+                is_usable.then_some((engine.entry.address, holder.used_at))
+            });
+        let engine = others.next();
+        let recent = engine.filter(|(_, used_at)| now.saturating_sub(*used_at) < SURELY_HELD);
+        recent
+            .map(|(address, _)| address)
+            .or_else(|| self.stored(chain, weights, now))
+            .or(engine.map(|(address, _)| address))
+    }
+
+    /// Returns the store of cached prompts, where it holds a chain.
+    fn stored(&self, chain: ChainHash, weights: WeightNumber, now: Instant) -> Option<SocketAddr> {
+        let store = self.cache_store?;
+        let is_held = self
+            .holdings
+            .holds(chain, short_name(CACHE_STORE), weights, now);
+        is_held.then_some(store)
+    }
+
+    /// Returns the store that a prompt is to be kept in: its shared parts are long, and neither
+    /// engines nor the store are known to hold them.
+    fn save_to(&self, asked: &Asked<'_>, found: Tokens) -> Option<SocketAddr> {
+        let shared = asked.shared().last().map_or(0, |(_, tokens)| *tokens);
+        let missed = shared.saturating_sub(found);
+        self.cache_store.filter(|_| missed >= SAVED_TOKENS_MIN)
     }
 
     /// Returns for how long an engine has lacked weights that were named.
--- a/src/gateway/table.rs
+++ b/src/gateway/table.rs
@@ -1,6 +1,7 @@
 //! Configuration compiled for look-ups.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use super::model::{Customer, EngineProfile, Route, RoutingConfig, Service, ServiceId};
@@ -86,6 +87,13 @@
         engines.collect()
     }
 
+    /// Returns where cached prompts are kept beside the engines.
+    pub fn cache_store(&self) -> Option<SocketAddr> {
+        self.services
+            .values()
+            .find_map(|service| service.cache_store)
+    }
+
     /// Returns a service by its name.
     pub fn service(&self, id: &str) -> Option<&Service> {
         self.services.get(id)
