--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -28,7 +28,7 @@
 /// Name under which the store of cached prompts stands among the holders.
 const CACHE_STORE: &str = "cache store";
 /// Time since its last use in which an engine has surely not forgotten a chain.
-const SURELY_HELD: Duration = Duration::from_secs(3);
+const SURELY_HELD: Duration = Duration::from_secs(1);
 /// Shortest shared part that is worth keeping beside the engines.
 const SAVED_TOKENS_MIN: Tokens = 1_000;
 
