fix(follow): notice within three seconds that a watch was cut off without a word

The store forgot its history at 7 s and cut the watches silently at 8 s; TCP keep-alive found that at 11 s, and the only other VM of the zone was cut off. A test with a stand-in that cuts watches silently failed before and passes now.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -15,8 +15,9 @@
 use crate::clock::Instant;
 use crate::ids::{ObjectVersion, VmId};
 
-/// Longest wait of a watch; TCP keep-alive finds a silent connection sooner.
-const WATCH_WAIT: Duration = Duration::from_secs(15);
+/// Longest wait of a watch. One that was cut off without a word is noticed by its missing answer,
+/// within the three seconds after which a VM counts as in touch again.
+const WATCH_WAIT: Duration = Duration::from_millis(2_000);
 /// Pause after changes among upstreams, so that several come with one call.
 const UPSTREAMS_PAUSE: Duration = Duration::from_millis(200);
 /// First pause after a failed call, and the longest one.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -19,8 +19,8 @@
 use super::pool::connect;
 use crate::ids::ObjectVersion;
 
-/// Longest wait for changes in one call.
-const WAIT_MAX: Duration = Duration::from_secs(10);
+/// Longest wait for changes in one call, as short as that of a watch at the store.
+const WAIT_MAX: Duration = Duration::from_millis(2_000);
 /// Time that an answer may take beyond its wait.
 const ANSWER_SLACK: Duration = Duration::from_millis(700);
 /// Largest answer of a peer.
