--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use super::fleet::{Engine, Instance, Work};
 use super::hub::Hub;
@@ -17,6 +19,11 @@
 /// Speeds that an estimate may have, in tokens a millisecond.
 const SPEED_RANGE: std::ops::RangeInclusive<f64> = 10.0..=500.0;
 
+/// Times its expected work that an upstream may stay silent.
+const SILENCE_WORK_TIMES: u32 = 3;
+/// Time beyond that.
+const SILENCE_SLACK: Duration = Duration::from_millis(200);
+
 /// Request sent to an upstream; what it takes there is given back on drop.
 #[derive(Debug)]
 pub(super) struct Dispatched {
@@ -35,6 +42,7 @@
     pub(super) ahead_tokens: Tokens,
     /// When the request was placed.
     pub(super) at: Instant,
+    number: u64,
     work: Work,
     is_reading: bool,
 }
@@ -57,6 +65,7 @@
             save_to: None,
             ahead_tokens: 0,
             at: hub.now(),
+            number: hub.next_request.fetch_add(1, Ordering::Relaxed),
             work,
             is_reading: true,
         }
@@ -82,6 +91,16 @@
         self
     }
 
+    /// Returns the request's number at this VM.
+    pub(super) fn number(&self) -> u64 {
+        self.number
+    }
+
+    /// Returns by when the upstream should show something, where its work takes some time.
+    pub(super) fn due(&self, work: Duration, objective: Duration) -> Instant {
+        self.at + (work * SILENCE_WORK_TIMES).max(objective) + SILENCE_SLACK
+    }
+
     /// Notes that the first event or the answer has come.
     pub(super) fn started(&mut self) {
         if !std::mem::take(&mut self.is_reading) {
@@ -95,6 +114,7 @@
                 .own
                 .reading_tokens
                 .saturating_sub(self.work.reading_tokens);
+            engine.expect_no_more(self.number);
             engine.succeeded();
         }
         drop(core);
@@ -148,6 +168,7 @@
 impl Drop for Dispatched {
     fn drop(&mut self) {
         if let Some(engine) = self.hub.core().fleet.instance_mut(&self.instance) {
+            engine.expect_no_more(self.number);
             let own = &mut engine.own;
             own.requests = own.requests.saturating_sub(1);
             own.memory_tokens = own.memory_tokens.saturating_sub(self.work.memory_tokens);
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -4,7 +4,7 @@
 //! nothing new. Around an outage of the store entries lapse although their upstream lives; such an
 //! upstream is kept until the store has been back for a while.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
 use super::model::{UpstreamEntry, UpstreamStage, WeightNumber};
@@ -76,6 +76,8 @@
     failure_rate: f64,
     avoided_until: Instant,
     closed_until: Instant,
+    /// When the first event or answer of each request of this VM is overdue.
+    due: BTreeMap<u64, Instant>,
     lapsed_at: Option<Instant>,
 }
 
@@ -91,6 +93,7 @@
             failure_rate: 0.0,
             avoided_until: Instant::ZERO,
             closed_until: Instant::ZERO,
+            due: BTreeMap::new(),
             lapsed_at: None,
             entry,
         };
@@ -149,9 +152,20 @@
         self.avoided_until = self.avoided_until.max(now + UNREACHABLE);
     }
 
-    /// Returns whether other upstreams are to be preferred.
+    /// Notes by when a request of this VM should show a first event or an answer.
+    pub fn expect(&mut self, request: u64, due: Instant) {
+        self.due.insert(request, due);
+    }
+
+    /// Notes that a request has shown something, or has ended.
+    pub fn expect_no_more(&mut self, request: u64) {
+        self.due.remove(&request);
+    }
+
+    /// Returns whether other upstreams are to be preferred: it failed a moment ago, or is silent for
+    /// longer than its work explains.
     pub fn is_avoided(&self, now: Instant) -> bool {
-        now < self.avoided_until
+        now < self.avoided_until || self.due.values().any(|due| *due < now)
     }
 
     /// Returns whether the upstream may get new work.
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -15,8 +15,11 @@
 use crate::clock::Instant;
 use crate::ids::{ObjectVersion, VmId};
 
-/// Longest wait of a watch. One that was cut off without a word is noticed by its missing answer,
-/// within the three seconds after which a VM counts as in touch again.
+/// Longest wait of a watch of a VM that hears no other zone. One that was cut off without a word is
+/// noticed by its missing answer, within the three seconds after which a VM counts as in touch again.
+///
+/// Zones that hear each other share the watching: each waits longer, at times drawn apart, and the
+/// first one to notice tells the others.
 const WATCH_WAIT: Duration = Duration::from_millis(2_000);
 /// Pause after changes among upstreams, so that several come with one call.
 const UPSTREAMS_PAUSE: Duration = Duration::from_millis(200);
@@ -218,7 +221,7 @@
         let found = self
             .platform
             .store
-            .watch(tracked, revision, WATCH_WAIT)
+            .watch(tracked, revision, self.watch_wait())
             .await?;
         let is_news = !found.changes.is_empty();
         self.store_answered(tracked);
@@ -226,6 +229,14 @@
         Ok(is_news)
     }
 
+    /// Returns how long a watch may wait, drawn so that those of several zones end apart.
+    fn watch_wait(&self) -> Duration {
+        let now = self.now();
+        let zones = self.core().peers.fresh_zones(now) as u32;
+        let longest = WATCH_WAIT * (1 + zones);
+        rand::rng().random_range((longest / 2).max(WATCH_WAIT)..=longest)
+    }
+
     fn mirror_revision(&self, tracked: Tracked) -> ObjectVersion {
         self.core()
             .mirrors
--- a/src/gateway/hub.rs
+++ b/src/gateway/hub.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
+use std::sync::atomic::AtomicU64;
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
@@ -50,6 +51,7 @@
     pub(super) connections: Connections,
     pub(super) pool: Pool,
     pub(super) incarnation: Incarnation,
+    pub(super) next_request: AtomicU64,
     /// Asks for a beat before the next one is due.
     pub(super) beat_due: Notify,
     /// Tells that a peer has seen more than this VM.
@@ -169,6 +171,7 @@
             meters: Meters::new(&telemetry.meter()),
             pool: Pool::new(clock.clone()),
             beat_due: Notify::new(),
+            next_request: AtomicU64::new(0),
             peers_ahead: Notify::new(),
             seen: Notify::new(),
             lease_heard: Notify::new(),
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -387,6 +387,14 @@
             .count()
     }
 
+    /// Returns the number of other zones that were heard a moment ago.
+    pub fn fresh_zones(&self, now: Instant) -> usize {
+        self.zones
+            .values()
+            .filter(|peer| self.is_fresh(peer, now))
+            .count()
+    }
+
     /// Returns the other zones.
     pub fn zones(&self) -> impl Iterator<Item = &Peer> {
         self.zones.values()
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -12,7 +12,7 @@
 use super::hub::{Ask, Core, Hub};
 use super::model::WeightNumber;
 use super::peers::{ShortName, short_name};
-use super::placement::{Candidate, Demand, Place, choose};
+use super::placement::{Candidate, Demand, Place, choose, read_time};
 use super::prompt::{ChainHash, Prompt};
 use crate::clock::Instant;
 use crate::ids::Tokens;
@@ -105,8 +105,11 @@
             .with_save_to(save_to)
             .with_ahead(candidate.reading_tokens);
         let name = option.name;
+        let tokens = candidate.reading_tokens + work.reading_tokens;
+        let due = dispatched.due(read_time(&self.placement, tokens), ask.objective);
         if let Some(engine) = self.fleet.get_mut(&dispatched.instance.id) {
             engine.own = engine.own.plus(work);
+            engine.expect(dispatched.number(), due);
         }
         let chains = asked.iter().flat_map(|asked| asked.shared());
         for (chain, _) in chains {
--- a/tests/gateway_pure.rs
+++ b/tests/gateway_pure.rs
@@ -178,6 +178,19 @@
         assert!(engine.is_closed(MS(150)) && !engine.is_closed(MS(250)));
     }
 
+    /// An engine that ran requests and answered none was given more of them until the first ones had
+    /// reached their deadline.
+    #[test]
+    fn an_upstream_that_is_silent_for_too_long_is_avoided_until_it_shows_something() {
+        let mut fleet = two();
+        let engine = fleet.get_mut("one").unwrap();
+        engine.expect(1, MS(300));
+        engine.expect(2, MS(900));
+        assert!(!engine.is_avoided(MS(250)) && engine.is_avoided(MS(350)));
+        engine.expect_no_more(1);
+        assert!(!engine.is_avoided(MS(350)));
+    }
+
     #[test]
     fn weights_never_fall() {
         let mut fleet = two();
