--- a/src/command/cli.rs
+++ b/src/command/cli.rs
@@ -92,6 +92,13 @@
         #[command(flatten)]
         store: StoreArgs,
     },
+    /// Tell the story of a request from the logs of the processes
+    Explain {
+        /// Identifier of the request
+        request_id: String,
+        /// Files with log lines; standard input where none is named
+        files: Vec<PathBuf>,
+    },
     /// Make and revoke callers' keys
     #[command(subcommand)]
     Key(KeyAction),
--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -4,6 +4,7 @@
 mod cli;
 mod error;
 mod exit;
+mod explain;
 mod fleet;
 mod history;
 mod inspect;
--- a/src/command/run.rs
+++ b/src/command/run.rs
@@ -11,7 +11,7 @@
 use super::error::CommandError;
 use super::report::Report;
 use super::store::Store;
-use super::{apply, exit, fleet, inspect, keys, status, vm};
+use super::{apply, exit, explain, fleet, inspect, keys, status, vm};
 use crate::document::document_page;
 use crate::platform::StoreClient;
 use crate::settings::{PlatformSettings, settings_page};
@@ -120,6 +120,7 @@
             .await
         }
         Action::Status { store } => status::status(&connect(store.address), report).await,
+        Action::Explain { request_id, files } => explain::explain(&request_id, &files, report),
         Action::Key(action) => key(action, connect, report).await,
         Action::Vm(VmAction::Forget { name, store }) => {
             vm::forget(&connect(store.address), &name, report).await
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -78,7 +78,6 @@
 ) -> Result<(), GatewayError> {
     let settings = &hub.settings;
     hub.journal.state(&Event::Started {
-        vm: &settings.vm,
         availability_zone: &settings.availability_zone,
         store: settings.store_address.to_string(),
     });
--- a/src/gateway/journal.rs
+++ b/src/gateway/journal.rs
@@ -25,7 +25,6 @@
 #[serde(tag = "event", rename_all = "snake_case")]
 pub(super) enum Event<'a> {
     Started {
-        vm: &'a str,
         availability_zone: &'a str,
         store: String,
     },
