fix(fleet): an upstream whose entry lapsed is dropped in time, whoever tells of it

Now answers of a relay end the outage, and a lapsed entry is kept for 1.8 s at most. Ruled out: a late watch (all VMs logged the removal within 0.2 s). Also: a request larger than an account is taken on credit, refusals name what was left and shared.

--- a/src/gateway/allowance.rs
+++ b/src/gateway/allowance.rs
@@ -10,6 +10,8 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use super::model::Allowance;
 use crate::clock::Instant;
 use crate::ids::CustomerId;
@@ -22,6 +24,8 @@
 const SLACK_PART: f64 = 0.4;
 /// Part of the burst that an account starts with, as the one before it may have spent the rest.
 const START_PART: f64 = 0.8;
+/// Part of an account's capacity that a request larger than it needs.
+const LARGE_PART: f64 = 0.5;
 /// Bounds of the wait told to a caller.
 const RETRY_AFTER_MIN: Duration = Duration::from_millis(100);
 const RETRY_AFTER_MAX: Duration = Duration::from_secs(10);
@@ -54,6 +58,20 @@
     pub demand: Option<f64>,
 }
 
+/// Why an account does not cover a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Shortage {
+    /// When it will.
+    pub retry_after: Duration,
+    /// Units that are left.
+    pub left: i64,
+    /// Units that come in a second.
+    pub share_per_s: u64,
+    /// VMs that the rate was shared by.
+    pub vms: u32,
+}
+
 /// Allowances of all customers at this VM.
 #[derive(Debug)]
 pub struct Allowances {
@@ -84,7 +102,7 @@
     ///
     /// # Errors
     ///
-    /// Returns when there will be enough, where there is too little.
+    /// Returns what is missing, where there is too little.
     pub fn take(
         &mut self,
         customer: &str,
@@ -93,7 +111,7 @@
         own_vms: usize,
         others: &[Group],
         now: Instant,
-    ) -> Result<(), Duration> {
+    ) -> Result<(), Shortage> {
         let settings = self.settings;
         let local = self.customers.entry(customer.to_owned()).or_default();
         local.ask(cost as f64, now);
@@ -108,14 +126,23 @@
         let head_start = settings.slack as f64 * SLACK_PART * own_part;
         let capacity = allowance.burst as f64 * share / rate.max(1.0) + head_start;
         let level = local.refill(share, capacity, now);
-        let needed = (cost as f64).min(capacity);
+        // A request larger than the account holds is taken on credit from half of that on.
+        let needed = match cost as f64 {
+            cost if cost > capacity => capacity * LARGE_PART,
+            cost => cost,
+        };
         if level >= needed {
             local.level = Some((level - cost as f64, now));
             return Ok(());
         }
         let wait = Duration::try_from_secs_f64((needed - level) / share.max(1.0));
         let wait = wait.unwrap_or(RETRY_AFTER_MAX);
-        Err(wait.clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX))
+        Err(Shortage {
+            retry_after: wait.clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX),
+            left: level as i64,
+            share_per_s: share as u64,
+            vms: all_vms as u32,
+        })
     }
 
     /// Returns each customer's demand in units a second.
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -9,6 +9,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 
+use super::allowance::Shortage;
 use super::answer::come_back;
 use super::dispatch::Dispatched;
 use super::edge::{AnswerHead, Forwarded, RequestHead};
@@ -219,10 +220,18 @@
             .map_or(plain_tokens, |prompt| prompt.charged_tokens()),
     };
     let charged = hub.charge(customer, allowance, cost).await;
-    charged.map_err(|wait| {
-        let rate = allowance.rate_per_s;
-        let message = format!("cost {cost} is above what is left of {rate} a second");
-        come_back(Code::RateExceeded, message, wait)
+    charged.map_err(|shortage| {
+        let Shortage {
+            left,
+            share_per_s,
+            vms,
+            retry_after,
+        } = shortage;
+        let message = format!(
+            "customer {}: cost {cost}, left {left}, {share_per_s} of {} a second among {vms} VMs",
+            customer.id, allowance.rate_per_s
+        );
+        come_back(Code::RateExceeded, message, retry_after)
     })
 }
 
--- a/src/gateway/charge.rs
+++ b/src/gateway/charge.rs
@@ -10,7 +10,7 @@
 use tokio::net::UdpSocket;
 use tokio::sync::oneshot;
 
-use super::allowance::Group;
+use super::allowance::{Group, Shortage};
 use super::gossip::Message;
 use super::hub::{Core, Hub};
 use super::model::{Allowance, Customer};
@@ -34,8 +34,8 @@
 #[derive(Serialize, Deserialize)]
 pub(super) struct Charged {
     pub(super) number: u64,
-    /// When to come back, where too little was left.
-    pub(super) refused_for: Option<Duration>,
+    /// What is missing, where too little was left.
+    pub(super) shortage: Option<Shortage>,
 }
 
 /// Charges that wait for an answer.
@@ -67,13 +67,13 @@
     ///
     /// # Errors
     ///
-    /// Returns when to come back.
+    /// Returns what is missing.
     pub(super) async fn charge(
         &self,
         customer: &Customer,
         allowance: &Allowance,
         cost: u64,
-    ) -> Result<(), Duration> {
+    ) -> Result<(), Shortage> {
         let now = self.now();
         let keeper = {
             let core = self.core();
@@ -83,7 +83,7 @@
         };
         if let Some(address) = keeper {
             if let Some(charged) = self.charge_at(address, customer, cost).await {
-                return charged.refused_for.map_or(Ok(()), Err);
+                return charged.shortage.map_or(Ok(()), Err);
             }
             // The keeper may be gone: this VM goes on with its own part.
             return self.core().charge(customer, allowance, cost, true, now);
@@ -134,7 +134,7 @@
         };
         let charged = Charged {
             number: charge.number,
-            refused_for: result.err(),
+            shortage: result.err(),
         };
         if let Some(socket) = self.peer_socket.get() {
             // The asker goes on with its own part where the answer is lost.
@@ -160,7 +160,7 @@
         cost: u64,
         is_alone: bool,
         now: Instant,
-    ) -> Result<(), Duration> {
+    ) -> Result<(), Shortage> {
         let name = short_name(&customer.id);
         let in_zone = self.peers.fresh_in_zone(now).count();
         let silent = self.peers.silent_in_zone(now) + self.peers.unheard();
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -2,7 +2,7 @@
 //!
 //! Pure: the time is passed in. An entry that is removed names an upstream that leaves, so it gets
 //! nothing new. Around an outage of the store entries lapse although their upstream lives; such an
-//! upstream is kept until the store has been back for a while.
+//! upstream is kept for the time in which its entry would come back.
 
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
@@ -26,8 +26,9 @@
 impl Default for FleetSettings {
     fn default() -> Self {
         Self {
-            // The platform gives lapsed entries two seconds to return.
-            settle: Duration::from_millis(2_000),
+            // Lapsed entries return within about two seconds, and what has left gets nothing after
+            // two seconds.
+            settle: Duration::from_millis(1_800),
         }
     }
 }
@@ -238,9 +239,12 @@
 
     /// Drops upstreams whose entry has not come back in time.
     pub fn sweep(&mut self, now: Instant) {
-        let is_kept = self.is_settling(now);
-        self.engines
-            .retain(|_, engine| engine.lapsed_at.is_none() || is_kept);
+        let is_settling = self.is_settling(now);
+        let settle = self.settings.settle;
+        self.engines.retain(|_, engine| {
+            let is_kept = |at: Instant| is_settling && now.saturating_sub(at) < settle;
+            engine.lapsed_at.is_none_or(is_kept)
+        });
     }
 
     /// Returns an upstream by its name.
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -72,6 +72,8 @@
     match found {
         Ok(found) => {
             let is_news = !found.changes.is_empty();
+            // The relay follows the store, so that the store answers this VM as well.
+            hub.store_answered(tracked);
             hub.take_changes(tracked, found.changes, found.revision);
             Some(is_news)
         }
--- a/src/gateway/journal.rs
+++ b/src/gateway/journal.rs
@@ -135,7 +135,6 @@
         name: &'static str,
         reason: &'a str,
         retry_after_ms: u64,
-        customer: &'a str,
         config: ObjectVersion,
     },
     AttemptFailed {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -38,7 +38,7 @@
 mod waiting;
 mod weights;
 
-pub use allowance::{AllowanceSettings, Allowances, Group};
+pub use allowance::{AllowanceSettings, Allowances, Group, Shortage};
 pub use daemon::{GatewayError, run_gateway};
 pub use edge::{
     AnswerHead, Change, Changes, Dialect, Failure, Forwarded, Listing, Order, OrderReply, Platform,
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -142,7 +142,6 @@
         name: refusal.code.name(),
         reason: &refusal.message,
         retry_after_ms: retry_after.as_millis() as u64,
-        customer: "",
         config: hub.table().map_or(0, |table| table.version),
     };
     hub.journal.request(id, &event);
