--- /dev/null
+++ b/src/gateway/admit.rs
@@ -0,0 +1,169 @@
+//! What a request must pass before it is placed: configuration, key, body and allowance.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use gotham::helpers::http::Body;
+use http_body_util::BodyExt;
+
+use super::allowance::Shortage;
+use super::answer::come_back;
+use super::call::{Call, Progress, Received};
+use super::edge::RequestHead;
+use super::hub::{Ask, Hub};
+use super::model::{CostUnit, Customer, Route};
+use super::table::RoutingTable;
+use crate::entry::strip_hop_by_hop;
+use crate::error::{Code, Refusal};
+
+/// Time for a request whose caller names none.
+const PATIENCE_DEFAULT: Duration = Duration::from_secs(30);
+/// When to come back while no configuration is known.
+const CONFIG_RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// Checks a request against the configuration and its customer's allowance.
+pub(super) async fn admit(
+    hub: &Arc<Hub>,
+    received: Received,
+    head: RequestHead,
+) -> Result<Call, Refusal> {
+    let arrived = hub.now();
+    let table = hub.table().ok_or_else(|| {
+        come_back(
+            Code::ConfigurationMissing,
+            "no configuration is known yet",
+            CONFIG_RETRY_AFTER,
+        )
+    })?;
+    let host = received.headers.get(http::header::HOST);
+    let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
+    let path = received.uri.path();
+    let route = table.route(host, path).cloned().ok_or_else(|| {
+        Refusal::new(
+            Code::RouteUnknown,
+            format!("no route of host {host} covers {path}"),
+        )
+    })?;
+    let customer = match table.needs_key(&route) {
+        true => Some(customer_of(&table, &head)?),
+        false => None,
+    };
+    let patience = head.patience.unwrap_or(PATIENCE_DEFAULT).min(route.timeout);
+    let deadline = arrived + patience;
+    let left = deadline.saturating_sub(hub.now());
+    let body = tokio::time::timeout(left, read_body(received.body, table.body_max_bytes))
+        .await
+        .map_err(|_| Refusal::new(Code::BodyTimeout, "the body did not arrive in time"))??;
+    let prompt = head.prompt.clone().map(Arc::new);
+    if let Some(customer) = &customer {
+        charge(hub, customer, &head).await?;
+    }
+    let service = service_of(&route).ok_or_else(|| {
+        Refusal::new(
+            Code::UpstreamNone,
+            format!("route {} names no service", route.name),
+        )
+    })?;
+    hub.count_request(&service);
+    let isolated = customer.as_ref().filter(|customer| customer.is_isolated);
+    let ask = Ask {
+        service,
+        prompt,
+        isolated_customer: isolated.map(|customer| customer.id.clone()),
+        objective: route.objective,
+        tried: Vec::new(),
+    };
+    let mut headers = received.headers;
+    strip_hop_by_hop(&mut headers);
+    Ok(Call {
+        hub: hub.clone(),
+        table,
+        route,
+        customer,
+        id: head.id.clone().unwrap_or_default(),
+        head,
+        arrived,
+        deadline,
+        ask,
+        progress: Progress::default(),
+        method: received.method,
+        uri: received.uri,
+        headers,
+        body,
+    })
+}
+
+fn customer_of(table: &RoutingTable, head: &RequestHead) -> Result<Arc<Customer>, Refusal> {
+    let key = head.key.as_deref().ok_or_else(|| {
+        Refusal::new(
+            Code::KeyMissing,
+            "header authorization: expected Bearer KEY",
+        )
+    })?;
+    table
+        .customer_of(key)
+        .cloned()
+        .ok_or_else(|| Refusal::new(Code::KeyUnknown, "the key is wrong, unknown or withdrawn"))
+}
+
+async fn charge(hub: &Hub, customer: &Customer, head: &RequestHead) -> Result<(), Refusal> {
+    let Some(allowance) = &customer.allowance else {
+        return Ok(());
+    };
+    let cost = match allowance.unit {
+        CostUnit::Request => 1,
+        CostUnit::Token { plain_tokens } => head
+            .prompt
+            .as_ref()
+            .map_or(plain_tokens, |prompt| prompt.charged_tokens()),
+    };
+    let charged = hub.charge(customer, allowance, cost).await;
+    charged.map_err(|shortage| {
+        let Shortage {
+            left,
+            share_per_s,
+            vms,
+            retry_after,
+        } = shortage;
+        let message = format!(
+            "customer {}: cost {cost}, left {left}, {share_per_s} of {} a second among {vms} VMs",
+            customer.id, allowance.rate_per_s
+        );
+        come_back(Code::RateExceeded, message, retry_after)
+    })
+}
+
+/// Draws a service by its weight.
+fn service_of(route: &Route) -> Option<String> {
+    let total: u32 = route.services.iter().map(|(_, weight)| weight).sum();
+    let mut drawn = match total {
+        0 => 0,
+        total => rand::random_range(0..total),
+    };
+    for (service, weight) in &route.services {
+        if drawn < *weight || total == 0 {
+            return Some(service.clone());
+        }
+        drawn -= weight;
+    }
+    None
+}
+
+async fn read_body(mut body: Body, max_bytes: usize) -> Result<Bytes, Refusal> {
+    let mut collected = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| {
+            Refusal::new(Code::BodyMalformed, format!("body: broken off: {error}"))
+        })?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if collected.len() + data.len() > max_bytes {
+            let message = format!("body: the limit is {max_bytes} bytes");
+            return Err(Refusal::new(Code::BodyTooLarge, message));
+        }
+        collected.extend_from_slice(&data);
+    }
+    Ok(collected.freeze())
+}
--- /dev/null
+++ b/src/gateway/beat.rs
@@ -0,0 +1,163 @@
+//! What the VMs of the fleet tell each other a few times a second.
+//!
+//! A beat is a small datagram that nobody answers: it holds sums that the next one replaces, so a
+//! lost one costs a moment of older knowledge and nothing else.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::fleet::Work;
+use super::holdings::Holding;
+use super::model::WeightNumber;
+use crate::ids::{AvailabilityZoneId, Incarnation, ObjectVersion, VmId};
+use crate::steward::LeaseRecord;
+
+/// Short name of an upstream or a customer in a beat.
+pub(super) type ShortName = u32;
+
+/// Tokens in which loads are counted.
+const LOAD_UNIT_TOKENS: u64 = 64;
+
+/// Returns the short name of a text.
+pub(super) fn short_name(text: &str) -> ShortName {
+    xxh3_64(text.as_bytes()) as ShortName
+}
+
+/// How much of the store a VM has seen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
+pub struct Revisions {
+    /// Version of the configuration in force.
+    pub config: ObjectVersion,
+    /// Revision of the last change among upstreams.
+    pub upstreams: ObjectVersion,
+    /// Revision of the last change among named weights.
+    pub weights: ObjectVersion,
+}
+
+impl Revisions {
+    /// Returns the newest of each.
+    pub fn max(self, other: Self) -> Self {
+        Self {
+            config: self.config.max(other.config),
+            upstreams: self.upstreams.max(other.upstreams),
+            weights: self.weights.max(other.weights),
+        }
+    }
+}
+
+/// Work that a VM has sent to one engine, in a compact form.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct EngineLoad {
+    /// Engine.
+    pub engine: ShortName,
+    requests: u16,
+    reading_units: u16,
+    memory_units: u32,
+}
+
+impl EngineLoad {
+    /// Creates the compact form.
+    pub fn new(engine: &str, work: Work) -> Self {
+        let units = |tokens: u64| tokens.div_ceil(LOAD_UNIT_TOKENS);
+        Self {
+            engine: short_name(engine),
+            requests: work.requests.min(u32::from(u16::MAX)) as u16,
+            reading_units: units(work.reading_tokens).min(u64::from(u16::MAX)) as u16,
+            memory_units: units(work.memory_tokens).min(u64::from(u32::MAX)) as u32,
+        }
+    }
+
+    /// Returns the sum with the load of another VM.
+    pub fn plus(&self, other: &Self) -> Self {
+        Self {
+            engine: self.engine,
+            requests: self.requests.saturating_add(other.requests),
+            reading_units: self.reading_units.saturating_add(other.reading_units),
+            memory_units: self.memory_units.saturating_add(other.memory_units),
+        }
+    }
+
+    /// Returns the work.
+    pub fn work(&self) -> Work {
+        Work {
+            requests: u32::from(self.requests),
+            reading_tokens: u64::from(self.reading_units) * LOAD_UNIT_TOKENS,
+            memory_tokens: u64::from(self.memory_units) * LOAD_UNIT_TOKENS,
+        }
+    }
+}
+
+/// Lease that the sender holds, as it stands in the store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct HeldLease {
+    /// Revision of the lease's object.
+    pub version: ObjectVersion,
+    /// Its content.
+    pub record: LeaseRecord,
+}
+
+/// Whom a beat speaks for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub enum Scope {
+    /// The sender.
+    Vm,
+    /// All VMs of the sender's availability zone.
+    Zone {
+        /// Their number.
+        vms: u16,
+    },
+}
+
+/// What one VM tells the others.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct Beat {
+    /// Whom it speaks for.
+    pub scope: Scope,
+    /// Sender.
+    pub vm: VmId,
+    /// Start of the sender's process.
+    pub incarnation: Incarnation,
+    /// Number of the beat within that start.
+    pub sequence: u64,
+    /// Where the sender listens.
+    pub address: SocketAddr,
+    /// Where the sender runs.
+    pub availability_zone: AvailabilityZoneId,
+    /// Whether the sender shuts down.
+    pub is_leaving: bool,
+    /// Whether the sender follows the store itself.
+    pub follows_store: bool,
+    /// What it has seen of the store.
+    pub revisions: Revisions,
+    /// Work that was sent to engines.
+    pub loads: Vec<EngineLoad>,
+    /// Units a second that callers ask for, by customer.
+    pub demands: Vec<(ShortName, u32)>,
+    /// Lease that the sender holds.
+    pub lease: Option<HeldLease>,
+    /// Engines that load weights or are about to; from the holder of the lease.
+    pub rolling: Vec<ShortName>,
+    /// Weights of engines that the store does not list yet.
+    pub weights: Vec<(ShortName, WeightNumber)>,
+    /// Chains that requests made engines read.
+    pub read: Vec<Holding>,
+    /// VMs that the sender knows, with their availability zone; in some beats only.
+    pub known: Vec<(SocketAddr, AvailabilityZoneId)>,
+}
+
+impl Beat {
+    /// Returns for how many VMs it speaks.
+    pub fn vms(&self) -> usize {
+        match self.scope {
+            Scope::Vm => 1,
+            Scope::Zone { vms } => usize::from(vms),
+        }
+    }
+}
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -3,45 +3,38 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use gotham::helpers::http::Body;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::body::Incoming;
 
-use super::allowance::Shortage;
+use super::admit::admit;
 use super::answer::come_back;
 use super::dispatch::Dispatched;
 use super::edge::{AnswerHead, Forwarded, RequestHead};
-use super::hub::{Ask, Hub, NotPlaced};
+use super::hub::{Ask, Hub};
 use super::journal::Event;
-use super::model::{CostUnit, Customer, Route, RouteKind};
+use super::model::{Customer, Route, RouteKind};
 use super::pool::{Connection, SendFailure};
 use super::prompt::cache_salt;
+use super::queueing::NotPlaced;
 use super::stream;
 use super::table::RoutingTable;
 use super::waiting::Waiting;
 use crate::clock::Instant;
-use crate::entry::{UnderWay, strip_hop_by_hop};
+use crate::entry::UnderWay;
 use crate::error::{Code, Refusal};
 use crate::ids::RequestId;
 
-/// Time for a request whose caller names none.
-const PATIENCE_DEFAULT: Duration = Duration::from_secs(30);
-/// Largest answer that is read whole.
-const ANSWER_MAX_BYTES: usize = 16 * 1024 * 1024;
 /// Upstreams asked for one request, counting those that state that they did not run it.
 const SENDS_MAX: u32 = 4;
-/// When to come back while no configuration is known.
-const CONFIG_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// When to come back after upstreams refused or could not be reached.
 const UPSTREAM_RETRY_AFTER: Duration = Duration::from_millis(150);
 /// Part of the time left for which a request may wait for room; the rest is for its answer.
 const WAIT_PART: f64 = 0.5;
 /// Time left below which nothing is sent any more.
 const TIME_MIN: Duration = Duration::from_millis(5);
-/// Weight of an upstream's own error in its failure rate, as such errors are part of its service.
-const OWN_ERROR_WEIGHT: f64 = 0.3;
 /// Weight of a statement that a request was not run.
 const NOT_RUN_WEIGHT: f64 = 0.3;
 
@@ -67,10 +60,10 @@
     pub(super) deadline: Instant,
     pub(super) ask: Ask,
     pub(super) progress: Progress,
-    method: Method,
-    uri: Uri,
-    headers: HeaderMap,
-    body: Bytes,
+    pub(super) method: Method,
+    pub(super) uri: Uri,
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
 }
 
 /// What the attempts so far have shown.
@@ -127,183 +120,7 @@
     (id, answered)
 }
 
-/// Checks a request against the configuration and its customer's allowance.
-async fn admit(hub: &Arc<Hub>, received: Received, head: RequestHead) -> Result<Call, Refusal> {
-    let arrived = hub.now();
-    let table = hub.table().ok_or_else(|| {
-        come_back(
-            Code::ConfigurationMissing,
-            "no configuration is known yet",
-            CONFIG_RETRY_AFTER,
-        )
-    })?;
-    let host = received.headers.get(http::header::HOST);
-    let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
-    let path = received.uri.path();
-    let route = table.route(host, path).cloned().ok_or_else(|| {
-        Refusal::new(
-            Code::RouteUnknown,
-            format!("no route of host {host} covers {path}"),
-        )
-    })?;
-    let customer = match table.needs_key(&route) {
-        true => Some(customer_of(&table, &head)?),
-        false => None,
-    };
-    let patience = head.patience.unwrap_or(PATIENCE_DEFAULT).min(route.timeout);
-    let deadline = arrived + patience;
-    let left = deadline.saturating_sub(hub.now());
-    let body = tokio::time::timeout(left, read_body(received.body, table.body_max_bytes))
-        .await
-        .map_err(|_| Refusal::new(Code::BodyTimeout, "the body did not arrive in time"))??;
-    let prompt = head.prompt.clone().map(Arc::new);
-    if let Some(customer) = &customer {
-        charge(hub, customer, &head).await?;
-    }
-    let service = service_of(&route).ok_or_else(|| {
-        Refusal::new(
-            Code::UpstreamNone,
-            format!("route {} names no service", route.name),
-        )
-    })?;
-    hub.count_request(&service);
-    let isolated = customer.as_ref().filter(|customer| customer.is_isolated);
-    let ask = Ask {
-        service,
-        prompt,
-        isolated_customer: isolated.map(|customer| customer.id.clone()),
-        objective: route.objective,
-        tried: Vec::new(),
-    };
-    let mut headers = received.headers;
-    strip_hop_by_hop(&mut headers);
-    Ok(Call {
-        hub: hub.clone(),
-        table,
-        route,
-        customer,
-        id: head.id.clone().unwrap_or_default(),
-        head,
-        arrived,
-        deadline,
-        ask,
-        progress: Progress::default(),
-        method: received.method,
-        uri: received.uri,
-        headers,
-        body,
-    })
-}
-
-fn customer_of(table: &RoutingTable, head: &RequestHead) -> Result<Arc<Customer>, Refusal> {
-    let key = head.key.as_deref().ok_or_else(|| {
-        Refusal::new(
-            Code::KeyMissing,
-            "header authorization: expected Bearer KEY",
-        )
-    })?;
-    table
-        .customer_of(key)
-        .cloned()
-        .ok_or_else(|| Refusal::new(Code::KeyUnknown, "the key is wrong, unknown or withdrawn"))
-}
-
-async fn charge(hub: &Hub, customer: &Customer, head: &RequestHead) -> Result<(), Refusal> {
-    let Some(allowance) = &customer.allowance else {
-        return Ok(());
-    };
-    let cost = match allowance.unit {
-        CostUnit::Request => 1,
-        CostUnit::Token { plain_tokens } => head
-            .prompt
-            .as_ref()
-            .map_or(plain_tokens, |prompt| prompt.charged_tokens()),
-    };
-    let charged = hub.charge(customer, allowance, cost).await;
-    charged.map_err(|shortage| {
-        let Shortage {
-            left,
-            share_per_s,
-            vms,
-            retry_after,
-        } = shortage;
-        let message = format!(
-            "customer {}: cost {cost}, left {left}, {share_per_s} of {} a second among {vms} VMs",
-            customer.id, allowance.rate_per_s
-        );
-        come_back(Code::RateExceeded, message, retry_after)
-    })
-}
-
-/// Draws a service by its weight.
-fn service_of(route: &Route) -> Option<String> {
-    let total: u32 = route.services.iter().map(|(_, weight)| weight).sum();
-    let mut drawn = match total {
-        0 => 0,
-        total => rand::random_range(0..total),
-    };
-    for (service, weight) in &route.services {
-        if drawn < *weight || total == 0 {
-            return Some(service.clone());
-        }
-        drawn -= weight;
-    }
-    None
-}
-
-async fn read_body(mut body: Body, max_bytes: usize) -> Result<Bytes, Refusal> {
-    let mut collected = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|error| {
-            Refusal::new(Code::BodyMalformed, format!("body: broken off: {error}"))
-        })?;
-        let Ok(data) = frame.into_data() else {
-            continue;
-        };
-        if collected.len() + data.len() > max_bytes {
-            let message = format!("body: the limit is {max_bytes} bytes");
-            return Err(Refusal::new(Code::BodyTooLarge, message));
-        }
-        collected.extend_from_slice(&data);
-    }
-    Ok(collected.freeze())
-}
-
 impl Call {
-    /// Passes the request on and returns the upstream's whole answer.
-    async fn plain(mut self) -> Result<Response<Body>, Refusal> {
-        let mut own_error = None;
-        loop {
-            let mut dispatched = match self.next_upstream().await {
-                Ok(dispatched) => dispatched,
-                Err(refusal) => return own_error.ok_or(refusal),
-            };
-            let failure = match self.attempt_whole(&dispatched).await {
-                Ok(response) => {
-                    let status = response.status();
-                    dispatched.started();
-                    if status.is_server_error() {
-                        dispatched.failed(OWN_ERROR_WEIGHT);
-                    }
-                    self.progress.runs += 1;
-                    let may_repeat = self.route.kind == RouteKind::Idempotent
-                        && self.progress.runs < self.route.attempts;
-                    if status.is_server_error() && may_repeat {
-                        self.progress.last_failure = Some("own_error");
-                        own_error = Some(response);
-                        continue;
-                    }
-                    self.answered(&dispatched, status);
-                    return Ok(response);
-                }
-                Err(failure) => failure,
-            };
-            if let Err(refusal) = self.failed(&dispatched, failure) {
-                return own_error.ok_or(refusal);
-            }
-        }
-    }
-
     /// Places the request at the next upstream.
     ///
     /// # Errors
@@ -472,31 +289,6 @@
         }
     }
 
-    async fn attempt_whole(
-        &mut self,
-        dispatched: &Dispatched,
-    ) -> Result<Response<Body>, AttemptFailure> {
-        let opened = self.open(dispatched, None).await?;
-        let hub = self.hub.clone();
-        let left = self.deadline.saturating_sub(hub.now());
-        let (mut parts, body) = opened.response.into_parts();
-        let whole = tokio::time::timeout(left, read_whole(body))
-            .await
-            .map_err(|_| AttemptFailure::Timeout)?
-            .map_err(AttemptFailure::Unknown)?;
-        let idle = idle_timeout(&parts.headers);
-        if !is_closing(&parts.headers) {
-            let instance = dispatched.instance.clone();
-            let connection = opened.connection;
-            tokio::spawn(async move { hub.pool.give_back(&instance, connection, idle).await });
-        }
-        strip_hop_by_hop(&mut parts.headers);
-        let body = Full::new(whole)
-            .map_err(|never| match never {})
-            .boxed_unsync();
-        Ok(Response::from_parts(parts, body))
-    }
-
     /// Notes an answer that is passed on.
     pub(super) fn answered(&self, dispatched: &Dispatched, status: StatusCode) {
         let after = self.hub.now().saturating_sub(self.arrived);
@@ -588,21 +380,6 @@
     }
 }
 
-async fn read_whole(mut body: Incoming) -> Result<Bytes, String> {
-    let mut collected = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|error| format!("body: {error}"))?;
-        let Ok(data) = frame.into_data() else {
-            continue;
-        };
-        if collected.len() + data.len() > ANSWER_MAX_BYTES {
-            return Err("body: too large".into());
-        }
-        collected.extend_from_slice(&data);
-    }
-    Ok(collected.freeze())
-}
-
 /// Returns how long an upstream keeps an unused connection.
 pub(super) fn idle_timeout(headers: &HeaderMap) -> Option<Duration> {
     let value = headers.get("keep-alive")?.to_str().ok()?;
--- a/src/gateway/charge.rs
+++ b/src/gateway/charge.rs
@@ -11,10 +11,10 @@
 use tokio::sync::oneshot;
 
 use super::allowance::{Group, Shortage};
+use super::beat::{ShortName, short_name};
 use super::gossip::Message;
 use super::hub::{Core, Hub};
 use super::model::{Allowance, Customer};
-use super::peers::{ShortName, short_name};
 use crate::clock::Instant;
 
 /// Wait for the VM that keeps an account; within a zone an answer takes less than a millisecond.
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -17,7 +17,7 @@
 use super::journal::{Event, Journal};
 use super::settings::GatewaySettings;
 use super::shutdown::ShutdownPlan;
-use super::{follow, gossip, server, steward};
+use super::{follow, gossip, roll_out, server, steward};
 use crate::clock::SystemClock;
 use crate::daemon::{Listener, stop_requested, until_stopped};
 use crate::entry::stop_listening;
@@ -181,7 +181,7 @@
         })
         .child("rollout", ChildSettings::default(), move |stop| {
             until_stopped(
-                steward::roll_out(roll_hub.clone(), roll_held.subscribe()),
+                roll_out::roll_out(roll_hub.clone(), roll_held.subscribe()),
                 stop,
             )
         })
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -8,11 +8,11 @@
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
+use super::beat::{Beat, EngineLoad, Revisions, Scope, short_name};
 use super::charge::{Charge, Charged};
 use super::hub::{Core, Hub};
 use super::journal::Event;
 use super::model::Member;
-use super::peers::{Beat, EngineLoad, Revisions, Scope, short_name};
 use crate::clock::Instant;
 
 /// Time between two beats; sums that are a fifth of a second old still steer well.
--- a/src/gateway/holdings.rs
+++ b/src/gateway/holdings.rs
@@ -9,8 +9,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::beat::ShortName;
 use super::model::WeightNumber;
-use super::peers::ShortName;
 use super::prompt::ChainHash;
 use crate::clock::Instant;
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -3,8 +3,10 @@
 //! The gateway speaks of requests, upstreams and weights in the project's own terms. How the
 //! platform spells them is behind [`Store`] and [`Dialect`].
 
+mod admit;
 mod allowance;
 mod answer;
+mod beat;
 mod call;
 mod charge;
 mod daemon;
@@ -25,9 +27,12 @@
 mod peers;
 mod place;
 mod placement;
+mod plain;
 mod pool;
 mod prompt;
+mod queueing;
 mod relay;
+mod roll_out;
 mod rollout;
 mod server;
 mod settings;
@@ -39,6 +44,7 @@
 mod weights;
 
 pub use allowance::{AllowanceSettings, Allowances, Group, Shortage};
+pub use beat::{Beat, EngineLoad, HeldLease, Revisions, Scope};
 pub use daemon::{GatewayError, run_gateway};
 pub use edge::{
     AnswerHead, Change, Changes, Dialect, Failure, Forwarded, Listing, Order, OrderReply, Platform,
@@ -54,7 +60,7 @@
     Allowance, CostUnit, Customer, EngineProfile, LoadedModel, Member, NamedWeights, Route,
     RouteKind, RoutingConfig, Service, ServiceId, UpstreamEntry, UpstreamStage, WeightNumber,
 };
-pub use peers::{Beat, EngineLoad, HeldLease, Peers, PeersSettings, Revisions, Scope};
+pub use peers::{Peers, PeersSettings};
 pub use placement::{Candidate, Demand, Place, PlacementSettings, choose};
 pub use prompt::{Prompt, PromptPart};
 pub use rollout::{EngineView, Rollout, RolloutSettings, Step};
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -7,11 +7,11 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use super::beat::{ShortName, short_name};
 use super::dispatch::Dispatched;
 use super::fleet::{Engine, Work};
 use super::hub::{Ask, Core, Hub};
 use super::model::WeightNumber;
-use super::peers::{ShortName, short_name};
 use super::placement::{Candidate, Demand, Place, choose, read_time};
 use super::prompt::{ChainHash, Prompt};
 use crate::clock::Instant;
--- /dev/null
+++ b/src/gateway/queueing.rs
@@ -0,0 +1,166 @@
+//! Waiting of requests for room at the upstreams of their service.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::oneshot;
+
+use super::dispatch::Dispatched;
+use super::hub::{Ask, Core, Hub};
+use super::placement::Place;
+use super::waiting::{Queue, QueueSettings, Ticket, Waiting};
+use crate::clock::Instant;
+
+/// Waiting requests looked at in one pass, which bounds the time under the lock.
+const PASS_MAX: usize = 32;
+
+#[derive(Debug, Default)]
+pub(super) struct ServiceQueue {
+    queue: Queue,
+    waiters: HashMap<Ticket, Waiter>,
+}
+
+#[derive(Debug)]
+struct Waiter {
+    ask: Ask,
+    sender: oneshot::Sender<Dispatched>,
+}
+
+/// Why a request was not placed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum NotPlaced {
+    /// No upstream of the service is left to try.
+    NoUpstream,
+    /// It would not start in time.
+    Full(Duration),
+    /// It waited and did not start in time.
+    TooLate,
+}
+
+impl Hub {
+    /// Chooses an upstream, waiting where none has room, but not beyond a deadline.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the request was not placed; it is turned away at once where it would not start
+    /// in time.
+    pub(super) async fn place(
+        self: &Arc<Self>,
+        ask: &Ask,
+        waiting: Waiting,
+    ) -> Result<Dispatched, NotPlaced> {
+        let receiver = {
+            let now = self.now();
+            let mut core = self.core();
+            let has_queue = core
+                .queues
+                .get(&ask.service)
+                .is_some_and(|queue| !queue.queue.is_empty());
+            let must_queue = has_queue && waiting.rank > 0;
+            if !must_queue {
+                match core.try_place(self, ask, now) {
+                    Ok(dispatched) => return Ok(dispatched),
+                    Err(Place::Nowhere) => return Err(NotPlaced::NoUpstream),
+                    Err(_) => {}
+                }
+            }
+            core.wait(ask, waiting, now)?
+        };
+        let _place = QueuePlace {
+            hub: self,
+            service: &ask.service,
+            ticket: receiver.0,
+        };
+        let left = waiting.deadline.saturating_sub(self.now());
+        match tokio::time::timeout(left, receiver.1).await {
+            Ok(Ok(dispatched)) => Ok(dispatched),
+            Ok(Err(_)) => Err(NotPlaced::NoUpstream),
+            Err(_) => Err(NotPlaced::TooLate),
+        }
+    }
+
+    /// Places waiting requests while there is room for them.
+    pub(super) fn pump(self: &Arc<Self>) {
+        // What is placed is sent without the lock: a receiver that has gone gives it back at once.
+        let placed = self.core().place_waiting(self);
+        for (sender, dispatched) in placed {
+            drop(sender.send(dispatched));
+        }
+    }
+}
+
+impl Core {
+    fn wait(
+        &mut self,
+        ask: &Ask,
+        waiting: Waiting,
+        now: Instant,
+    ) -> Result<(Ticket, oneshot::Receiver<Dispatched>), NotPlaced> {
+        let engines = self.fleet.ready(&ask.service).count() as f64;
+        let tokens_per_s =
+            engines * self.placement.read_tokens_per_ms * 1_000.0 / self.vms() as f64;
+        let service = self
+            .queues
+            .entry(ask.service.clone())
+            .or_insert_with(|| ServiceQueue {
+                queue: Queue::new(QueueSettings::default()),
+                waiters: HashMap::new(),
+            });
+        let ticket = service
+            .queue
+            .push(waiting, tokens_per_s, now)
+            .map_err(NotPlaced::Full)?;
+        let (sender, receiver) = oneshot::channel();
+        let ask = ask.clone();
+        service.waiters.insert(ticket, Waiter { ask, sender });
+        Ok((ticket, receiver))
+    }
+
+    fn place_waiting(&mut self, hub: &Arc<Hub>) -> Vec<(oneshot::Sender<Dispatched>, Dispatched)> {
+        let now = hub.now();
+        let mut placed = Vec::new();
+        let mut queues = std::mem::take(&mut self.queues);
+        for service in queues.values_mut() {
+            for ticket in service.queue.order(now).into_iter().take(PASS_MAX) {
+                let Some(waiter) = service.waiters.get(&ticket) else {
+                    service.queue.remove(ticket);
+                    continue;
+                };
+                match self.try_place(hub, &waiter.ask, now) {
+                    Ok(dispatched) => {
+                        service.queue.remove(ticket);
+                        let waiter = service.waiters.remove(&ticket);
+                        placed.extend(waiter.map(|waiter| (waiter.sender, dispatched)));
+                    }
+                    Err(Place::Nowhere) => {
+                        service.queue.remove(ticket);
+                        service.waiters.remove(&ticket);
+                    }
+                    Err(_) => {}
+                }
+            }
+        }
+        self.queues = queues;
+        placed
+    }
+}
+
+/// Place in a queue, given up on drop.
+struct QueuePlace<'a> {
+    hub: &'a Hub,
+    service: &'a str,
+    ticket: Ticket,
+}
+
+impl Drop for QueuePlace<'_> {
+    fn drop(&mut self) {
+        let mut core = self.hub.core();
+        let waiter = core.queues.get_mut(self.service).and_then(|service| {
+            service.queue.remove(self.ticket);
+            service.waiters.remove(&self.ticket)
+        });
+        drop(core);
+        drop(waiter);
+    }
+}
