--- a/src/command/cli.rs
+++ b/src/command/cli.rs
@@ -121,6 +121,9 @@
     /// Print docs/SETTINGS.md
     #[command(hide = true)]
     SettingsPage,
+    /// Print docs/SETTINGS-GATEWAY.md
+    #[command(hide = true)]
+    GatewaySettingsPage,
     /// Print docs/DOCUMENT.md
     #[command(hide = true)]
     DocumentPage,
--- a/src/command/run.rs
+++ b/src/command/run.rs
@@ -13,6 +13,7 @@
 use super::store::Store;
 use super::{apply, exit, explain, fleet, inspect, keys, status, vm};
 use crate::document::document_page;
+use crate::gateway::gateway_settings_page;
 use crate::platform::StoreClient;
 use crate::settings::{PlatformSettings, settings_page};
 
@@ -146,6 +147,7 @@
             Ok(report.result(&text, json!({ "version": version }))?)
         }
         Action::SettingsPage => Ok(write!(report.out, "{}", settings_page())?),
+        Action::GatewaySettingsPage => Ok(write!(report.out, "{}", gateway_settings_page())?),
         Action::DocumentPage => Ok(write!(report.out, "{}", document_page())?),
     }
 }
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -160,6 +160,7 @@
         hub.journal.request(
             &self.id,
             &Event::Placed {
+                route: &self.route.name,
                 upstream: &dispatched.instance.id,
                 attempt: self.progress.sends + 1,
                 weights: dispatched.weights,
--- a/src/gateway/journal.rs
+++ b/src/gateway/journal.rs
@@ -122,6 +122,7 @@
         reason: String,
     },
     Placed {
+        route: &'a str,
         upstream: &'a str,
         attempt: u32,
         weights: Option<WeightNumber>,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -64,7 +64,7 @@
 pub use placement::{Candidate, Demand, Place, PlacementSettings, choose};
 pub use prompt::{Prompt, PromptPart};
 pub use rollout::{EngineView, Rollout, RolloutSettings, Step};
-pub use settings::{Bounds, GatewaySettings};
+pub use settings::{Bounds, GatewaySettings, gateway_settings_page};
 pub use shutdown::ShutdownPlan;
 pub use table::RoutingTable;
 pub use waiting::{Queue, QueueSettings, Ticket, Waiting};
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -131,6 +131,24 @@
     }
 }
 
+/// Returns docs/SETTINGS-GATEWAY.md.
+pub fn gateway_settings_page() -> String {
+    let mut page = String::from(
+        "# Settings of the gateway\n\nGenerated from `src/gateway/settings.rs` by `celerylever \
+         gateway-settings-page`; a test compares the two.\nThe gateway reads one INI file; every fault \
+         is reported at once. `deploy/gateway.ini` is the template\nthat the platform fills in.\n",
+    );
+    let mut defaults = GatewaySettings::default();
+    for (name, keys) in SECTIONS {
+        page.push_str(&format!("\n## `[{name}]`\n\n"));
+        page.push_str("| key | unit | default | allowed | meaning |\n|---|---|---|---|---|\n");
+        for key in *keys {
+            page.push_str(&key.page_row(&mut defaults));
+        }
+    }
+    page
+}
+
 const SECTIONS: &[(&str, &[Key<GatewaySettings>])] = &[
     ("process", PROCESS),
     ("store", STORE),
--- a/tests/gateway_settings.rs
+++ b/tests/gateway_settings.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use celerylever::gateway::GatewaySettings;
+use celerylever::gateway::{GatewaySettings, gateway_settings_page};
 
 const LEAST: &str = "[process]\nvm = front-1\navailability_zone = a\n";
 
@@ -37,3 +37,49 @@
         assert!(faults.contains(part), "{part} in {faults}");
     }
 }
+
+#[test]
+fn the_page_is_as_generated() {
+    assert_eq!(
+        include_str!("../docs/SETTINGS-GATEWAY.md"),
+        gateway_settings_page()
+    );
+}
+
+/// The template that the platform fills in gives a text that is read without a fault.
+#[test]
+fn the_template_for_the_platform_is_read() {
+    let template = include_str!("../deploy/gateway.ini");
+    let values = [
+        ("{{NodeName}}", "front-a-1"),
+        ("{{Zone}}", "a"),
+        ("{{Listen.Front}}", "10.0.0.1:1"),
+        ("{{Listen.Ready}}", "10.0.0.1:2"),
+        ("{{Listen.Control}}", "10.0.0.1:3"),
+        ("{{Ip}}", "10.0.0.1"),
+        ("{{Platform.Address}}", "10.0.0.9:8601"),
+        ("{{Seeds}}", "10.0.0.1:3,10.0.0.2:3"),
+    ];
+    let mut text = template.to_owned();
+    for (name, value) in values {
+        text = text.replace(name, value);
+    }
+    for (name, value) in [
+        ("LeaseMs", "3000"),
+        ("GraceS", "8"),
+        ("VersionMs", "6000"),
+        ("BudgetRatio", "0.2"),
+        ("RetrySlack", "56"),
+        ("QuotaOverage", "0.1"),
+        ("QuotaSlack", "140000"),
+    ] {
+        text = text.replace(&format!("{{{{#Bounds.{name}}}}}"), "");
+        text = text.replace(&format!("{{{{/Bounds.{name}}}}}"), "");
+        text = text.replacen("{{.}}", value, 1);
+    }
+    let start = text.find("{{^Bounds.RequireFence}}").unwrap();
+    text.truncate(start);
+    let settings = GatewaySettings::parse(&text).unwrap();
+    assert_eq!(settings.bounds.allowance_slack, 140_000);
+    assert_eq!(settings.peer_seeds.len(), 2);
+}
--- a/tests/proofs.rs
+++ b/tests/proofs.rs
@@ -69,9 +69,12 @@
 
 /// Returns the functions marked as tests in each file directly under `tests/`.
 fn tests_by_file() -> BTreeMap<String, BTreeSet<String>> {
-    let directory = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests");
-    let entries = std::fs::read_dir(directory).expect("tests are there");
-    entries
+    let root = Path::new(env!("CARGO_MANIFEST_DIR"));
+    let directories = [root.join("tests"), root.join("platform/tests")];
+    let read = |directory| std::fs::read_dir(directory).expect("tests are there");
+    directories
+        .into_iter()
+        .flat_map(read)
         .map(|entry| entry.expect("entry is readable").path())
         .filter(|path| path.extension().is_some_and(|extension| extension == "rs"))
         .map(|path| {
