refactor: one reader of settings' sections and one of bodies; VMs' records that cannot be read are told

Cause: the gateway had written both again, and a malformed record of a VM was left out without a word. Behaviour else as before; shown by the tests of settings, the command and the platform crate.

--- a/src/entry/body.rs
+++ b/src/entry/body.rs
@@ -44,7 +44,8 @@
     }
 }
 
-async fn collect(mut body: Body, max_bytes: usize) -> Result<Bytes, Refusal> {
+/// Reads a whole body of at most some bytes.
+pub(crate) async fn collect(mut body: Body, max_bytes: usize) -> Result<Bytes, Refusal> {
     let mut collected = BytesMut::new();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|error| {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -25,6 +25,7 @@
 mod whole;
 
 pub use app::App;
+pub(crate) use body::collect as collect_body;
 pub(crate) use connections::Connections;
 pub use drain::Drain;
 pub(crate) use drain::UnderWay;
--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -3,10 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
-use gotham::helpers::http::Body;
-use http_body_util::BodyExt;
-
 use super::allowance::Shortage;
 use super::answer::come_back;
 use super::call::{Call, Progress, Received};
@@ -14,7 +10,7 @@
 use super::hub::{Ask, Hub};
 use super::model::{CostUnit, Customer, Route};
 use super::table::RoutingTable;
-use crate::entry::strip_hop_by_hop;
+use crate::entry::{collect_body, strip_hop_by_hop};
 use crate::error::{Code, Refusal};
 
 /// Time for a request whose caller names none.
@@ -52,7 +48,7 @@
     let patience = head.patience.unwrap_or(PATIENCE_DEFAULT).min(route.timeout);
     let deadline = arrived + patience;
     let left = deadline.saturating_sub(hub.now());
-    let body = tokio::time::timeout(left, read_body(received.body, table.body_max_bytes))
+    let body = tokio::time::timeout(left, collect_body(received.body, table.body_max_bytes))
         .await
         .map_err(|_| Refusal::new(Code::BodyTimeout, "the body did not arrive in time"))??;
     let prompt = head.prompt.clone().map(Arc::new);
@@ -149,21 +145,3 @@
     }
     None
 }
-
-async fn read_body(mut body: Body, max_bytes: usize) -> Result<Bytes, Refusal> {
-    let mut collected = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|error| {
-            Refusal::new(Code::BodyMalformed, format!("body: broken off: {error}"))
-        })?;
-        let Ok(data) = frame.into_data() else {
-            continue;
-        };
-        if collected.len() + data.len() > max_bytes {
-            let message = format!("body: the limit is {max_bytes} bytes");
-            return Err(Refusal::new(Code::BodyTooLarge, message));
-        }
-        collected.extend_from_slice(&data);
-    }
-    Ok(collected.freeze())
-}
--- a/src/gateway/edge.rs
+++ b/src/gateway/edge.rs
@@ -138,8 +138,8 @@
         expected: ObjectVersion,
         record: LeaseRecord,
     ) -> BoxFuture<'_, Result<WriteResult, Failure>>;
-    /// Lists the VMs of the fleet; objects that cannot be read are left out.
-    fn members(&self) -> BoxFuture<'_, Result<Vec<Member>, Failure>>;
+    /// Lists the VMs of the fleet, with the reason for each object that cannot be read.
+    fn members(&self) -> BoxFuture<'_, Result<Vec<Result<Member, String>>, Failure>>;
     /// Registers a VM, in place of an earlier record under its name.
     fn register(&self, member: Member) -> BoxFuture<'_, Result<(), Failure>>;
     /// Removes the record of a VM.
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -137,12 +137,7 @@
     loop {
         let wait = match hub.platform.store.members().await {
             Ok(members) => {
-                let now = hub.now();
-                let mut core = hub.core();
-                for member in members.iter().filter(|member| member.vm != hub.settings.vm) {
-                    let zone = member.availability_zone.clone();
-                    core.peers.list(member.peer_address, zone, now);
-                }
+                take_members(&hub, members);
                 std::mem::replace(&mut interval, MEMBERS_INTERVAL)
             }
             Err(failure) => {
@@ -158,6 +153,24 @@
     }
 }
 
+fn take_members(hub: &Hub, members: Vec<Result<Member, String>>) {
+    let now = hub.now();
+    for member in members {
+        match member {
+            Ok(member) if member.vm == hub.settings.vm => {}
+            Ok(member) => {
+                let (address, zone) = (member.peer_address, member.availability_zone);
+                hub.core().peers.list(address, zone, now);
+            }
+            Err(reason) => {
+                let call = "members";
+                hub.journal
+                    .state(&Event::MembershipCallFailed { call, reason });
+            }
+        }
+    }
+}
+
 fn jittered(time: Duration) -> Duration {
     rand::rng().random_range(time / 2..=time)
 }
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -6,7 +6,7 @@
 
 use crate::error::Faults;
 use crate::ids::{AvailabilityZoneId, VmId};
-use crate::ini::{Access, Key, RawSection, read_keys, split, unknown_section};
+use crate::ini::{Access, Key, read_sections};
 use crate::settings::SettingsError;
 
 /// Settings of a gateway.
@@ -92,23 +92,8 @@
     ///
     /// Returns every fault of the text.
     pub fn parse(text: &str) -> Result<Self, Faults> {
-        let mut faults = Vec::new();
         let mut settings = Self::default();
-        let sections = split(text, &mut faults);
-        for section in &sections {
-            if !SECTIONS.iter().any(|(name, _)| *name == section.name) {
-                let known = SECTIONS.iter().map(|(name, _)| *name);
-                faults.push(unknown_section(&section.name, known));
-            }
-        }
-        for (name, keys) in SECTIONS {
-            let absent = RawSection {
-                name: (*name).to_owned(),
-                ..RawSection::default()
-            };
-            let section = sections.iter().find(|section| section.name == *name);
-            read_keys(section.unwrap_or(&absent), keys, &mut settings, &mut faults);
-        }
+        let faults = read_sections(text, SECTIONS, &mut settings);
         match faults.is_empty() {
             true => Ok(settings),
             false => Err(Faults(faults)),
--- a/src/gateway/status.rs
+++ b/src/gateway/status.rs
@@ -44,9 +44,15 @@
             upstreams: Vec::new(),
             unusable: Vec::new(),
             weights: Vec::new(),
-            vms: store.members().await?,
+            vms: Vec::new(),
             lease: store.read_lease().await?.record,
         };
+        for member in store.members().await? {
+            match member {
+                Ok(member) => status.vms.push(member),
+                Err(reason) => status.unusable.push(("vm".into(), reason)),
+            }
+        }
         for tracked in Tracked::ALL {
             for object in store.list(tracked).await?.objects {
                 status.take(object.name, object.record);
--- a/src/ini/reader.rs
+++ b/src/ini/reader.rs
@@ -53,6 +53,31 @@
     sections
 }
 
+/// Reads a text into `target` by the tables of its sections; returns every fault.
+pub(crate) fn read_sections<T>(
+    text: &str,
+    tables: &[(&'static str, &[Key<T>])],
+    target: &mut T,
+) -> Vec<Fault> {
+    let mut faults = Vec::new();
+    let sections = split(text, &mut faults);
+    for section in &sections {
+        if !tables.iter().any(|(name, _)| *name == section.name) {
+            let known = tables.iter().map(|(name, _)| *name);
+            faults.push(unknown_section(&section.name, known));
+        }
+    }
+    for (name, keys) in tables {
+        let absent = RawSection {
+            name: (*name).to_owned(),
+            ..RawSection::default()
+        };
+        let section = sections.iter().find(|section| section.name == *name);
+        read_keys(section.unwrap_or(&absent), keys, target, &mut faults);
+    }
+    faults
+}
+
 /// Reads a section into `target` by its table; every fault is added.
 pub(crate) fn read_keys<T>(
     section: &RawSection,
--- a/src/settings/load.rs
+++ b/src/settings/load.rs
@@ -6,7 +6,7 @@
 use super::Settings;
 use super::table::SECTIONS;
 use crate::error::{Code, Fault, Faults};
-use crate::ini::{RawSection, read_keys, split, unknown_section};
+use crate::ini::read_sections;
 
 const LEASE_MIN_REQUEST_TIMEOUTS: u32 = 3;
 
@@ -47,28 +47,12 @@
     ///
     /// Returns every fault of the text.
     pub fn parse(text: &str) -> Result<Self, Faults> {
-        let mut faults = Vec::new();
         let mut settings = Self::default();
-        let sections = split(text, &mut faults);
-        for section in &sections {
-            if !SECTIONS.iter().any(|table| table.name == section.name) {
-                let known = SECTIONS.iter().map(|table| table.name);
-                faults.push(unknown_section(&section.name, known));
-            }
-        }
-        for table in SECTIONS {
-            let absent = RawSection {
-                name: table.name.to_owned(),
-                ..RawSection::default()
-            };
-            let section = sections.iter().find(|section| section.name == table.name);
-            read_keys(
-                section.unwrap_or(&absent),
-                table.keys,
-                &mut settings,
-                &mut faults,
-            );
-        }
+        let tables: Vec<_> = SECTIONS
+            .iter()
+            .map(|table| (table.name, table.keys))
+            .collect();
+        let mut faults = read_sections(text, &tables, &mut settings);
         if faults.is_empty() {
             cross_check(&settings, &mut faults);
         }
