fix(rollout): look at the lease again just before an order; remove what nothing reads

Cause: an order was given under the term read before the engine's report, which takes up to half a second and in which the process may be paused. Also removed: the load header and the used tokens of a report, decoded and read by nothing; two names that were figures of speech.

--- a/src/gateway/edge.rs
+++ b/src/gateway/edge.rs
@@ -13,7 +13,7 @@
 
 use super::model::{Member, NamedWeights, RoutingConfig, UpstreamEntry, WeightNumber};
 use super::prompt::Prompt;
-use crate::ids::{FencingNumber, ModelId, ObjectVersion, RequestId, Tokens, UpstreamId, VmId};
+use crate::ids::{FencingNumber, ModelId, ObjectVersion, RequestId, UpstreamId, VmId};
 use crate::steward::{LeaseObject, LeaseRecord};
 
 /// Objects of the store that are followed.
@@ -168,8 +168,6 @@
     pub request_id: Option<RequestId>,
     /// Whether the upstream states that the request did not run.
     pub is_not_run: bool,
-    /// Requests that run and wait at the upstream.
-    pub load: Option<(u32, u32)>,
     /// Weights that answer.
     pub weights: Option<WeightNumber>,
     /// Whether the answer bears the upstream's seal.
@@ -242,8 +240,6 @@
     pub orders: u64,
     /// Weights of a model.
     pub weights: Vec<(ModelId, WeightNumber)>,
-    /// Prompt and output tokens that cannot yield.
-    pub used_tokens: Tokens,
 }
 
 /// Names and formats of requests, answers and orders.
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -234,7 +234,7 @@
             .collect(),
         lease: core.lease.clone(),
         rolling: core.rolling.iter().map(|id| short_name(id)).collect(),
-        weights: core.own_word_on_weights(),
+        weights: core.unlisted_weights(),
         read: core.holdings.take_untold(HOLDINGS_MAX),
         known,
     }
--- a/src/gateway/hub.rs
+++ b/src/gateway/hub.rs
@@ -246,7 +246,7 @@
         if core.peers.is_speaker(now) && core.peers.is_urgent(&beat) {
             self.beat_due.notify_one();
         }
-        core.take_word_on_weights(&beat.weights);
+        core.learn_weights(&beat.weights);
         let is_own_zone = beat.availability_zone == self.settings.availability_zone;
         for holding in &beat.read {
             core.holdings.told(*holding, is_own_zone, now);
@@ -294,7 +294,7 @@
     }
 
     /// Returns the weights of engines that the store does not list yet.
-    pub(super) fn own_word_on_weights(&self) -> Vec<(ShortName, WeightNumber)> {
+    pub(super) fn unlisted_weights(&self) -> Vec<(ShortName, WeightNumber)> {
         let engines = self.fleet.iter();
         let newer = engines.flat_map(|engine| {
             let listed = engine.entry.models.iter();
@@ -307,8 +307,8 @@
         newer.collect()
     }
 
-    /// Takes the word of peers on weights that the store does not list yet.
-    fn take_word_on_weights(&mut self, words: &[(ShortName, WeightNumber)]) {
+    /// Learns from peers of weights that the store does not list yet.
+    fn learn_weights(&mut self, words: &[(ShortName, WeightNumber)]) {
         for (name, weights) in words {
             let ids: Vec<UpstreamId> = self
                 .fleet
--- a/src/gateway/roll_out.rs
+++ b/src/gateway/roll_out.rs
@@ -68,7 +68,8 @@
             rollouts.clear();
         }
         let may_order = may_order(&hub, term_held, acquired_at, now) && term > fenced;
-        let is_busy = may_order && step(&hub, &mut rollouts, &mut in_place, term, &sender, now);
+        let is_busy =
+            may_order && step(&hub, &mut rollouts, &mut in_place, term_held, &sender, now);
         set_rolling(&hub, &rollouts);
         let interval = if is_busy {
             STEP_INTERVAL
@@ -104,7 +105,7 @@
     hub: &Arc<Hub>,
     rollouts: &mut HashMap<ModelId, Rollout>,
     in_place: &mut HashMap<Instance, WeightNumber>,
-    fencing: FencingNumber,
+    held: Held,
     sender: &mpsc::UnboundedSender<Reply>,
     now: Instant,
 ) -> bool {
@@ -132,7 +133,7 @@
             };
             let (hub, sender, model) = (hub.clone(), sender.clone(), model.clone());
             tokio::spawn(async move {
-                let outcome = bring(&hub, &instance, &model, named, fencing).await;
+                let outcome = bring(&hub, &instance, &model, named, held).await;
                 // The receiver is gone only when the process ends.
                 let _ = sender.send(Reply {
                     model,
@@ -204,7 +205,7 @@
     instance: &Instance,
     model: &ModelId,
     named: WeightNumber,
-    fencing: FencingNumber,
+    held: Held,
 ) -> Outcome {
     let report = match orders::report(hub, instance).await {
         Ok(report) => report,
@@ -228,6 +229,12 @@
     if report.is_busy {
         return Outcome::Busy;
     }
+    // The call before took time, in which the process may have been paused.
+    let left = held.until.saturating_sub(hub.now());
+    if left < hub.settings.bounds.lease / LEFT_DIVISOR {
+        return Outcome::Busy;
+    }
+    let fencing = held.fencing_number;
     let order = Order {
         engine: instance.id.clone(),
         model: model.clone(),
