fix(telemetry): lines left out are counted once, a malformed lease record is told

Cause: slog-async's DropAndReport counts a line twice while its channel stays full: a new test that floods the logger before a reader that stands still kept 4,097 of 50,001 lines and was told 91,805 left out instead of 45,904. And a lease record that cannot be read was turned into none without a line, so orders stopped with nothing that said why. Ruled out: a bound that does not hold (4,096 lines wait, the one being written beside them); taking a malformed lease over, since the fencing number to pass is unknown (tests/lease.rs keeps that). After: a small drain around the library's channel counts exactly, in the same form as the bounds by kind, so that explain adds both; lease_malformed tells version and reason once. Conclusion: what operators are told of missing lines and of a lease that nobody may take is true.

--- a/src/gateway/journal.rs
+++ b/src/gateway/journal.rs
@@ -93,6 +93,10 @@
     LeaseLost {
         fencing: FencingNumber,
     },
+    LeaseMalformed {
+        version: ObjectVersion,
+        reason: &'a str,
+    },
     LeaseCallFailed {
         reason: String,
     },
--- a/src/gateway/steward.rs
+++ b/src/gateway/steward.rs
@@ -86,6 +86,7 @@
         let object = LeaseObject {
             version: lease.version,
             record: Some(lease.record),
+            ..LeaseObject::default()
         };
         core.heard(now, object);
     }
@@ -97,7 +98,7 @@
         LeaseAction::Read => {
             let answer = tokio::time::timeout(timeout, store.read_lease()).await;
             let answer = match answer {
-                Ok(Ok(object)) => Some(object),
+                Ok(Ok(object)) => Some(told_if_malformed(hub, core, object)),
                 Ok(Err(failure)) => failed(hub, failure.to_string()),
                 Err(_) => failed(hub, "no answer in time".into()),
             };
@@ -110,7 +111,9 @@
             let write = store.write_lease(expected_version, record);
             let answer = match tokio::time::timeout(timeout, write).await {
                 Ok(Ok(WriteResult::Done(version))) => WriteAnswer::Applied(version),
-                Ok(Ok(WriteResult::Conflict(object))) => WriteAnswer::Conflict(object),
+                Ok(Ok(WriteResult::Conflict(object))) => {
+                    WriteAnswer::Conflict(told_if_malformed(hub, core, object))
+                }
                 Ok(Err(super::edge::Failure::Refused(status))) => {
                     failed::<()>(hub, format!("status {status}"));
                     WriteAnswer::NotApplied
@@ -129,6 +132,22 @@
     }
 }
 
+/// Logs once that the lease's record cannot be read.
+///
+/// Nobody takes the lease then, as the fencing number to pass is unknown; an operator has to mend or
+/// delete the object.
+fn told_if_malformed(hub: &Hub, core: &LeaseCore, object: LeaseObject) -> LeaseObject {
+    let seen_version = core.object().map(|seen| seen.version);
+    if let Some(reason) = object.fault.as_deref()
+        && seen_version != Some(object.version)
+    {
+        let version = object.version;
+        hub.journal
+            .state(&Event::LeaseMalformed { version, reason });
+    }
+    object
+}
+
 fn failed<T>(hub: &Hub, reason: String) -> Option<T> {
     hub.journal.state(&Event::LeaseCallFailed { reason });
     None
--- a/src/steward/core.rs
+++ b/src/steward/core.rs
@@ -233,7 +233,12 @@
         match answer {
             WriteAnswer::Applied(version) => {
                 let record = Some(attempt.record.clone());
-                self.observe(now, LeaseObject { version, record });
+                let object = LeaseObject {
+                    version,
+                    record,
+                    ..LeaseObject::default()
+                };
+                self.observe(now, object);
                 self.adopt(&attempt);
                 self.next_at = (attempt.sent_at + self.settings.renewal).max(now);
             }
--- a/src/steward/record.rs
+++ b/src/steward/record.rs
@@ -1,5 +1,7 @@
 //! Lease as it stands in the store.
 
+use std::fmt::Display;
+
 use serde::{Deserialize, Serialize};
 
 use crate::ids::{FencingNumber, Incarnation, ObjectVersion, VmId};
@@ -34,13 +36,29 @@
     pub version: ObjectVersion,
     /// Its record, or nothing where it is absent or malformed.
     pub record: Option<LeaseRecord>,
+    /// Why the record is malformed, where it is.
+    pub fault: Option<String>,
+}
+
+impl LeaseObject {
+    /// Creates an object from what its record was parsed to.
+    pub fn parsed(version: ObjectVersion, record: Result<LeaseRecord, impl Display>) -> Self {
+        let (record, fault) = match record {
+            Ok(record) => (Some(record), None),
+            Err(error) => (None, Some(error.to_string())),
+        };
+        Self {
+            version,
+            record,
+            fault,
+        }
+    }
 }
 
 impl From<Option<Object>> for LeaseObject {
     fn from(object: Option<Object>) -> Self {
-        object.map_or_else(Self::default, |object| Self {
-            version: object.version,
-            record: serde_json::from_str(&object.value).ok(),
+        object.map_or_else(Self::default, |object| {
+            Self::parsed(object.version, serde_json::from_str(&object.value))
         })
     }
 }
--- a/src/telemetry/logger.rs
+++ b/src/telemetry/logger.rs
@@ -1,9 +1,10 @@
 //! Root logger of a process.
 
 use std::io;
+use std::sync::atomic::{AtomicU64, Ordering};
 
-use slog::{Drain, Logger, o};
-use slog_async::{Async, OverflowStrategy};
+use slog::{Drain, Level, Logger, Never, OwnedKVList, Record, b, o, record};
+use slog_async::{Async, AsyncCore, AsyncError};
 use slog_json::Json;
 use slog_term::{FullFormat, TermDecorator};
 
@@ -23,17 +24,64 @@
     Logger::root(drain.fuse(), o!("process" => process_name))
 }
 
-/// Lines that wait for their writer; further ones are dropped and counted.
+/// Lines that wait for their writer; further ones are left out and counted.
 const WAITING_LINES_MAX: usize = 4_096;
 
-/// Creates a logger that writes JSON lines to standard output from a thread of its own.
+/// Creates a logger that writes JSON lines to a writer, standard output as a rule, from a thread of
+/// its own.
 ///
-/// A writer that cannot keep up never holds the caller: lines are dropped and their number logged.
-pub fn output_logger(process_name: &'static str) -> Logger {
-    let json = Json::new(io::stdout()).add_default_keys().build().fuse();
-    let drain = Async::new(json)
+/// A writer that cannot keep up never holds the caller: lines are left out, and the next line that
+/// finds room is preceded by one with their number.
+pub fn output_logger(
+    output: impl io::Write + Send + 'static,
+    process_name: &'static str,
+) -> Logger {
+    let json = Json::new(output).add_default_keys().build().fuse();
+    let lines = AsyncCore::custom(json)
         .chan_size(WAITING_LINES_MAX)
-        .overflow_strategy(OverflowStrategy::DropAndReport)
+        .blocking(false)
         .build();
+    let drain = Counted {
+        lines,
+        left_out: AtomicU64::new(0),
+    };
     Logger::root(drain.fuse(), o!("process" => process_name))
 }
+
+/// Channel to the writer that counts what finds no room.
+///
+/// `slog_async::Async` counts lines twice while its channel stays full.
+struct Counted {
+    lines: AsyncCore,
+    left_out: AtomicU64,
+}
+
+impl Drain for Counted {
+    type Ok = ();
+    type Err = Never;
+
+    fn log(&self, record: &Record<'_>, values: &OwnedKVList) -> Result<(), Never> {
+        let left_out = self.left_out.swap(0, Ordering::Relaxed);
+        let is_told = left_out == 0 || self.tell(left_out, values).is_ok();
+        let still_left_out = match is_told {
+            true => u64::from(self.lines.log(record, values).is_err()),
+            false => left_out + 1,
+        };
+        self.left_out.fetch_add(still_left_out, Ordering::Relaxed);
+        Ok(())
+    }
+}
+
+impl Counted {
+    fn tell(&self, left_out: u64, values: &OwnedKVList) -> Result<(), AsyncError> {
+        self.lines.log(
+            &record!(
+                Level::Warning,
+                "",
+                &format_args!("state"),
+                b!("event" => "lines_left_out", "kind" => "unread", "lines" => left_out)
+            ),
+            values,
+        )
+    }
+}
--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -39,6 +39,7 @@
             fencing_number: 7,
             renewal_count: 4,
         }),
+        ..LeaseObject::default()
     };
     let mut now = Duration::ZERO;
     let record = loop {
@@ -72,7 +73,14 @@
     assert_eq!(core.next_action(now), Some(LeaseAction::Read));
     let version = 1;
     let record = Some(record);
-    core.read_answered(now, Some(LeaseObject { version, record }));
+    core.read_answered(
+        now,
+        Some(LeaseObject {
+            version,
+            record,
+            ..LeaseObject::default()
+        }),
+    );
     let held = core.held(now).unwrap();
     assert_eq!(
         (held.fencing_number, held.until),
@@ -104,7 +112,11 @@
                 LeaseAction::Write { record, .. } => {
                     let version = object.version + 1;
                     let record = Some(record);
-                    object = LeaseObject { version, record };
+                    object = LeaseObject {
+                        version,
+                        record,
+                        ..LeaseObject::default()
+                    };
                     core.write_answered(now, WriteAnswer::Applied(version));
                 }
             }
@@ -130,7 +142,7 @@
                 let version = 3;
                 let object = LeaseObject {
                     version,
-                    record: None,
+                    ..LeaseObject::default()
                 };
                 core.read_answered(now, Some(object));
             }
--- /dev/null
+++ b/tests/telemetry_output.rs
@@ -0,0 +1,59 @@
+//! Log lines that come faster than their reader takes them.
+
+use std::io;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use celerylever::telemetry::output_logger;
+
+/// Lines written while the reader stands still.
+const LINES: usize = 50_000;
+/// Lines that may wait: those of the channel, one being written and one that counts the others.
+const WAITING_MAX: usize = 4_096 + 2;
+
+/// Output whose reader stands still while the lock is held.
+#[derive(Clone, Default)]
+struct Output(Arc<Mutex<Vec<u8>>>);
+
+impl io::Write for Output {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.lock().unwrap().extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn lines_wait_up_to_a_bound_and_the_rest_is_counted() {
+    let output = Output::default();
+    let log = output_logger(output.clone(), "test");
+    let reader = output.0.lock().unwrap();
+    let started = Instant::now();
+    for line in 0..LINES {
+        slog::info!(log, "request"; "line" => line);
+    }
+    // A writer that waited for the reader would not come back at all.
+    assert!(started.elapsed() < Duration::from_secs(10));
+    drop(reader);
+    // The number of lines left out comes with the next line that finds room.
+    let count = || text(&output).lines().count();
+    while count() < WAITING_MAX - 2 {
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    slog::info!(log, "request");
+    drop(log);
+    let text = text(&output);
+    let is_own = |line: &&str| line.contains(r#""msg":"request""#);
+    let own = text.lines().filter(is_own).count();
+    assert!(own <= WAITING_MAX, "{own} lines were kept");
+    let told = text.lines().find(|line| line.contains("lines_left_out"));
+    let told: serde_json::Value = serde_json::from_str(told.unwrap()).unwrap();
+    assert_eq!(told["lines"], LINES - (own - 1), "{own} lines were written");
+}
+
+fn text(output: &Output) -> String {
+    String::from_utf8(output.0.lock().unwrap().clone()).unwrap()
+}
