feat(log): a line when a request is admitted and one when it waits

Walking docs/OPERATIONS.md with a refusal by rate, nothing told what the customer had spent before, as no line named customer and cost of those that were let in; a request that waited while its VM died left no trace. Ruled out: both as fields of placed, which comes once for each attempt and only after the wait. Conclusion: admitted has route, service, customer, cost, time left and configuration, queued what waits already; placed no longer repeats route and configuration.

--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -8,6 +8,7 @@
 use super::call::{Call, Progress, Received};
 use super::edge::RequestHead;
 use super::hub::{Ask, Hub};
+use super::journal::Event;
 use super::model::{CostUnit, Customer, Route};
 use super::table::RoutingTable;
 use crate::entry::{collect_body, strip_hop_by_hop};
@@ -52,9 +53,10 @@
         .await
         .map_err(|_| Refusal::new(Code::BodyTimeout, "the body did not arrive in time"))??;
     let prompt = head.prompt.clone().map(Arc::new);
-    if let Some(customer) = &customer {
-        charge(hub, customer, &head).await?;
-    }
+    let cost = match &customer {
+        Some(customer) => charge(hub, customer, &head).await?,
+        None => None,
+    };
     let service = service_of(&route).ok_or_else(|| {
         Refusal::new(
             Code::UpstreamNone,
@@ -62,6 +64,16 @@
         )
     })?;
     hub.count_request(&service);
+    let admitted = Event::Admitted {
+        route: &route.name,
+        service: &service,
+        customer: customer.as_ref().map(|customer| customer.id.as_str()),
+        cost,
+        left_ms: deadline.saturating_sub(hub.now()).as_millis() as u64,
+        config: table.version,
+    };
+    let id = head.id.clone().unwrap_or_default();
+    hub.journal.request(&id, &admitted);
     let isolated = customer.as_ref().filter(|customer| customer.is_isolated);
     let ask = Ask {
         service,
@@ -74,10 +86,9 @@
     strip_hop_by_hop(&mut headers);
     Ok(Call {
         hub: hub.clone(),
-        table,
         route,
         customer,
-        id: head.id.clone().unwrap_or_default(),
+        id,
         head,
         arrived,
         deadline,
@@ -103,9 +114,14 @@
         .ok_or_else(|| Refusal::new(Code::KeyUnknown, "the key is wrong, unknown or withdrawn"))
 }
 
-async fn charge(hub: &Hub, customer: &Customer, head: &RequestHead) -> Result<(), Refusal> {
+/// Takes the cost of a request out of its customer's allowance, where there is one.
+async fn charge(
+    hub: &Hub,
+    customer: &Customer,
+    head: &RequestHead,
+) -> Result<Option<u64>, Refusal> {
     let Some(allowance) = &customer.allowance else {
-        return Ok(());
+        return Ok(None);
     };
     let cost = match allowance.unit {
         CostUnit::Request => 1,
@@ -115,7 +131,7 @@
             .map_or(plain_tokens, |prompt| prompt.charged_tokens()),
     };
     let charged = hub.charge(customer, allowance, cost).await;
-    charged.map_err(|shortage| {
+    charged.map(|()| Some(cost)).map_err(|shortage| {
         let Shortage {
             left,
             share_per_s,
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -20,7 +20,6 @@
 use super::prompt::cache_salt;
 use super::queueing::NotPlaced;
 use super::stream;
-use super::table::RoutingTable;
 use super::waiting::Waiting;
 use crate::clock::Instant;
 use crate::entry::UnderWay;
@@ -51,7 +50,6 @@
 #[derive(Debug)]
 pub(super) struct Call {
     pub(super) hub: Arc<Hub>,
-    pub(super) table: Arc<RoutingTable>,
     pub(super) route: Arc<Route>,
     pub(super) customer: Option<Arc<Customer>>,
     pub(super) id: RequestId,
@@ -146,7 +144,7 @@
             deadline: now + left.mul_f64(WAIT_PART),
         };
         let hub = self.hub.clone();
-        let placed = hub.place(&self.ask, waiting).await;
+        let placed = hub.place(&self.id, &self.ask, waiting).await;
         hub.meters.waited(hub.now().saturating_sub(now));
         let dispatched = placed.map_err(|error| self.not_placed(error))?;
         let is_repeat = self.progress.sends > 0;
@@ -160,14 +158,12 @@
         hub.journal.request(
             &self.id,
             &Event::Placed {
-                route: &self.route.name,
                 upstream: &dispatched.instance.id,
                 attempt: self.progress.sends + 1,
                 weights: dispatched.weights,
                 held_tokens: dispatched.held_tokens,
                 ahead_tokens: dispatched.ahead_tokens,
                 waited_ms: hub.now().saturating_sub(now).as_millis() as u64,
-                config: self.table.version,
             },
         );
         Ok(dispatched)
--- a/src/gateway/journal.rs
+++ b/src/gateway/journal.rs
@@ -10,7 +10,7 @@
 use super::edge::Tracked;
 use super::model::WeightNumber;
 use crate::clock::{Instant, SharedClock};
-use crate::ids::{FencingNumber, ObjectVersion};
+use crate::ids::{FencingNumber, ObjectVersion, Tokens};
 
 /// Lines of one kind a second; a decision for each request of a busy VM fits.
 const LINES_PER_S: f64 = 150.0;
@@ -125,15 +125,28 @@
     BeatFailed {
         reason: String,
     },
-    Placed {
+    Admitted {
         route: &'a str,
+        service: &'a str,
+        customer: Option<&'a str>,
+        /// Units taken from the customer's allowance; nothing where it has none.
+        cost: Option<u64>,
+        left_ms: u64,
+        config: ObjectVersion,
+    },
+    Queued {
+        service: &'a str,
+        requests: usize,
+        tokens: Tokens,
+        left_ms: u64,
+    },
+    Placed {
         upstream: &'a str,
         attempt: u32,
         weights: Option<WeightNumber>,
         held_tokens: u64,
         ahead_tokens: u64,
         waited_ms: u64,
-        config: ObjectVersion,
     },
     Refused {
         code: u16,
@@ -175,6 +188,8 @@
 impl Event<'_> {
     fn kind(&self) -> &'static str {
         match self {
+            Self::Admitted { .. } => "admitted",
+            Self::Queued { .. } => "queued",
             Self::Placed { .. } => "placed",
             Self::Answered { .. } => "answered",
             Self::Refused { .. } => "refused",
--- a/src/gateway/queueing.rs
+++ b/src/gateway/queueing.rs
@@ -8,9 +8,11 @@
 
 use super::dispatch::Dispatched;
 use super::hub::{Ask, Core, Hub};
+use super::journal::Event;
 use super::placement::Place;
 use super::waiting::{Queue, QueueSettings, Ticket, Waiting};
 use crate::clock::Instant;
+use crate::ids::Tokens;
 
 /// Waiting requests looked at in one pass, which bounds the time under the lock.
 const PASS_MAX: usize = 32;
@@ -27,6 +29,13 @@
     sender: oneshot::Sender<Dispatched>,
 }
 
+/// What waits already when a request begins to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Queued {
+    requests: usize,
+    tokens: Tokens,
+}
+
 /// Why a request was not placed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum NotPlaced {
@@ -47,10 +56,11 @@
     /// in time.
     pub(super) async fn place(
         self: &Arc<Self>,
+        request_id: &str,
         ask: &Ask,
         waiting: Waiting,
     ) -> Result<Dispatched, NotPlaced> {
-        let receiver = {
+        let (ticket, receiver, queued) = {
             let now = self.now();
             let mut core = self.core();
             let has_queue = core
@@ -70,10 +80,17 @@
         let _place = QueuePlace {
             hub: self,
             service: &ask.service,
-            ticket: receiver.0,
+            ticket,
         };
         let left = waiting.deadline.saturating_sub(self.now());
-        match tokio::time::timeout(left, receiver.1).await {
+        let event = Event::Queued {
+            service: &ask.service,
+            requests: queued.requests,
+            tokens: queued.tokens,
+            left_ms: left.as_millis() as u64,
+        };
+        self.journal.request(request_id, &event);
+        match tokio::time::timeout(left, receiver).await {
             Ok(Ok(dispatched)) => Ok(dispatched),
             Ok(Err(_)) => Err(NotPlaced::NoUpstream),
             Err(_) => Err(NotPlaced::TooLate),
@@ -96,7 +113,7 @@
         ask: &Ask,
         waiting: Waiting,
         now: Instant,
-    ) -> Result<(Ticket, oneshot::Receiver<Dispatched>), NotPlaced> {
+    ) -> Result<(Ticket, oneshot::Receiver<Dispatched>, Queued), NotPlaced> {
         let engines = self.fleet.ready(&ask.service).count() as f64;
         let tokens_per_s =
             engines * self.placement.read_tokens_per_ms * 1_000.0 / self.vms() as f64;
@@ -107,6 +124,10 @@
                 queue: Queue::new(QueueSettings::default()),
                 waiters: HashMap::new(),
             });
+        let queued = Queued {
+            requests: service.queue.len(),
+            tokens: service.queue.tokens(),
+        };
         let ticket = service
             .queue
             .push(waiting, tokens_per_s, now)
@@ -114,7 +135,7 @@
         let (sender, receiver) = oneshot::channel();
         let ask = ask.clone();
         service.waiters.insert(ticket, Waiter { ask, sender });
-        Ok((ticket, receiver))
+        Ok((ticket, receiver, queued))
     }
 
     fn place_waiting(&mut self, hub: &Arc<Hub>) -> Vec<(oneshot::Sender<Dispatched>, Dispatched)> {
