perf(queue): urgent requests keep their room, waits are foretold from what is seen, hot parts take memory once

Conclusion: callers of urgent routes are served first also beside long requests, hopeless requests are told at once or as soon as they get nothing, and a part that many read fills no engine.

--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -76,10 +76,11 @@
     hub.journal.request(&id, &admitted);
     let isolated = customer.as_ref().filter(|customer| customer.is_isolated);
     let ask = Ask {
-        service,
         prompt,
         isolated_customer: isolated.map(|customer| customer.id.clone()),
         objective: route.objective,
+        wait_objective: table.shortest_objective(&service, &route),
+        service,
         tried: Vec::new(),
     };
     let mut headers = received.headers;
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -135,11 +135,8 @@
         }
         let waiting = Waiting {
             rank: self.rank(),
-            tokens: self
-                .ask
-                .prompt
-                .as_ref()
-                .map_or(0, |prompt| prompt.prompt_tokens),
+            // Counted once it has to wait.
+            tokens: 0,
             objective_at: self.arrived + self.route.objective,
             deadline: now + left.mul_f64(WAIT_PART),
         };
--- a/src/gateway/hub.rs
+++ b/src/gateway/hub.rs
@@ -97,7 +97,10 @@
     pub(super) prompt: Option<Arc<Prompt>>,
     /// Customer whose cached prompts are kept apart.
     pub(super) isolated_customer: Option<String>,
+    /// Time to the first event that it aims at.
     pub(super) objective: Duration,
+    /// Objective that bounds the work before it: its own or that of a more urgent route.
+    pub(super) wait_objective: Duration,
     /// Upstreams that it was sent to before.
     pub(super) tried: Vec<UpstreamId>,
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -41,6 +41,7 @@
 mod steward;
 mod stream;
 mod table;
+mod throughput;
 mod waiting;
 mod weights;
 
@@ -62,7 +63,9 @@
     RouteKind, RoutingConfig, Service, ServiceId, UpstreamEntry, UpstreamStage, WeightNumber,
 };
 pub use peers::{Peers, PeersSettings};
-pub use placement::{Candidate, Demand, Place, PlacementSettings, choose};
+pub use placement::{
+    Candidate, Demand, Place, PlacementSettings, choose, memory_tokens, time_at_engine,
+};
 pub use prompt::{Prompt, PromptPart};
 pub use rollout::{EngineView, Rollout, RolloutSettings, Step};
 pub use settings::{Bounds, GatewaySettings, gateway_settings_page};
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -1,6 +1,7 @@
 //! Placing of requests: what is known of the upstreams, put before the choice.
 
 use std::cmp::Reverse;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,7 +13,7 @@
 use super::fleet::{Engine, Work};
 use super::hub::{Ask, Core, Hub};
 use super::model::WeightNumber;
-use super::placement::{Candidate, Demand, Place, choose, read_time};
+use super::placement::{Candidate, Demand, Place, choose, memory_tokens, read_time};
 use super::prompt::{ChainHash, Prompt};
 use crate::clock::Instant;
 use crate::ids::Tokens;
@@ -48,7 +49,14 @@
     source: Option<SocketAddr>,
 }
 
-impl Asked<'_> {
+impl<'a> Asked<'a> {
+    /// Returns the prompt of a request, where it has one.
+    fn new(ask: &'a Ask) -> Option<Self> {
+        let prompt = ask.prompt.as_deref()?;
+        let chains = prompt.chains(ask.isolated_customer.as_deref().unwrap_or_default());
+        Some(Self { prompt, chains })
+    }
+
     /// Returns the chains that other prompts may share: all but the last part.
     fn shared(&self) -> &[(ChainHash, Tokens)] {
         &self.chains[..self.chains.len().saturating_sub(1)]
@@ -72,10 +80,7 @@
         ask: &Ask,
         now: Instant,
     ) -> Result<Dispatched, Place> {
-        let asked = ask.prompt.as_deref().map(|prompt| Asked {
-            prompt,
-            chains: prompt.chains(ask.isolated_customer.as_deref().unwrap_or_default()),
-        });
+        let asked = Asked::new(ask);
         let demand = demand(ask);
         let options = self.options(hub, ask, asked.as_ref(), now)?;
         let candidates: Vec<Candidate> = options
@@ -96,7 +101,7 @@
         let work = Work {
             requests: 1,
             reading_tokens: demand.prompt_tokens.saturating_sub(found),
-            memory_tokens: demand.prompt_tokens + demand.output_tokens,
+            memory_tokens: memory_tokens(&demand, option.held),
         };
         let weights = asked.as_ref().map(|_| option.weights);
         let save_to = asked.as_ref().and_then(|asked| self.save_to(asked, found));
@@ -123,6 +128,29 @@
         Ok(dispatched)
     }
 
+    /// Returns the tokens of a prompt that some engine will have to read, as far as is known.
+    pub(super) fn unread_tokens(&self, ask: &Ask, now: Instant) -> Tokens {
+        let Some(asked) = Asked::new(ask) else {
+            return 0;
+        };
+        let weights: HashSet<WeightNumber> = self
+            .fleet
+            .ready(&ask.service)
+            .map(|engine| engine.weights(&asked.prompt.model).unwrap_or_default())
+            .collect();
+        let is_held = |chain: ChainHash| {
+            let mut weights = weights.iter();
+            weights.any(|number| self.holdings.holders(chain, *number, now).next().is_some())
+        };
+        let held = asked
+            .shared()
+            .iter()
+            .rev()
+            .find(|(chain, _)| is_held(*chain));
+        let held = held.map_or(0, |(_, tokens)| *tokens);
+        asked.prompt.prompt_tokens.saturating_sub(held)
+    }
+
     /// Returns the upstreams that the request may go to, the home of its shared part first.
     fn options<'a>(
         &'a self,
@@ -298,6 +326,6 @@
     Demand {
         prompt_tokens: prompt.map_or(0, |prompt| prompt.prompt_tokens),
         output_tokens: prompt.map_or(0, |prompt| prompt.expected_output()),
-        objective: ask.objective,
+        wait_objective: ask.wait_objective,
     }
 }
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -26,7 +26,7 @@
     pub rank_step: Duration,
     /// Share of an engine's memory that requests may take, so that running ones are not preempted.
     pub memory_share: f64,
-    /// Share of the objective that the wait for a prompt's turn may take.
+    /// Share of the bounding objective that the wait for a prompt's turn may take.
     pub wait_share: f64,
 }
 
@@ -53,8 +53,8 @@
     pub prompt_tokens: Tokens,
     /// Tokens that the answer is expected to have.
     pub output_tokens: Tokens,
-    /// Time within which the first event is worth most.
-    pub objective: Duration,
+    /// Time to the first event that bounds the work before the request.
+    pub wait_objective: Duration,
 }
 
 /// Engine that may be chosen.
@@ -110,6 +110,23 @@
     best.map_or(Place::Wait, |(index, _)| Place::At(index))
 }
 
+/// Returns the memory that a request takes at an engine that has some tokens of its prompt cached.
+///
+/// Requests that run at once share what is cached, so that a hot part takes its memory once.
+pub fn memory_tokens(demand: &Demand, held_tokens: Tokens) -> Tokens {
+    demand.prompt_tokens.saturating_sub(held_tokens) + demand.output_tokens
+}
+
+/// Returns the most time from the choice of an engine to the first event, where the engine has to
+/// read some tokens of the prompt.
+pub fn time_at_engine(
+    settings: &PlacementSettings,
+    wait_objective: Duration,
+    unread_tokens: Tokens,
+) -> Duration {
+    wait_objective.mul_f64(settings.wait_share) + read_time(settings, unread_tokens)
+}
+
 /// Returns the time that an engine takes to read some tokens.
 pub(super) fn read_time(settings: &PlacementSettings, tokens: Tokens) -> Duration {
     Duration::from_secs_f64(tokens as f64 / settings.read_tokens_per_ms / 1_000.0)
@@ -119,12 +136,13 @@
     if candidate.requests == 0 {
         return true;
     }
-    let memory = candidate.memory_tokens + demand.prompt_tokens + demand.output_tokens;
+    let memory = candidate.memory_tokens + memory_tokens(demand, candidate.held_tokens);
     let memory_max = candidate.memory_max_tokens as f64 * settings.memory_share;
     let wait = read_time(settings, candidate.reading_tokens);
     candidate.requests < candidate.slots
         && (memory as f64) <= memory_max
-        && (candidate.reading_tokens == 0 || wait <= demand.objective.mul_f64(settings.wait_share))
+        && (candidate.reading_tokens == 0
+            || wait <= demand.wait_objective.mul_f64(settings.wait_share))
 }
 
 fn cost(settings: &PlacementSettings, demand: &Demand, candidate: &Candidate) -> Duration {
--- a/src/gateway/queueing.rs
+++ b/src/gateway/queueing.rs
@@ -9,7 +9,7 @@
 use super::dispatch::Dispatched;
 use super::hub::{Ask, Core, Hub};
 use super::journal::Event;
-use super::placement::Place;
+use super::placement::{Place, time_at_engine};
 use super::waiting::{Queue, QueueSettings, Ticket, Waiting};
 use crate::clock::Instant;
 use crate::ids::Tokens;
@@ -26,9 +26,12 @@
 #[derive(Debug)]
 struct Waiter {
     ask: Ask,
-    sender: oneshot::Sender<Dispatched>,
+    sender: oneshot::Sender<Placed>,
 }
 
+/// Outcome of waiting.
+type Placed = Result<Dispatched, NotPlaced>;
+
 /// What waits already when a request begins to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Queued {
@@ -91,7 +94,7 @@
         };
         self.journal.request(request_id, &event);
         match tokio::time::timeout(left, receiver).await {
-            Ok(Ok(dispatched)) => Ok(dispatched),
+            Ok(Ok(placed)) => placed,
             Ok(Err(_)) => Err(NotPlaced::NoUpstream),
             Err(_) => Err(NotPlaced::TooLate),
         }
@@ -101,8 +104,8 @@
     pub(super) fn pump(self: &Arc<Self>) {
         // What is placed is sent without the lock: a receiver that has gone gives it back at once.
         let placed = self.core().place_waiting(self);
-        for (sender, dispatched) in placed {
-            drop(sender.send(dispatched));
+        for (sender, outcome) in placed {
+            drop(sender.send(outcome));
         }
     }
 }
@@ -113,10 +116,18 @@
         ask: &Ask,
         waiting: Waiting,
         now: Instant,
-    ) -> Result<(Ticket, oneshot::Receiver<Dispatched>, Queued), NotPlaced> {
-        let engines = self.fleet.ready(&ask.service).count() as f64;
-        let tokens_per_s =
-            engines * self.placement.read_tokens_per_ms * 1_000.0 / self.vms() as f64;
+    ) -> Result<(Ticket, oneshot::Receiver<Placed>, Queued), NotPlaced> {
+        let tokens = self.unread_tokens(ask, now);
+        let at_engine = match ask.prompt {
+            Some(_) => time_at_engine(&self.placement, ask.wait_objective, tokens),
+            None => Duration::ZERO,
+        };
+        let waiting = Waiting {
+            tokens,
+            objective_at: waiting.objective_at.saturating_sub(at_engine),
+            ..waiting
+        };
+        let tokens_per_s = self.tokens_per_s(&ask.service);
         let service = self
             .queues
             .entry(ask.service.clone())
@@ -138,11 +149,17 @@
         Ok((ticket, receiver, queued))
     }
 
-    fn place_waiting(&mut self, hub: &Arc<Hub>) -> Vec<(oneshot::Sender<Dispatched>, Dispatched)> {
+    /// Returns the tokens that this VM's part of a service's engines reads in a second.
+    fn tokens_per_s(&self, service: &str) -> f64 {
+        let engines = self.fleet.ready(service).count() as f64;
+        engines * self.placement.read_tokens_per_ms * 1_000.0 / self.vms() as f64
+    }
+
+    fn place_waiting(&mut self, hub: &Arc<Hub>) -> Vec<(oneshot::Sender<Placed>, Placed)> {
         let now = hub.now();
         let mut placed = Vec::new();
         let mut queues = std::mem::take(&mut self.queues);
-        for service in queues.values_mut() {
+        for (id, service) in &mut queues {
             for ticket in service.queue.order(now).into_iter().take(PASS_MAX) {
                 let Some(waiter) = service.waiters.get(&ticket) else {
                     service.queue.remove(ticket);
@@ -150,9 +167,9 @@
                 };
                 match self.try_place(hub, &waiter.ask, now) {
                     Ok(dispatched) => {
-                        service.queue.remove(ticket);
+                        service.queue.placed(ticket, now);
                         let waiter = service.waiters.remove(&ticket);
-                        placed.extend(waiter.map(|waiter| (waiter.sender, dispatched)));
+                        placed.extend(waiter.map(|waiter| (waiter.sender, Ok(dispatched))));
                     }
                     Err(Place::Nowhere) => {
                         service.queue.remove(ticket);
@@ -161,6 +178,11 @@
                     Err(_) => {}
                 }
             }
+            for (ticket, room_in) in service.queue.give_up(self.tokens_per_s(id), now) {
+                let waiter = service.waiters.remove(&ticket);
+                let refused = Err(NotPlaced::Full(room_in));
+                placed.extend(waiter.map(|waiter| (waiter.sender, refused)));
+            }
         }
         self.queues = queues;
         placed
--- a/src/gateway/table.rs
+++ b/src/gateway/table.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use super::model::{Customer, EngineProfile, Route, RoutingConfig, Service, ServiceId};
 use crate::document::{KeyDigest, digest_key};
@@ -64,6 +65,20 @@
             .find(|route| path.starts_with(&route.path_prefix))
     }
 
+    /// Returns the shortest objective among the routes of a service that are as urgent as a route
+    /// or more.
+    ///
+    /// Work before an engine that is fit for a longer objective would leave those without room.
+    pub fn shortest_objective(&self, service: &str, route: &Route) -> Duration {
+        let routes = self.hosts.values().flatten();
+        let urgent = routes.filter(|other| {
+            let is_of_service = other.services.iter().any(|(id, _)| id == service);
+            is_of_service && other.priority <= route.priority
+        });
+        let objectives = urgent.map(|other| other.objective);
+        objectives.fold(route.objective, Duration::min)
+    }
+
     /// Returns whether requests to a route need a key.
     pub fn needs_key(&self, route: &Route) -> bool {
         self.needs_keys && !route.is_public
--- /dev/null
+++ b/tests/gateway_pure/allowances.rs
@@ -0,0 +1,130 @@
+//! Rates of customers over all VMs.
+
+use super::*;
+
+const RATE: u64 = 10_000;
+
+fn allowance() -> Allowance {
+    Allowance {
+        unit: CostUnit::Token { plain_tokens: 200 },
+        rate_per_s: RATE,
+        burst: RATE,
+    }
+}
+
+fn heard(vms: usize, demand: f64) -> Group {
+    Group {
+        vms,
+        demand: Some(demand),
+    }
+}
+
+fn silent(vms: usize) -> Group {
+    Group { vms, demand: None }
+}
+
+/// Asks `per_s` times a second for some time; returns the units that were granted.
+fn run(accounts: &mut Allowances, others: &[Group], cost: u64, per_s: u64, seconds: u64) -> u64 {
+    let asks = per_s * seconds;
+    let granted = (0..asks).filter(|ask| {
+        let now = MS(ask * 1_000 / per_s);
+        accounts
+            .take("teifi", &allowance(), cost, 1, others, now)
+            .is_ok()
+    });
+    granted.count() as u64 * cost
+}
+
+/// Shares follow demand within two seconds; nobody inside the rate is refused after that.
+#[test]
+fn an_account_whose_others_are_idle_gets_the_whole_rate() {
+    let mut accounts = Allowances::new(AllowanceSettings::default());
+    run(&mut accounts, &[heard(7, 0.0)], 100, 95, 2);
+    let asks = (2 * 95..12 * 95).map(|ask| MS(ask * 1_000 / 95));
+    let refused = asks.filter(|now| {
+        let taken = accounts.take("teifi", &allowance(), 100, 1, &[heard(7, 0.0)], *now);
+        taken.is_err()
+    });
+    assert_eq!(refused.count(), 0);
+}
+
+#[test]
+fn a_silent_part_is_left_alone() {
+    let mut accounts = Allowances::new(AllowanceSettings::default());
+    let granted = run(&mut accounts, &[silent(3)], 100, 400, 20);
+    let part = RATE / 4;
+    assert!(granted <= part * 21 && granted >= part * 19, "{granted}");
+}
+
+/// Accounts that are cut off from each other, and all asked for far more than the rate.
+#[rstest]
+#[case(2, 100)]
+#[case(4, 100)]
+#[case(8, 1_000)]
+fn cut_off_accounts_stay_within_the_rate_together(#[case] vms: usize, #[case] cost: u64) {
+    let others = [silent(vms - 1)];
+    let total: u64 = (0..vms)
+        .map(|_| {
+            let mut accounts = Allowances::new(AllowanceSettings::default());
+            run(&mut accounts, &others, cost, 200, 8)
+        })
+        .sum();
+    let bound = RATE * 8 + RATE;
+    assert!(total <= bound + cost * vms as u64, "{total} above {bound}");
+}
+
+#[test]
+fn a_refusal_tells_when_enough_is_there() {
+    let mut accounts = Allowances::new(AllowanceSettings::default());
+    let start = accounts.take("teifi", &allowance(), 7_900, 1, &[], MS(0));
+    assert!(start.is_ok());
+    let refused = accounts.take("teifi", &allowance(), 5_000, 1, &[], MS(0));
+    let wait = refused.unwrap_err().retry_after;
+    let again = accounts.take("teifi", &allowance(), 5_000, 1, &[], wait + MS(10));
+    assert!(again.is_ok());
+}
+
+#[test]
+fn a_lower_limit_binds_what_was_saved() {
+    let mut accounts = Allowances::new(AllowanceSettings::default());
+    accounts
+        .take("teifi", &allowance(), 1, 1, &[], MS(0))
+        .unwrap();
+    let low = Allowance {
+        rate_per_s: 100,
+        burst: 100,
+        ..allowance()
+    };
+    accounts
+        .take("teifi", &low, 100, 1, &[], MS(2_000))
+        .unwrap();
+    assert!(
+        accounts
+            .take("teifi", &low, 100, 1, &[], MS(2_010))
+            .is_err()
+    );
+}
+
+/// A request larger than what an account may hold was refused while the account was almost full.
+#[test]
+fn a_request_larger_than_an_account_is_taken_on_credit() {
+    let mut accounts = Allowances::new(AllowanceSettings::default());
+    let others = [silent(7)];
+    let taken = accounts.take("teifi", &allowance(), 5_000, 1, &others, MS(0));
+    assert!(taken.is_ok());
+    let again = accounts.take("teifi", &allowance(), 100, 1, &others, MS(0));
+    assert!(again.unwrap_err().left < 0);
+}
+
+/// One account for a zone of many VMs is large enough for a request that is larger than the
+/// part of a single VM.
+#[test]
+fn a_request_larger_than_a_single_part_is_granted() {
+    let mut accounts = Allowances::new(AllowanceSettings::default());
+    let others = [heard(60, 0.0)];
+    assert!(
+        accounts
+            .take("teifi", &allowance(), 2_000, 20, &others, MS(0))
+            .is_ok()
+    );
+}
--- /dev/null
+++ b/tests/gateway_pure/budgets.rs
@@ -0,0 +1,37 @@
+//! Budgets of repeated sends.
+
+use super::*;
+
+#[rstest]
+#[case(1)]
+#[case(8)]
+#[case(78)]
+fn repeats_of_all_vms_stay_within_the_budget(#[case] vms: usize) {
+    let bounds = BudgetBounds {
+        ratio: 0.2,
+        slack: 56,
+    };
+    let (mut repeats, mut requests) = (0_u32, 0_u32);
+    for _ in 0..vms {
+        let mut budgets = Budgets::new(bounds);
+        for step in 0..200 {
+            let now = MS(step * 50);
+            budgets.request("notes", vms, now);
+            requests += 1;
+            repeats += u32::from(budgets.take("notes", vms, now));
+        }
+    }
+    let bound = requests as f64 * bounds.ratio + f64::from(bounds.slack);
+    assert!(f64::from(repeats) <= bound, "{repeats} above {bound}");
+    assert!(f64::from(repeats) >= f64::from(requests) * 0.1);
+}
+
+#[test]
+fn services_do_not_share_a_budget() {
+    let mut budgets = Budgets::new(BudgetBounds {
+        ratio: 0.2,
+        slack: 2,
+    });
+    while budgets.take("notes", 1, MS(0)) {}
+    assert!(budgets.take("slots", 1, MS(0)));
+}
--- /dev/null
+++ b/tests/gateway_pure/mirrors.rs
@@ -0,0 +1,90 @@
+//! Copies of what the store holds.
+
+use super::*;
+
+fn weights(name: &str, number: u64) -> Change {
+    let record = Record::Weights(NamedWeights {
+        model: name.to_owned(),
+        weights: number,
+    });
+    Change {
+        name: name.to_owned(),
+        record: Some(record),
+    }
+}
+
+fn gone(name: &str) -> Change {
+    Change {
+        name: name.to_owned(),
+        record: None,
+    }
+}
+
+#[test]
+fn an_older_listing_changes_nothing() {
+    let mut mirror = Mirror::default();
+    mirror.replace(Listing {
+        objects: vec![weights("m", 2)],
+        revision: 20,
+    });
+    let news = mirror.replace(Listing {
+        objects: vec![weights("m", 1)],
+        revision: 10,
+    });
+    assert_eq!((news.len(), mirror.revision()), (0, 20));
+}
+
+#[test]
+fn a_listing_tells_what_is_gone() {
+    let mut mirror = Mirror::default();
+    mirror.replace(Listing {
+        objects: vec![weights("m", 1), weights("n", 1)],
+        revision: 10,
+    });
+    let news = mirror.replace(Listing {
+        objects: vec![weights("m", 1)],
+        revision: 11,
+    });
+    assert_eq!(news, [gone("n")]);
+}
+
+#[test]
+fn changes_after_a_revision_that_is_no_longer_kept_are_not_named() {
+    let mut mirror = Mirror::default();
+    mirror.replace(Listing {
+        objects: vec![],
+        revision: 10,
+    });
+    assert!(mirror.changes_after(9).is_none());
+    for number in 0..400 {
+        mirror.apply(vec![weights("m", number)], 11 + number);
+    }
+    assert!(mirror.changes_after(20).is_none());
+    assert_eq!(mirror.changes_after(409).unwrap().changes.len(), 1);
+}
+
+proptest! {
+    /// A VM that follows another one from any point ends with the same objects.
+    #[test]
+    fn a_follower_ends_with_the_same_objects(steps in proptest::collection::vec((0_u8..4, proptest::option::of(1_u64..9)), 1..40), from in 0_usize..40) {
+        let mut mirror = Mirror::default();
+        let mut follower = Mirror::default();
+        mirror.replace(Listing { objects: vec![], revision: 1 });
+        for (step, (name, number)) in steps.iter().enumerate() {
+            let name = format!("m{name}");
+            let change = number.map_or_else(|| gone(&name), |number| weights(&name, number));
+            mirror.apply(vec![change], step as u64 + 2);
+            if step == from {
+                follower.replace(mirror.listing().unwrap());
+            }
+        }
+        match follower.revision() {
+            0 => { follower.replace(mirror.listing().unwrap()); }
+            after => {
+                let changes = mirror.changes_after(after).unwrap();
+                follower.apply(changes.changes, changes.revision);
+            }
+        }
+        prop_assert_eq!(follower.listing(), mirror.listing());
+    }
+}
--- /dev/null
+++ b/tests/gateway_pure/named_weights.rs
@@ -0,0 +1,23 @@
+//! Weights that were named.
+
+use super::*;
+
+/// Weights replaced before they were in place everywhere: an engine that lacks them was late
+/// from their own name on, and requests began on it 6 s after it.
+#[test]
+fn an_engine_is_late_from_the_first_name_that_it_missed() {
+    let mut history = NamedHistory::default();
+    history.named(2, MS(2_000));
+    history.named(3, MS(4_400));
+    assert_eq!(history.behind_since(1), Some(MS(2_000)));
+    assert_eq!(history.behind_since(2), Some(MS(4_400)));
+    assert_eq!(history.behind_since(3), None);
+}
+
+#[test]
+fn a_name_told_twice_or_late_changes_nothing() {
+    let mut history = NamedHistory::default();
+    assert!(history.named(3, MS(10)));
+    assert!(!history.named(3, MS(20)) && !history.named(2, MS(30)));
+    assert_eq!((history.newest(), history.newest_at()), (3, Some(MS(10))));
+}
--- /dev/null
+++ b/tests/gateway_pure/placing.rs
@@ -0,0 +1,151 @@
+//! Choice of an engine.
+
+use super::*;
+
+fn demand() -> Demand {
+    Demand {
+        prompt_tokens: 8_000,
+        output_tokens: 100,
+        wait_objective: MS(600),
+    }
+}
+
+fn candidate() -> Candidate {
+    Candidate {
+        memory_max_tokens: 100_000,
+        slots: 8,
+        is_same_zone: true,
+        ..Candidate::default()
+    }
+}
+
+fn place(candidates: &[Candidate]) -> Place {
+    choose(&PlacementSettings::default(), &demand(), candidates)
+}
+
+#[test]
+fn nobody_is_nowhere() {
+    assert_eq!(place(&[]), Place::Nowhere);
+}
+
+#[test]
+fn the_engine_that_holds_the_shared_part_is_chosen() {
+    let holds = Candidate {
+        held_tokens: 5_000,
+        rank: 2,
+        ..candidate()
+    };
+    assert_eq!(place(&[candidate(), candidate(), holds]), Place::At(2));
+}
+
+#[test]
+fn a_part_is_fetched_where_its_holder_is_busy() {
+    let holder = Candidate {
+        held_tokens: 5_000,
+        reading_tokens: 20_000,
+        requests: 2,
+        ..candidate()
+    };
+    let other = Candidate {
+        fetched_tokens: 5_000,
+        rank: 1,
+        ..candidate()
+    };
+    assert_eq!(place(&[holder, other]), Place::At(1));
+}
+
+#[test]
+fn an_engine_about_to_load_weights_gets_nothing_while_another_is_left() {
+    let rolling = Candidate {
+        is_rolling: true,
+        held_tokens: 8_000,
+        ..candidate()
+    };
+    let busy = Candidate {
+        reading_tokens: 10_000,
+        requests: 1,
+        rank: 1,
+        ..candidate()
+    };
+    assert_eq!(place(&[rolling, busy]), Place::At(1));
+    assert_eq!(place(&[rolling]), Place::At(0));
+}
+
+#[rstest]
+#[case::memory(Candidate { memory_tokens: 90_000, requests: 3, ..candidate() })]
+#[case::slots(Candidate { requests: 8, ..candidate() })]
+#[case::reading(Candidate { reading_tokens: 60_000, requests: 3, ..candidate() })]
+fn a_full_engine_makes_requests_wait(#[case] full: Candidate) {
+    assert_eq!(place(&[full]), Place::Wait);
+}
+
+#[test]
+fn a_shared_part_takes_memory_once() {
+    let hot = Candidate {
+        memory_tokens: 78_000,
+        requests: 10,
+        held_tokens: 7_500,
+        ..candidate()
+    };
+    let cold = Candidate {
+        held_tokens: 0,
+        ..hot
+    };
+    let settings = PlacementSettings::default();
+    let slots = |candidate| Candidate {
+        slots: 64,
+        ..candidate
+    };
+    assert_eq!(choose(&settings, &demand(), &[slots(hot)]), Place::At(0));
+    assert_eq!(choose(&settings, &demand(), &[slots(cold)]), Place::Wait);
+}
+
+#[test]
+fn an_idle_engine_takes_a_prompt_of_any_size() {
+    let small = Candidate {
+        memory_max_tokens: 1_000,
+        ..candidate()
+    };
+    assert_eq!(place(&[small]), Place::At(0));
+}
+
+/// Clumps of prompts at the engines' own speed: no engine is given more than it reads in the
+/// part of the objective left to waiting.
+#[test]
+fn clumps_are_spread_and_the_rest_waits() {
+    let mut engines = vec![candidate(); 4];
+    let mut placed = 0;
+    for _ in 0..60 {
+        let Place::At(index) = place(&engines) else {
+            break;
+        };
+        let engine = &mut engines[index];
+        engine.requests += 1;
+        engine.reading_tokens += 8_000;
+        engine.memory_tokens += 8_100;
+        placed += 1;
+    }
+    let most = engines.iter().map(|engine| engine.requests).max();
+    let least = engines.iter().map(|engine| engine.requests).min();
+    assert_eq!((most, least, placed), (Some(4), Some(4), 16));
+}
+
+proptest! {
+    /// A full scan that asks of each pair which is better agrees with the choice.
+    #[test]
+    fn the_choice_is_never_worse_than_any_other(loads in proptest::collection::vec((0_u64..40_000, 0_u64..8_000, any::<bool>()), 1..12)) {
+        let candidates: Vec<_> = loads.iter().map(|(reading, held, zone)| Candidate {
+            reading_tokens: *reading,
+            held_tokens: *held,
+            is_same_zone: *zone,
+            ..candidate()
+        }).collect();
+        let Place::At(chosen) = place(&candidates) else {
+            return Err(TestCaseError::fail("all have room"));
+        };
+        for index in 0..candidates.len() {
+            let pair = [candidates[chosen], candidates[index]];
+            prop_assert_eq!(place(&pair), Place::At(0));
+        }
+    }
+}
--- /dev/null
+++ b/tests/gateway_pure/rolling_out.rs
@@ -0,0 +1,119 @@
+//! The order in which engines load weights.
+
+use super::*;
+
+/// Far off, so that time presses nobody.
+const DUE: Duration = Duration::from_secs(1_000);
+
+fn instance(id: &str) -> Instance {
+    Instance {
+        id: id.to_owned(),
+        born_ms: 1,
+    }
+}
+
+fn engines(weights: &[u64]) -> Vec<EngineView> {
+    let views = weights
+        .iter()
+        .enumerate()
+        .map(|(index, weights)| EngineView {
+            instance: instance(&format!("e{index}")),
+            weights: Some(*weights),
+            requests: 0,
+            is_unreachable: false,
+        });
+    views.collect()
+}
+
+fn orders(steps: &[Step]) -> usize {
+    steps
+        .iter()
+        .filter(|step| matches!(step, Step::Order(_)))
+        .count()
+}
+
+#[test]
+fn a_third_loads_at_once_and_those_get_no_new_work_before() {
+    let views = engines(&[1; 9]);
+    let mut rollout = Rollout::new(RolloutSettings::default());
+    assert_eq!(rollout.steps(2, &views, DUE, MS(0)), []);
+    assert_eq!(rollout.rolling().count(), 3);
+    assert_eq!(orders(&rollout.steps(2, &views, DUE, MS(60))), 3);
+    assert_eq!(rollout.steps(2, &views, DUE, MS(70)), []);
+}
+
+#[test]
+fn those_furthest_behind_come_first() {
+    let views = engines(&[3, 2, 1]);
+    let mut rollout = Rollout::new(RolloutSettings::default());
+    rollout.steps(4, &views, DUE, MS(0));
+    assert_eq!(rollout.rolling().collect::<Vec<_>>(), ["e2"]);
+}
+
+#[test]
+fn the_next_one_follows_once_one_is_done() {
+    let mut views = engines(&[1; 3]);
+    let mut rollout = Rollout::new(RolloutSettings::default());
+    rollout.steps(2, &views, DUE, MS(0));
+    let steps = rollout.steps(2, &views, DUE, MS(60));
+    let [Step::Order(first)] = &steps[..] else {
+        panic!("one order, found {steps:?}");
+    };
+    rollout.ordered(first, MS(65));
+    rollout.done(first);
+    views
+        .iter_mut()
+        .filter(|view| view.instance == *first)
+        .for_each(|view| view.weights = Some(2));
+    rollout.steps(2, &views, DUE, MS(300));
+    assert!(rollout.rolling().all(|id| *id != first.id) && rollout.rolling().count() == 1);
+}
+
+#[test]
+fn an_order_not_seen_in_force_is_looked_into() {
+    let views = engines(&[1]);
+    let mut rollout = Rollout::new(RolloutSettings::default());
+    rollout.steps(2, &views, DUE, MS(0));
+    rollout.steps(2, &views, DUE, MS(60));
+    rollout.ordered(&instance("e0"), MS(70));
+    assert_eq!(rollout.steps(2, &views, DUE, MS(200)), []);
+    assert_eq!(
+        rollout.steps(2, &views, DUE, MS(330)),
+        [Step::Check(instance("e0"))]
+    );
+}
+
+/// Engines that had fallen silent took the places of those that could load, for seconds.
+#[test]
+fn engines_that_cannot_be_reached_come_last_and_hold_nobody_up() {
+    let mut views = engines(&[1; 6]);
+    views[0].is_unreachable = true;
+    views[1].is_unreachable = true;
+    let mut rollout = Rollout::new(RolloutSettings::default());
+    rollout.steps(2, &views, DUE, MS(0));
+    let rolling: Vec<_> = rollout.rolling().cloned().collect();
+    assert_eq!(rolling, ["e2", "e3"]);
+}
+
+/// Two at a time took longer than the time for new weights, and requests began on older ones.
+#[test]
+fn as_many_load_at_once_as_it_takes_to_be_in_time() {
+    let views = engines(&[1; 12]);
+    let mut rollout = Rollout::new(RolloutSettings::default());
+    rollout.steps(2, &views, MS(3_600), MS(0));
+    assert_eq!(rollout.rolling().count(), 4);
+    rollout.steps(2, &views, MS(3_600), MS(3_500));
+    assert_eq!(rollout.rolling().count(), 6);
+}
+
+#[test]
+fn an_engine_born_again_is_rolled_anew() {
+    let mut views = engines(&[1]);
+    let mut rollout = Rollout::new(RolloutSettings::default());
+    rollout.steps(2, &views, DUE, MS(0));
+    rollout.steps(2, &views, DUE, MS(60));
+    views[0].instance.born_ms = 2;
+    rollout.steps(2, &views, DUE, MS(100));
+    let steps = rollout.steps(2, &views, DUE, MS(200));
+    assert_eq!(steps, [Step::Order(views[0].instance.clone())]);
+}
--- /dev/null
+++ b/tests/gateway_pure/routing.rs
@@ -0,0 +1,37 @@
+//! Look-ups in the configuration.
+
+use super::*;
+
+fn route(name: &str, objective_ms: u64, priority: u8, service: &str) -> Route {
+    Route {
+        name: name.into(),
+        host: "depot.example".into(),
+        path_prefix: format!("/{name}/"),
+        kind: RouteKind::Idempotent,
+        timeout: MS(3_000),
+        objective: MS(objective_ms),
+        priority,
+        services: vec![(service.into(), 1)],
+        attempts: 1,
+        is_public: true,
+        is_resumable: false,
+    }
+}
+
+/// Work before an engine that suits long objectives would leave urgent requests without room.
+#[test]
+fn the_objective_of_more_urgent_routes_bounds_the_work_ahead() {
+    let urgent = route("urgent", 300, 0, "notes");
+    let calm = route("calm", 600, 1, "notes");
+    let other = route("other", 50, 0, "slots");
+    let table = RoutingTable::new(&RoutingConfig {
+        version: 1,
+        routes: vec![urgent.clone(), calm.clone(), other],
+        services: Vec::new(),
+        customers: Vec::new(),
+        body_max_bytes: 1,
+        connection_idle: MS(60_000),
+    });
+    assert_eq!(table.shortest_objective("notes", &calm), MS(300));
+    assert_eq!(table.shortest_objective("notes", &urgent), MS(300));
+}
--- /dev/null
+++ b/tests/gateway_pure/shutdown.rs
@@ -0,0 +1,20 @@
+//! Times of a stop.
+
+use super::*;
+
+/// A request that was taken 3.8 s after the signal was cut at 7.1 s: the balancer has turned
+/// away by 3 s, so nothing is taken later, and what was taken has until just before the end.
+#[test]
+fn nothing_is_taken_that_could_be_cut() {
+    let plan = ShutdownPlan::within(MS(8_000));
+    assert!(plan.close_idle < plan.refuse);
+    assert!(plan.refuse < MS(3_000) && plan.refuse > MS(2_000));
+    assert!(plan.stop_listening > plan.refuse);
+    assert!(plan.cut >= MS(8_000 - 8_000 / 6) && plan.cut < MS(7_800));
+}
+
+#[test]
+fn a_short_grace_shortens_all() {
+    let plan = ShutdownPlan::within(MS(1_500));
+    assert!(plan.stop_listening < plan.cut && plan.cut < MS(1_500));
+}
--- /dev/null
+++ b/tests/gateway_pure/streams.rs
@@ -0,0 +1,51 @@
+//! Streams cut into events.
+
+use super::*;
+
+fn stream_of(count: u64) -> Vec<u8> {
+    let events = (1..=count).map(|id| format!("id: {id}\ndata: t{id}\n\n"));
+    events.collect::<String>().into_bytes()
+}
+
+proptest! {
+    #[test]
+    fn any_cuts_give_the_same_events(cuts in proptest::collection::vec(1_usize..40, 0..60)) {
+        let bytes = stream_of(20);
+        let mut splitter = EventSplitter::default();
+        let mut out = Vec::new();
+        let mut rest = &bytes[..];
+        for cut in cuts {
+            let (part, left) = rest.split_at(cut.min(rest.len()));
+            out.extend_from_slice(&splitter.push(part).unwrap());
+            rest = left;
+        }
+        out.extend_from_slice(&splitter.push(rest).unwrap());
+        prop_assert_eq!(out, bytes);
+        prop_assert_eq!(splitter.last_id(), Some(20));
+    }
+}
+
+#[test]
+fn an_unfinished_event_is_kept_back() {
+    let mut splitter = EventSplitter::default();
+    let whole = splitter
+        .push(b"id: 1\ndata: a\n\nid: 2\ndata: b\n")
+        .unwrap();
+    assert_eq!(&whole[..], b"id: 1\ndata: a\n\n");
+    assert!(splitter.is_inside_event());
+    assert_eq!(splitter.last_id(), Some(1));
+}
+
+#[test]
+fn events_that_the_caller_has_are_dropped() {
+    let mut splitter = EventSplitter::after(Some(3));
+    let events = splitter.push(&stream_of(5)).unwrap();
+    assert_eq!(&events[..], b"id: 4\ndata: t4\n\nid: 5\ndata: t5\n\n");
+}
+
+#[test]
+fn a_line_before_the_id_stays_with_its_event() {
+    let mut splitter = EventSplitter::after(Some(1));
+    let bytes = b"weight-versions: 3\nid: 2\ndata: b\n\n";
+    assert_eq!(&splitter.push(bytes).unwrap()[..], bytes);
+}
