test(proofs): tests in folders are found

Cause: tests/gateway_pure became a folder, and the check of the page of proofs read files only. Ruled out: naming files of the folder in the page, as tests are run by the name of the folder.

--- a/tests/proofs.rs
+++ b/tests/proofs.rs
@@ -1,7 +1,7 @@
 //! Every test that the page of proofs names is there, and the page follows its own form.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 const PAGE: &str = include_str!("../docs/PROOFS.md");
 const PROMISES: usize = 13;
@@ -67,24 +67,37 @@
         .skip(1)
 }
 
-/// Returns the functions marked as tests in each file directly under `tests/`.
+/// Returns the functions marked as tests in each file or folder directly under `tests/`.
 fn tests_by_file() -> BTreeMap<String, BTreeSet<String>> {
     let root = Path::new(env!("CARGO_MANIFEST_DIR"));
     let directories = [root.join("tests"), root.join("platform/tests")];
-    let read = |directory| std::fs::read_dir(directory).expect("tests are there");
-    directories
-        .into_iter()
-        .flat_map(read)
-        .map(|entry| entry.expect("entry is readable").path())
-        .filter(|path| path.extension().is_some_and(|extension| extension == "rs"))
+    let paths = directories.iter().flat_map(|directory| paths_in(directory));
+    paths
         .map(|path| {
-            let text = std::fs::read_to_string(&path).expect("file is readable");
             let stem = path.file_stem().expect("file has a name");
-            (stem.to_string_lossy().into_owned(), test_names(&text))
+            (stem.to_string_lossy().into_owned(), tests_of(&path))
         })
         .collect()
 }
 
+fn paths_in(directory: &Path) -> Vec<PathBuf> {
+    let entries = std::fs::read_dir(directory).expect("tests are there");
+    entries
+        .map(|entry| entry.expect("entry is readable").path())
+        .collect()
+}
+
+/// Returns the tests of a file, or of all files of a folder.
+fn tests_of(path: &Path) -> BTreeSet<String> {
+    if path.is_dir() {
+        return paths_in(path)
+            .iter()
+            .flat_map(|path| tests_of(path))
+            .collect();
+    }
+    test_names(&std::fs::read_to_string(path).expect("file is readable"))
+}
+
 fn test_names(text: &str) -> BTreeSet<String> {
     let mut names = BTreeSet::new();
     let mut is_marked = false;
