--- a/src/gateway/status.rs
+++ b/src/gateway/status.rs
@@ -45,8 +45,12 @@
             unusable: Vec::new(),
             weights: Vec::new(),
             vms: Vec::new(),
-            lease: store.read_lease().await?.record,
+            lease: None,
         };
+        let lease = store.read_lease().await?;
+        status.lease = lease.record;
+        let fault = lease.fault.map(|fault| ("lease on orders".into(), fault));
+        status.unusable.extend(fault);
         for member in store.members().await? {
             match member {
                 Ok(member) => status.vms.push(member),
