feat(entry): tokens used at the end of a stream

Cause: an ordinary client that sets stream_options.include_usage got no last chunk with the usage, and an engine that honoured the option, passed on to it, ended the stream as malformed, since its chunk has no position. Ruled out: passing the engine's chunk on: after a resume it would tell one engine's part only. Conclusion: the entry tells the tokens as it charges them, once, before the end.

--- a/src/entry/completion.rs
+++ b/src/entry/completion.rs
@@ -43,18 +43,29 @@
     model: String,
     #[serde(default)]
     stream: bool,
+    #[serde(default)]
+    stream_options: StreamOptions,
     max_tokens: Option<Tokens>,
     max_completion_tokens: Option<Tokens>,
     messages: Option<Vec<Value>>,
     prompt: Option<Value>,
 }
 
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
+struct StreamOptions {
+    #[serde(default)]
+    include_usage: bool,
+}
+
 /// Checked request for a completion.
 #[derive(Debug, Clone)]
 pub(super) struct Completion {
     pub(super) endpoint: Endpoint,
     pub(super) model: String,
     pub(super) is_streamed: bool,
+    /// Whether a stream ends with the tokens used.
+    pub(super) wants_usage: bool,
     pub(super) output_tokens: Option<Tokens>,
     pub(super) prompt_tokens: Tokens,
     pub(super) body: Bytes,
@@ -78,6 +89,7 @@
             endpoint,
             model: fields.model,
             is_streamed: fields.stream,
+            wants_usage: fields.stream && fields.stream_options.include_usage,
             output_tokens: fields.max_completion_tokens.or(fields.max_tokens),
             prompt_tokens: prompt_bytes.div_ceil(BYTES_PER_TOKEN) as Tokens,
             body,
--- a/src/entry/sse.rs
+++ b/src/entry/sse.rs
@@ -1,12 +1,14 @@
 //! Incremental parser of an engine's event stream that checks positions.
 
 use bytes::{Bytes, BytesMut};
+use serde::Deserialize;
+use serde::de::IgnoredAny;
 
 use crate::ids::Tokens;
 
 /// Largest single event, in bytes.
 const EVENT_MAX_BYTES: usize = 1_048_576;
-const EVENT_END: &[u8] = b"\n\n";
+pub(super) const EVENT_END: &[u8] = b"\n\n";
 const DONE_DATA: &[u8] = b"[DONE]";
 
 /// Stream that is not complete and in order.
@@ -114,6 +116,17 @@
     }
 }
 
+/// Returns whether data tells the tokens used and nothing else.
+fn is_usage(data: &[u8]) -> bool {
+    #[derive(Deserialize)]
+    struct Usage {
+        choices: Vec<IgnoredAny>,
+        #[serde(rename = "usage")]
+        _usage: IgnoredAny,
+    }
+    serde_json::from_slice::<Usage>(data).is_ok_and(|usage| usage.choices.is_empty())
+}
+
 /// Appends without copying where the two parts lie side by side.
 fn append(out: &mut BytesMut, event: BytesMut) {
     match out.is_empty() {
@@ -137,6 +150,8 @@
         (_, Some(DONE_DATA)) => Event::Done,
         (Some(position), Some(_)) => position_of(position),
         (None, None) => Event::Comment,
+        // The entry tells the usage itself, over all engines that worked on the stream.
+        (None, Some(data)) if is_usage(data) => Event::Comment,
         (Some(_), None) | (None, Some(_)) => Event::Malformed,
     }
 }
--- a/src/entry/stream.rs
+++ b/src/entry/stream.rs
@@ -10,14 +10,17 @@
 use http::{HeaderValue, Response};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
+use serde_json::json;
 
 use super::attempt::{EngineCall, Opened};
+use super::completion::{Completion, Endpoint};
 use super::drain::UnderWay;
 use super::headers::CACHED_TOKENS;
 use super::reply;
 use super::run::Run;
-use super::sse::{EventParser, Parsed};
+use super::sse::{EVENT_END, EventParser, Parsed};
 use crate::error::Refusal;
+use crate::ids::Tokens;
 use crate::limit::Reservation;
 use crate::outcome::{Failure, Stop};
 use crate::telemetry::{CustomerMetrics, Event};
@@ -147,13 +150,28 @@
             self.metrics.tokens(parsed.tokens);
         }
         match parsed.error {
-            _ if parsed.is_done => self.finish(),
+            _ if parsed.is_done => {
+                self.finish();
+                return self.with_usage(parsed.events);
+            }
             Some(_) => self.failure = Some(Failure::StreamMalformed),
             None => {}
         }
         parsed.events
     }
 
+    /// Puts the tokens used before the last event, where the caller asked for them.
+    fn with_usage(&self, events: Bytes) -> Bytes {
+        let completion = &self.call.completion;
+        match completion.wants_usage {
+            true => before_last(
+                &events,
+                &usage_event(completion, self.parser.next_position()),
+            ),
+            false => events,
+        }
+    }
+
     fn finish(&mut self) {
         match std::mem::replace(&mut self.source, Source::Ended) {
             Source::Engine { body, run } => {
@@ -195,6 +213,33 @@
     }
 }
 
+/// Returns the event that tells the tokens used, as they were charged.
+fn usage_event(completion: &Completion, output_tokens: Tokens) -> Vec<u8> {
+    let object = match completion.endpoint {
+        Endpoint::Chat => "chat.completion.chunk",
+        Endpoint::Text => "text_completion",
+    };
+    let chunk = json!({
+        "object": object,
+        "model": completion.model,
+        "choices": [],
+        "usage": {
+            "prompt_tokens": completion.prompt_tokens,
+            "completion_tokens": output_tokens,
+            "total_tokens": completion.prompt_tokens.saturating_add(output_tokens),
+        },
+    });
+    format!("data: {chunk}\n\n").into_bytes()
+}
+
+/// Returns whole events with one more before the last of them.
+fn before_last(events: &[u8], event: &[u8]) -> Bytes {
+    let all_but_end = &events[..events.len().saturating_sub(EVENT_END.len())];
+    let last = memchr::memmem::rfind(all_but_end, EVENT_END);
+    let (before, last) = events.split_at(last.map_or(0, |found| found + EVENT_END.len()));
+    [before, event, last].concat().into()
+}
+
 async fn read(
     source: &mut Source,
     parser: &mut EventParser,
--- a/tests/stream.rs
+++ b/tests/stream.rs
@@ -12,7 +12,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use rstest::rstest;
-use serde_json::Value;
+use serde_json::{Value, json};
 
 const PATH: &str = "/v1/chat/completions";
 const TOKENS: u64 = 40;
@@ -128,6 +128,41 @@
     assert_whole(&rest(first, response).await, &body);
 }
 
+/// The tokens used are told once before the end, also of a stream that two engines worked on.
+#[rstest]
+#[case::whole(None)]
+#[case::resumed(Some(Death::Crash))]
+#[tokio::test(flavor = "multi_thread")]
+async fn usage_is_told_before_the_end_where_it_is_asked_for(#[case] death: Option<Death>) {
+    let fleet = fleet(2, true).await;
+    let mut body = chat("Grade load 17.", TOKENS, true);
+    let mut plain = open(&fleet, &body).await;
+    let first = read_some(&mut plain).await;
+    assert!(!rest(first, plain).await.text.contains("usage"));
+    body["stream_options"] = json!({"include_usage": true});
+    let mut response = open(&fleet, &body).await;
+    let first = read_some(&mut response).await;
+    if let Some(death) = death {
+        strike(&fleet, 0, death).await;
+    }
+    let answer = rest(first, response).await;
+    let id = answer.headers["x-request-id"].to_str().unwrap();
+    let without = expected_stream(&body, id);
+    let (tokens, done) = without.split_at(without.rfind("data: [DONE]").unwrap());
+    let told = answer.text.strip_prefix(tokens).unwrap();
+    let told = told.strip_suffix(done).unwrap();
+    let told: Value = serde_json::from_str(told.strip_prefix("data: ").unwrap()).unwrap();
+    assert_eq!(told["choices"], json!([]));
+    let usage = &told["usage"];
+    assert_eq!(usage["completion_tokens"], TOKENS);
+    assert_eq!(
+        usage["total_tokens"].as_u64(),
+        usage["prompt_tokens"]
+            .as_u64()
+            .map(|prompt| prompt + TOKENS)
+    );
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn stream_survives_more_deaths_than_there_are_attempts() {
     let fleet = fleet(2, true).await;
--- a/tests/stream_events.rs
+++ b/tests/stream_events.rs
@@ -170,3 +170,13 @@
     let error = (0..64).find_map(|_| parser.push(&piece).error);
     assert_eq!(error, Some(PositionError::TooLarge));
 }
+
+#[test]
+fn an_engines_own_usage_is_left_out() {
+    let stream = b"id: 0\ndata: a\n\ndata: {\"choices\":[],\"usage\":{\"total_tokens\":9}}\n\ndata: [DONE]\n\n";
+    let parsed = EventParser::new(0).push(stream);
+    assert_eq!(&parsed.events[..], b"id: 0\ndata: a\n\ndata: [DONE]\n\n");
+    assert_eq!((parsed.is_done, parsed.error), (true, None));
+    let unnumbered = EventParser::new(0).push(b"data: {\"choices\":[1],\"usage\":{}}\n\n");
+    assert_eq!(unnumbered.error, Some(PositionError::Malformed));
+}
