refactor: no import circles in config, entry and peer

Cause: config::follow and start, entry::attempt and run, peer::links and outgoing named each other. Conclusion: the document's name lies in config, a run takes what it needs instead of the whole call, codes of closed connections have a module, the error of a call lies where calls are made. The circle of the engine stand-in (state and run) stays for now.

--- a/src/config/follow.rs
+++ b/src/config/follow.rs
@@ -9,7 +9,7 @@
 
 use super::fetch::{Fetched, fetch};
 use super::start::{find, read};
-use super::{Fetch, Next, PlanSettings, Sightings, VersionPlan};
+use super::{DOCUMENT_NAME, Fetch, Next, PlanSettings, Sightings, VersionPlan};
 use crate::document::{Document, Snapshot};
 use crate::entry::App;
 use crate::ids::ObjectVersion;
@@ -17,9 +17,6 @@
 use crate::platform::{Kind, Listing, StoreClient, StoreError};
 use crate::telemetry::Event;
 
-/// Name of the document in force.
-pub const DOCUMENT_NAME: &str = "current";
-
 const BACKOFF_MIN: Duration = Duration::from_millis(200);
 const BACKOFF_MAX: Duration = Duration::from_millis(2_000);
 /// Time between two reads on a new connection, where peers tell of new versions as well.
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -8,7 +8,10 @@
 mod status;
 
 pub use fetch::{FETCH_TIMEOUT, Fetched, fetch};
-pub use follow::{DOCUMENT_NAME, Follow, follow};
+pub use follow::{Follow, follow};
 pub use plan::{Fetch, Next, PlanSettings, VersionPlan};
 pub use sightings::Sightings;
 pub use status::{Status, VmState, report};
+
+/// Name of the document in force.
+pub const DOCUMENT_NAME: &str = "current";
--- a/src/config/start.rs
+++ b/src/config/start.rs
@@ -6,8 +6,8 @@
 use rand::seq::IteratorRandom;
 use tokio::time::{Instant as TokioInstant, sleep_until};
 
+use super::DOCUMENT_NAME;
 use super::fetch::{Fetched, fetch};
-use super::follow::DOCUMENT_NAME;
 use crate::peer::Links;
 use crate::platform::{Kind, StoreClient, StoreError};
 
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -93,7 +93,8 @@
             self.admit_retry()?;
             self.wait_before_retry(&id).await;
             self.progress.ledger.attempt();
-            let run = Run::new(self, in_flight);
+            let (app, request_id) = (self.app.clone(), self.request_id.clone());
+            let run = Run::new(app, snapshot.clone(), request_id, in_flight);
             let failure = match self.attempt(upstream, position).await {
                 Ok(response) => {
                     run.in_flight()
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -11,7 +11,6 @@
 use tokio::task::JoinHandle;
 
 use super::app::App;
-use super::attempt::EngineCall;
 use crate::document::Snapshot;
 use crate::ids::{RequestId, UpstreamId};
 use crate::route::InFlight;
@@ -31,11 +30,16 @@
 }
 
 impl Run {
-    pub(super) fn new(call: &EngineCall, in_flight: InFlight) -> Self {
+    pub(super) fn new(
+        app: Arc<App>,
+        snapshot: Arc<Snapshot>,
+        request_id: RequestId,
+        in_flight: InFlight,
+    ) -> Self {
         Self {
-            app: call.app.clone(),
-            snapshot: call.snapshot.clone(),
-            request_id: call.request_id.clone(),
+            app,
+            snapshot,
+            request_id,
             in_flight,
             is_open: true,
         }
--- a/src/peer/links.rs
+++ b/src/peer/links.rs
@@ -5,11 +5,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use quinn::{Connection, Endpoint, ServerConfig, TransportConfig, VarInt};
+use quinn::{Endpoint, ServerConfig, TransportConfig, VarInt};
 use tokio::runtime::Handle;
 
 use super::identity::{Identity, IdentityError};
-use super::outgoing::Outgoing;
+use super::outgoing::{CallError, Outgoing};
 use super::wire::{Reply, Request};
 use crate::clock::SharedClock;
 use crate::settings::PeerSettings;
@@ -30,18 +30,6 @@
 /// Requests that one peer may send, per second.
 pub const REQUESTS_PER_S: u64 = 2_000;
 
-/// Why a call brought no reply.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(thiserror::Error)]
-pub enum CallError {
-    /// The request was not sent, and the peer will never see it.
-    #[error("not sent: {0}")]
-    NotSent(String),
-    /// The peer may have handled the request.
-    #[error("outcome unknown: {0}")]
-    Unknown(String),
-}
-
 /// What links are made of.
 #[derive(Debug)]
 pub struct LinksSettings {
@@ -191,23 +179,6 @@
     }
 }
 
-/// Closes a connection with a code of [`close_code`].
-pub(super) fn close(connection: &Connection, code: u32) {
-    connection.close(VarInt::from_u32(code), &[]);
-}
-
-/// Codes with which connections are closed and streams reset.
-pub(super) mod close_code {
-    /// The peer speaks another version of the protocol.
-    pub(in crate::peer) const PROTOCOL: u32 = 1;
-    /// The peer is not allowed that much.
-    pub(in crate::peer) const RATE: u32 = 2;
-    /// The message cannot be used.
-    pub(in crate::peer) const MESSAGE: u32 = 3;
-    /// The connection is replaced.
-    pub(in crate::peer) const REPLACED: u32 = 4;
-}
-
 fn transport() -> TransportConfig {
     let mut transport = TransportConfig::default();
     transport
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -1,6 +1,7 @@
 //! Links between the fleet's VMs: typed requests over QUIC with mutual TLS.
 
 mod authority;
+mod close;
 mod handler;
 mod holders;
 mod identity;
@@ -14,6 +15,7 @@
 pub use handler::Handler;
 pub use holders::PeerHolders;
 pub use identity::{Identity, IdentityError};
-pub use links::{CallError, Links, LinksError, LinksSettings, REQUESTS_PER_S};
+pub use links::{Links, LinksError, LinksSettings, REQUESTS_PER_S};
+pub use outgoing::CallError;
 pub use server::{Caller, serve};
 pub use wire::{PROTOCOL_VERSION, Reply, Request};
--- a/src/peer/outgoing.rs
+++ b/src/peer/outgoing.rs
@@ -8,11 +8,23 @@
 
 use quinn::{ClientConfig, Connection, ConnectionError, Endpoint, ReadToEndError};
 
-use super::links::{CallError, close, close_code};
+use super::close::{close, close_code};
 use super::wire::{MESSAGE_MAX_BYTES, Reply, Request};
 use crate::clock::{Instant, SharedClock};
 use crate::telemetry::{Metrics, PeerDropReason};
 
+/// Why a call brought no reply.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(thiserror::Error)]
+pub enum CallError {
+    /// The request was not sent, and the peer will never see it.
+    #[error("not sent: {0}")]
+    NotSent(String),
+    /// The peer may have handled the request.
+    #[error("outcome unknown: {0}")]
+    Unknown(String),
+}
+
 /// Bound on making a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Connections kept; the one unused for longest makes room.
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -9,8 +9,9 @@
 use tokio::sync::Semaphore;
 use tokio::task::JoinSet;
 
+use super::close::{close, close_code};
 use super::identity::vm_of;
-use super::links::{Links, close, close_code};
+use super::links::Links;
 use super::outgoing::is_foreign;
 use super::rate::{Admitted, PeerRates};
 use super::wire::{MESSAGE_MAX_BYTES, Reply, Request};
