perf(place): a part is fetched from where it is likelier to be kept

Cause of the drop on the grown sites: the cache store went before every engine that used a part over a second ago. Change: each VM estimates for how long engines and store keep parts, from their memory and from what it adds itself, and takes the source whose part is younger against that time.

--- a/src/gateway/holdings.rs
+++ b/src/gateway/holdings.rs
@@ -119,6 +119,18 @@
         holders.any(|holder| holder.engine == engine)
     }
 
+    /// Returns when a chain was used last at an engine, however long ago.
+    pub fn used_at(
+        &self,
+        chain: ChainHash,
+        engine: ShortName,
+        weights: WeightNumber,
+    ) -> Option<Instant> {
+        let mut holders = self.chains.get(&(chain as ShortName))?.iter();
+        let holder = holders.find(|holder| holder.engine == engine && holder.weights == weights)?;
+        Some(holder.used_at)
+    }
+
     /// Returns the engines that hold a chain under some weights, latest use first.
     pub fn holders(
         &self,
--- a/src/gateway/hub.rs
+++ b/src/gateway/hub.rs
@@ -1,7 +1,6 @@
 //! State that the tasks and requests of a gateway share.
 
 use std::collections::{HashMap, HashSet};
-use std::net::SocketAddr;
 use std::sync::atomic::AtomicU64;
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
@@ -20,12 +19,13 @@
 use super::journal::{Event, Journal};
 use super::meters::Meters;
 use super::mirror::Mirror;
-use super::model::{EngineProfile, ServiceId, WeightNumber};
+use super::model::{CacheStore, EngineProfile, ServiceId, WeightNumber};
 use super::peers::{Peers, PeersSettings};
 use super::placement::PlacementSettings;
 use super::pool::Pool;
 use super::prompt::Prompt;
 use super::queueing::ServiceQueue;
+use super::retention::Retention;
 use super::settings::GatewaySettings;
 use super::shutdown::ShutdownPlan;
 use super::table::RoutingTable;
@@ -79,7 +79,8 @@
     pub(super) named: HashMap<ModelId, NamedHistory>,
     pub(super) holdings: Holdings,
     pub(super) profiles: HashMap<ServiceId, EngineProfile>,
-    pub(super) cache_store: Option<SocketAddr>,
+    pub(super) cache_store: Option<CacheStore>,
+    pub(super) retention: Retention,
     pub(super) mirrors: HashMap<Tracked, Mirror>,
     /// Kinds that the store itself told this VM last.
     pub(super) following: HashSet<Tracked>,
@@ -136,6 +137,7 @@
             holdings: Holdings::default(),
             profiles: HashMap::new(),
             cache_store: None,
+            retention: Retention::new(),
             mirrors: HashMap::new(),
             following: HashSet::new(),
             lease: None,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -32,6 +32,7 @@
 mod prompt;
 mod queueing;
 mod relay;
+mod retention;
 mod roll_out;
 mod rollout;
 mod server;
@@ -59,14 +60,16 @@
 pub use journal::Journal;
 pub use mirror::Mirror;
 pub use model::{
-    Allowance, CostUnit, Customer, EngineProfile, LoadedModel, Member, NamedWeights, Route,
-    RouteKind, RoutingConfig, Service, ServiceId, UpstreamEntry, UpstreamStage, WeightNumber,
+    Allowance, CacheStore, CostUnit, Customer, EngineProfile, LoadedModel, Member, NamedWeights,
+    Route, RouteKind, RoutingConfig, Service, ServiceId, UpstreamEntry, UpstreamStage,
+    WeightNumber,
 };
 pub use peers::{Peers, PeersSettings};
 pub use placement::{
     Candidate, Demand, Place, PlacementSettings, choose, memory_tokens, time_at_engine,
 };
 pub use prompt::{Prompt, PromptPart};
+pub use retention::{Retention, is_likelier_stored};
 pub use rollout::{EngineView, Rollout, RolloutSettings, Step};
 pub use settings::{Bounds, GatewaySettings, gateway_settings_page};
 pub use shutdown::ShutdownPlan;
--- a/src/gateway/model.rs
+++ b/src/gateway/model.rs
@@ -78,8 +78,19 @@
     pub connections_max: u32,
     /// What its engines are like, where they are model engines.
     pub engine: Option<EngineProfile>,
-    /// Where it keeps cached prompts, where it is no more than a store of these.
-    pub cache_store: Option<SocketAddr>,
+    /// What it keeps, where it is no more than a store of cached prompts.
+    pub cache_store: Option<CacheStore>,
+}
+
+/// Store of cached prompts beside the engines.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct CacheStore {
+    /// Address.
+    pub address: SocketAddr,
+    /// Tokens that it keeps.
+    pub capacity_tokens: Tokens,
 }
 
 /// What a request costs a customer's allowance.
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -15,6 +15,7 @@
 use super::model::WeightNumber;
 use super::placement::{Candidate, Demand, Place, choose, memory_tokens, read_time};
 use super::prompt::{ChainHash, Prompt};
+use super::retention::is_likelier_stored;
 use crate::clock::Instant;
 use crate::ids::Tokens;
 
@@ -28,8 +29,6 @@
 
 /// Name under which the store of cached prompts stands among the holders.
 const CACHE_STORE: &str = "cache store";
-/// Time since its last use in which an engine has surely not forgotten a chain.
-const SURELY_HELD: Duration = Duration::from_secs(1);
 /// Shortest shared part that is worth keeping beside the engines.
 const SAVED_TOKENS_MIN: Tokens = 1_000;
 
@@ -116,6 +115,13 @@
             engine.own = engine.own.plus(work);
             engine.expect(dispatched.number(), due);
         }
+        if asked.is_some() {
+            let read = demand.prompt_tokens.saturating_sub(dispatched.held_tokens);
+            self.retention.read(&ask.service, read, now);
+        }
+        if save_to.is_some() {
+            self.retention.saved(demand.prompt_tokens, now);
+        }
         let chains = asked.iter().flat_map(|asked| asked.shared());
         for (chain, _) in chains {
             let weights = dispatched.weights.unwrap_or_default();
@@ -219,8 +225,8 @@
         option
     }
 
-    /// Returns where else a chain is held: at an engine that used it a moment ago, else in the store
-    /// of cached prompts, which forgets more slowly, else at any engine that used it.
+    /// Returns where else a chain is held: at the engine that used it last or in the store of cached
+    /// prompts, whichever is less likely to have forgotten it.
     ///
     /// A source is named also for an engine that is believed to hold the chain: it may have
     /// forgotten it, and a fetch of nothing costs next to nothing.
@@ -240,23 +246,47 @@
                 let engine =
                     engines.find(|engine| short_name(&engine.instance.id) == holder.engine)?;
                 let is_usable = holder.engine != but && !engine.is_avoided(now);
-                is_usable.then_some((engine.entry.address, holder.used_at))
+                is_usable.then_some((engine.entry.address, now.saturating_sub(holder.used_at)))
             });
-        let engine = others.next();
-        let recent = engine.filter(|(_, used_at)| now.saturating_sub(*used_at) < SURELY_HELD);
-        recent
-            .map(|(address, _)| address)
-            .or_else(|| self.stored(chain, weights, now))
-            .or(engine.map(|(address, _)| address))
+        match (others.next(), self.stored(chain, weights, now)) {
+            (Some((engine, engine_age)), Some((store, store_age))) => {
+                let engine_keeps = self.engine_keeps(&ask.service, now);
+                let store_keeps = self.store_keeps(now);
+                match is_likelier_stored(store_age, store_keeps, engine_age, engine_keeps) {
+                    true => Some(store),
+                    false => Some(engine),
+                }
+            }
+            (engine, store) => engine.or(store).map(|(address, _)| address),
+        }
     }
 
-    /// Returns the store of cached prompts, where it holds a chain.
-    fn stored(&self, chain: ChainHash, weights: WeightNumber, now: Instant) -> Option<SocketAddr> {
+    /// Returns the store of cached prompts and the age of a chain there, where it holds the chain.
+    fn stored(
+        &self,
+        chain: ChainHash,
+        weights: WeightNumber,
+        now: Instant,
+    ) -> Option<(SocketAddr, Duration)> {
         let store = self.cache_store?;
-        let is_held = self
+        let used_at = self
             .holdings
-            .holds(chain, short_name(CACHE_STORE), weights, now);
-        is_held.then_some(store)
+            .used_at(chain, short_name(CACHE_STORE), weights)?;
+        let age = now.saturating_sub(used_at);
+        (age < self.store_keeps(now)).then_some((store.address, age))
+    }
+
+    fn engine_keeps(&self, service: &str, now: Instant) -> Duration {
+        let engines = self.fleet.ready(service).count();
+        let memory = self.profiles.get(service);
+        let memory = memory.map_or(Tokens::MAX, |profile| profile.memory_tokens);
+        self.retention
+            .at_engine(service, memory, engines, self.vms(), now)
+    }
+
+    fn store_keeps(&self, now: Instant) -> Duration {
+        let capacity = self.cache_store.map_or(0, |store| store.capacity_tokens);
+        self.retention.at_store(capacity, self.vms(), now)
     }
 
     /// Returns the store that a prompt is to be kept in: its shared parts are long, and neither
@@ -264,7 +294,8 @@
     fn save_to(&self, asked: &Asked<'_>, found: Tokens) -> Option<SocketAddr> {
         let shared = asked.shared().last().map_or(0, |(_, tokens)| *tokens);
         let missed = shared.saturating_sub(found);
-        self.cache_store.filter(|_| missed >= SAVED_TOKENS_MIN)
+        let store = self.cache_store.filter(|_| missed >= SAVED_TOKENS_MIN);
+        store.map(|store| store.address)
     }
 
     /// Returns for how long an engine has lacked weights that were named.
--- a/src/gateway/table.rs
+++ b/src/gateway/table.rs
@@ -1,11 +1,10 @@
 //! Configuration compiled for look-ups.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::model::{Customer, EngineProfile, Route, RoutingConfig, Service, ServiceId};
+use super::model::{CacheStore, Customer, EngineProfile, Route, RoutingConfig, Service, ServiceId};
 use crate::document::{KeyDigest, digest_key};
 use crate::ids::ObjectVersion;
 
@@ -103,7 +102,7 @@
     }
 
     /// Returns where cached prompts are kept beside the engines.
-    pub fn cache_store(&self) -> Option<SocketAddr> {
+    pub fn cache_store(&self) -> Option<CacheStore> {
         self.services
             .values()
             .find_map(|service| service.cache_store)
--- a/tests/gateway_pure/main.rs
+++ b/tests/gateway_pure/main.rs
@@ -6,6 +6,7 @@
 mod mirrors;
 mod named_weights;
 mod placing;
+mod retention;
 mod rolling_out;
 mod routing;
 mod shutdown;
@@ -20,8 +21,9 @@
     Allowance, AllowanceSettings, Allowances, BudgetBounds, Budgets, Candidate, Change, CostUnit,
     Demand, EngineView, EventSplitter, Fleet, FleetSettings, Group, Holding, Holdings, Instance,
     Listing, LoadedModel, Mirror, NamedHistory, NamedWeights, Place, PlacementSettings, Queue,
-    QueueSettings, Record, Rollout, RolloutSettings, Route, RouteKind, RoutingConfig, RoutingTable,
-    ShutdownPlan, Step, UpstreamEntry, UpstreamStage, Waiting, choose,
+    QueueSettings, Record, Retention, Rollout, RolloutSettings, Route, RouteKind, RoutingConfig,
+    RoutingTable, ShutdownPlan, Step, UpstreamEntry, UpstreamStage, Waiting, choose,
+    is_likelier_stored,
 };
 use proptest::prelude::*;
 use rstest::rstest;
