fix(queue): callers are told to come back after at most five seconds

Cause: found when reading the diff: after a second in which nothing was placed the wait is foretold from a twentieth of the engines' speed, so a caller behind 100,000 tokens would have been sent away for some 50 s, although engines that stand still are known or gone within seconds. Before and after: by arithmetic the caller of the new test was told 180 s before; 5 s after (run). Conclusion: when to come back is bounded; whether a request would start in time is not changed.

--- a/src/gateway/waiting.rs
+++ b/src/gateway/waiting.rs
@@ -184,12 +184,13 @@
         let expected = tokens_per_s.max(1.0);
         let seen = self.throughput.per_s(now);
         let speed = seen.map_or(expected, |seen| seen.max(expected * SPEED_MIN));
-        let room_in = Duration::from_secs_f64(ahead as f64 / speed);
+        let wait = Duration::from_secs_f64(ahead as f64 / speed);
+        let room_in = wait.min(ROOM_IN_MAX);
         let in_time = waiting.objective_at.saturating_sub(now);
-        if room_in <= in_time {
+        if wait <= in_time {
             return Forecast {
                 room_in,
-                starts_in: room_in,
+                starts_in: wait,
             };
         }
         let late_seen = self.late_throughput.per_s(now);
@@ -227,6 +228,8 @@
     }
 }
 
+/// Longest time after which callers are told to come back: silent engines are known or gone by then.
+const ROOM_IN_MAX: Duration = Duration::from_secs(5);
 /// Least part of the engines' speed that is counted on: that nothing was given out for a second says
 /// no more than that the next requests wait long.
 const SPEED_MIN: f64 = 0.05;
--- a/tests/gateway_pure/waiting.rs
+++ b/tests/gateway_pure/waiting.rs
@@ -87,6 +87,17 @@
     assert!(queue.push(deadline, 10_000.0, MS(500)).is_ok());
 }
 
+/// Nothing was given out for a second, which says little of the time after it.
+#[test]
+fn a_standstill_sends_no_caller_away_for_long() {
+    let mut queue = Queue::new(QueueSettings::default());
+    for _ in 0..9 {
+        queue.push(waits(0, 100, 9_000), 1_000.0, MS(0)).unwrap();
+    }
+    let refused = queue.push(waits(0, 100, 9_000), 1_000.0, MS(1_500));
+    assert_eq!(refused, Err(MS(5_000)));
+}
+
 #[test]
 fn tokens_are_given_back() {
     let mut queue = Queue::new(QueueSettings::default());
