--- a/src/gateway/allowance.rs
+++ b/src/gateway/allowance.rs
@@ -18,17 +18,23 @@
 
 /// Averaging window of a customer's demand.
 const DEMAND_WINDOW: Duration = Duration::from_millis(600);
-/// Fraction of the overage that is used, as VMs learn of each other's demand with a delay.
-const OVERAGE_FRACTION: f64 = 0.5;
+/// Fraction of the overage by which the rate is increased; the rest covers units that are granted
+/// twice while VMs learn of each other's demand and connectivity.
+const OVERAGE_FRACTION: f64 = 0.25;
 /// Fraction of the slack that is added to account capacities; the rest covers single large
 /// requests.
 const SLACK_FRACTION: f64 = 0.4;
-/// Fraction of its capacity that a new account starts with, as its predecessor may have spent the
-/// rest.
+/// Fraction of its capacity that the first account of a customer starts with.
 const INITIAL_FILL_FRACTION: f64 = 0.8;
+/// Fraction of the units that the limit leaves beyond the regular use which accounts that succeed
+/// others start with; the rest is needed while VMs do not yet know that they are disconnected.
+const SUCCESSOR_RESERVE_FRACTION: f64 = 0.5;
 /// Fill level, as a fraction of an account's capacity, from which a request that costs more than
 /// the capacity is admitted.
 const OVERSIZED_FILL_FRACTION: f64 = 0.5;
+/// Time since the last charge after which this VM no longer counts as keeping an account in place
+/// of a VM that does not respond.
+const OWN_CHARGE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Limits of the retry-after time.
 const RETRY_AFTER_MIN: Duration = Duration::from_millis(100);
 const RETRY_AFTER_MAX: Duration = Duration::from_secs(10);
@@ -40,6 +46,8 @@
     pub overage: f64,
     /// Units that all VMs together may use before they learn of each other's demand.
     pub slack_units: u64,
+    /// Window in which the units of a customer are counted.
+    pub window: Duration,
 }
 
 impl Default for AllowanceSettings {
@@ -47,10 +55,30 @@
         Self {
             overage: 0.0,
             slack_units: 0,
+            window: Duration::from_secs(8),
         }
     }
 }
 
+impl AllowanceSettings {
+    /// Returns the units per second that all accounts of a customer receive together.
+    fn granted_rate(&self, rate: f64) -> f64 {
+        rate * (1.0 + self.overage * OVERAGE_FRACTION)
+    }
+
+    /// Returns the units that all accounts of a customer may contain together.
+    fn capacity(&self, burst: f64) -> f64 {
+        burst + self.slack_units as f64 * SLACK_FRACTION
+    }
+
+    /// Returns the units that the limit allows in one window beyond the regular use.
+    fn reserve(&self, rate: f64, burst: f64) -> f64 {
+        let window_s = self.window.as_secs_f64();
+        let limit = (rate * window_s + burst) * (1.0 + self.overage) + self.slack_units as f64;
+        limit - self.granted_rate(rate) * window_s - self.capacity(burst)
+    }
+}
+
 /// VMs that share one account of a customer.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct VmGroup {
@@ -80,12 +108,16 @@
 pub struct Allowances {
     settings: AllowanceSettings,
     accounts: HashMap<CustomerId, Account>,
+    /// Time until which other VMs may have spent a customer's units before this one started.
+    predecessors_until: Instant,
 }
 
 #[derive(Debug, Default)]
 struct Account {
     /// Units in the account, and when it was last refilled; `None` before the first request.
     level: Option<(f64, Instant)>,
+    /// Whether another VM has charged the customer since this account was used.
+    is_charged_elsewhere: bool,
     /// Average demand in units per second.
     demand_per_s: f64,
     demand_updated_at: Instant,
@@ -97,6 +129,39 @@
         Self {
             settings,
             accounts: HashMap::new(),
+            predecessors_until: Instant::ZERO,
+        }
+    }
+
+    /// Records that this VM starts, possibly to replace VMs that have spent units.
+    pub fn record_start(&mut self, now: Instant) {
+        self.predecessors_until = now + self.settings.window;
+    }
+
+    /// Records that another VM keeps a customer's account.
+    ///
+    /// When this VM keeps the account again, the units that accrued here in the meantime have been
+    /// spent there.
+    pub fn record_charged_elsewhere(&mut self, customer: &str) {
+        match self.accounts.get_mut(customer) {
+            Some(account) => account.is_charged_elsewhere = true,
+            None => {
+                let account = Account {
+                    is_charged_elsewhere: true,
+                    ..Account::default()
+                };
+                self.accounts.insert(customer.to_owned(), account);
+            }
+        }
+    }
+
+    /// Records that another VM is to keep a customer's account, unless this VM has charged it
+    /// recently: then that VM does not respond.
+    pub fn record_other_owner(&mut self, customer: &str, now: Instant) {
+        let account = self.accounts.get(customer);
+        let used_at = account.and_then(|account| account.level.map(|(_, at)| at));
+        if used_at.is_none_or(|at| now.saturating_sub(at) >= OWN_CHARGE_TIMEOUT) {
+            self.record_charged_elsewhere(customer);
         }
     }
 
@@ -125,10 +190,18 @@
             vms: own_vms,
             demand_per_s: Some(account.demand_per_s),
         };
-        let share = share(rate, own, others) * (1.0 + settings.overage * OVERAGE_FRACTION);
+        let share = settings.granted_rate(share(rate, own, others));
         let own_part = own_vms as f64 / all_vms.max(1) as f64;
         let extra_capacity = settings.slack_units as f64 * SLACK_FRACTION * own_part;
         let capacity = allowance.burst as f64 * share / rate.max(1.0) + extra_capacity;
+        let reserve = settings.reserve(rate, allowance.burst as f64).max(0.0);
+        let successor_level = (reserve * SUCCESSOR_RESERVE_FRACTION * own_part).min(capacity);
+        if std::mem::take(&mut account.is_charged_elsewhere) {
+            let level = account.level.map_or(successor_level, |(level, _)| level);
+            account.level = Some((level.min(successor_level), now));
+        } else if account.level.is_none() && now < self.predecessors_until {
+            account.level = Some((successor_level, now));
+        }
         let level = account.refill(share, capacity, now);
         // A request that costs more than the capacity is admitted on credit once the account is
         // half full.
--- a/src/gateway/candidates.rs
+++ b/src/gateway/candidates.rs
@@ -8,10 +8,10 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::cache_retention::is_store_likelier;
 use super::dispatch::DispatchedRequest;
-use super::heartbeat::{NameHash, hash_name};
+use super::fetch_sources::{CACHE_STORE_HOLDER, FetchSources};
 use super::model::WeightNumber;
+use super::name_hash::{NameHash, hash_name};
 use super::placement::{
     Candidate, Placement, ResourceDemand, choose_candidate, prefill_time, required_memory_tokens,
 };
@@ -29,8 +29,6 @@
 /// Time since target weights were set from which an engine without them costs more.
 const OLDER_WEIGHTS_GRACE: Duration = Duration::from_millis(1_300);
 
-/// Name of the cache store among the holders in the prefix cache index; it is hashed.
-const CACHE_STORE_HOLDER: &str = "cache store";
 /// Minimum length of an uncached shared prefix for its prompt to be saved to the cache store.
 const SAVED_PREFIX_TOKENS_MIN: Tokens = 1_000;
 
@@ -81,6 +79,7 @@
         request: &PlacementRequest,
         now: Instant,
     ) -> Result<DispatchedRequest, Placement> {
+        self.refresh_peer_view(now);
         let prefixes = PromptPrefixes::new(request);
         let resource_demand = resource_demand(request);
         let eligible_upstreams =
@@ -197,19 +196,24 @@
         if upstreams.is_empty() {
             return Err(Placement::NoCandidate);
         }
-        let cutoff = gateway
-            .settings
-            .bounds
-            .weights_timeout
-            .mul_f64(OLDER_WEIGHTS_CUTOFF_FRACTION);
+        let cutoff = older_weights_cutoff(gateway.settings.bounds.weights_timeout);
         let recent_enough = upstreams
             .into_iter()
             .filter(|upstream| self.time_behind_target(upstream, prefixes, now) < cutoff);
         let seed = prefixes
             .and_then(PromptPrefixes::longest_shared_prefix)
             .unwrap_or_else(rand::random);
+        let recent_enough: Vec<&Upstream> = recent_enough.collect();
+        let sources = prefixes.map(|prefixes| {
+            let weights = recent_enough
+                .iter()
+                .map(|upstream| upstream.weights(&prefixes.prompt.model).unwrap_or_default())
+                .collect();
+            self.fetch_sources(&request.service, prefixes.shared(), &weights, now)
+        });
         let mut eligible_upstreams: Vec<_> = recent_enough
-            .map(|upstream| self.evaluate(request, upstream, prefixes, now))
+            .into_iter()
+            .map(|upstream| self.evaluate(upstream, prefixes.zip(sources.as_ref()), now))
             .collect();
         eligible_upstreams.sort_by_cached_key(|eligible| {
             Reverse(xxh3_64_with_seed(
@@ -225,12 +229,11 @@
 
     fn evaluate<'a>(
         &self,
-        request: &PlacementRequest,
         upstream: &'a Upstream,
-        prefixes: Option<&PromptPrefixes<'_>>,
+        prompt: Option<(&PromptPrefixes<'_>, &FetchSources)>,
         now: Instant,
     ) -> EligibleUpstream<'a> {
-        let name_hash = hash_name(&upstream.instance.id);
+        let name_hash = upstream.name_hash;
         let mut eligible = EligibleUpstream {
             upstream,
             name_hash,
@@ -239,7 +242,7 @@
             fetchable_tokens: 0,
             fetch_from: None,
         };
-        let Some(prefixes) = prefixes else {
+        let Some((prefixes, sources)) = prompt else {
             return eligible;
         };
         eligible.weights = upstream.weights(&prefixes.prompt.model).unwrap_or_default();
@@ -252,88 +255,13 @@
                 eligible.cached_tokens = *tokens;
             }
             if eligible.fetch_from.is_none() && *tokens >= eligible.cached_tokens {
-                eligible.fetch_from =
-                    self.fetch_from(request, *prefix, eligible.weights, name_hash, now);
+                eligible.fetch_from = sources.address(*prefix, eligible.weights, name_hash);
                 eligible.fetchable_tokens = eligible.fetch_from.map_or(0, |_| *tokens);
             }
         }
         eligible
     }
 
-    /// Returns where a prefix can be fetched from: the engine that used it last or the cache store,
-    /// whichever is less likely to have evicted it.
-    ///
-    /// A source is returned even for an engine that is assumed to have the prefix cached: it may
-    /// have evicted it, and a fetch without any data costs almost nothing.
-    fn fetch_from(
-        &self,
-        request: &PlacementRequest,
-        prefix: PrefixHash,
-        weights: WeightNumber,
-        excluded: NameHash,
-        now: Instant,
-    ) -> Option<SocketAddr> {
-        let mut holders = self
-            .prefix_cache_index
-            .holders(prefix, weights, now)
-            .filter_map(|holder| {
-                let mut upstreams = self.upstreams.ready(&request.service);
-                let upstream =
-                    upstreams.find(|upstream| hash_name(&upstream.instance.id) == holder.engine)?;
-                let is_usable = holder.engine != excluded && !upstream.is_avoided(now);
-                is_usable.then_some((
-                    upstream.entry.address,
-                    now.saturating_sub(holder.last_used_at),
-                ))
-            });
-        match (holders.next(), self.cache_store_copy(prefix, weights, now)) {
-            (Some((upstream, engine_age)), Some((store, store_age))) => {
-                let engine_retention = self.engine_retention(&request.service, now);
-                let cache_store_retention = self.cache_store_retention(now);
-                match is_store_likelier(
-                    store_age,
-                    cache_store_retention,
-                    engine_age,
-                    engine_retention,
-                ) {
-                    true => Some(store),
-                    false => Some(upstream),
-                }
-            }
-            (upstream, store) => upstream.or(store).map(|(address, _)| address),
-        }
-    }
-
-    /// Returns the cache store's address and the time since a prefix was last used there; `None` if
-    /// the store is not assumed to hold the prefix.
-    fn cache_store_copy(
-        &self,
-        prefix: PrefixHash,
-        weights: WeightNumber,
-        now: Instant,
-    ) -> Option<(SocketAddr, Duration)> {
-        let store = self.cache_store?;
-        let last_used_at =
-            self.prefix_cache_index
-                .last_used_at(prefix, hash_name(CACHE_STORE_HOLDER), weights)?;
-        let age = now.saturating_sub(last_used_at);
-        (age < self.cache_store_retention(now)).then_some((store.address, age))
-    }
-
-    fn engine_retention(&self, service: &str, now: Instant) -> Duration {
-        let upstreams = self.upstreams.ready(service).count();
-        let memory = self.engine_profiles.get(service);
-        let memory = memory.map_or(Tokens::MAX, |profile| profile.memory_tokens);
-        self.cache_retention
-            .engine_retention(service, memory, upstreams, self.fleet_size(), now)
-    }
-
-    fn cache_store_retention(&self, now: Instant) -> Duration {
-        let capacity = self.cache_store.map_or(0, |store| store.capacity_tokens);
-        self.cache_retention
-            .cache_store_retention(capacity, self.fleet_size(), now)
-    }
-
     /// Returns the cache store if the prompt should be saved there: its shared prefix is long, and
     /// neither the engines nor the store are known to hold it.
     fn save_to(
@@ -393,8 +321,7 @@
             is_avoided: upstream.is_avoided(now),
             has_older_weights: self.has_older_weights(upstream, request, now),
             is_last_resort: upstream.is_rejecting(now)
-                || (request.prompt.is_some()
-                    && self.is_in_rollout(eligible.name_hash, upstream, now)),
+                || (request.prompt.is_some() && self.is_in_rollout(eligible.name_hash, upstream)),
         }
     }
 
@@ -413,12 +340,18 @@
         since.is_some_and(|since| now.saturating_sub(since) >= OLDER_WEIGHTS_GRACE)
     }
 
-    fn is_in_rollout(&self, name_hash: NameHash, upstream: &Upstream, now: Instant) -> bool {
+    fn is_in_rollout(&self, name_hash: NameHash, upstream: &Upstream) -> bool {
         self.engines_in_rollout.contains(&upstream.instance.id)
-            || self.peers.is_in_rollout(name_hash, now)
+            || self.peer_view.is_in_rollout(name_hash)
     }
 }
 
+/// Returns the time since target weights were set after which engines without them receive no
+/// requests.
+pub(super) fn older_weights_cutoff(weights_timeout: Duration) -> Duration {
+    weights_timeout.mul_f64(OLDER_WEIGHTS_CUTOFF_FRACTION)
+}
+
 fn resource_demand(request: &PlacementRequest) -> ResourceDemand {
     let prompt = request.prompt.as_ref();
     ResourceDemand {
--- a/src/gateway/charge.rs
+++ b/src/gateway/charge.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -12,8 +12,8 @@
 
 use super::allowance::{AllowanceExceeded, VmGroup};
 use super::gossip::Message;
-use super::heartbeat::{NameHash, hash_name};
 use super::model::{Allowance, Customer};
+use super::name_hash::{NameHash, hash_name};
 use super::state::{Gateway, GatewayState};
 use crate::clock::Instant;
 
@@ -85,6 +85,9 @@
         };
         if let Some(address) = owner {
             if let Some(response) = self.charge_at_peer(address, customer, cost).await {
+                self.state()
+                    .allowances
+                    .record_charged_elsewhere(&customer.id);
                 return response.shortage.map_or(Ok(()), Err);
             }
             // The owner may be down: this VM charges its own share of the allowance.
@@ -122,8 +125,7 @@
         let Some(table) = self.table() else {
             return;
         };
-        let is_charged =
-            |customer: &&std::sync::Arc<Customer>| hash_name(&customer.id) == request.customer;
+        let is_charged = |customer: &&Arc<Customer>| hash_name(&customer.id) == request.customer;
         let Some(customer) = table.customers().iter().find(is_charged) else {
             return;
         };
@@ -154,6 +156,15 @@
 }
 
 impl GatewayState {
+    /// Records which customers' accounts are kept by other VMs of this zone.
+    pub(super) fn record_account_owners(&mut self, customers: &[Arc<Customer>], now: Instant) {
+        for customer in customers {
+            if self.peers.account_owner(&customer.id, now).is_some() {
+                self.allowances.record_other_owner(&customer.id, now);
+            }
+        }
+    }
+
     /// Charges the account at this VM, which covers the share of the VM's whole zone, or only the
     /// VM's own share if `is_this_vm_only`.
     fn charge(
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -17,7 +17,7 @@
 use super::settings::GatewaySettings;
 use super::shutdown::ShutdownPlan;
 use super::state::Gateway;
-use super::{gossip, lease_task, rollout_task, server, store_watch};
+use super::{gossip, lease_task, membership, rollout_task, server, store_watch};
 use crate::clock::SystemClock;
 use crate::daemon::{SharedListener, run_until_stopped, wait_for_stop_signal};
 use crate::entry::stop_listening;
@@ -138,7 +138,7 @@
         .child("member", ChildSettings::default(), move |stop| {
             let gateway = member_gateway.clone();
             async move {
-                run_until_stopped(gossip::maintain_membership(gateway.clone()), stop).await?;
+                run_until_stopped(membership::maintain_membership(gateway.clone()), stop).await?;
                 let vm = gateway.settings.vm.clone();
                 if let Err(failure) = gateway.platform.store.unregister(vm).await {
                     let reason = failure.to_string();
--- a/src/gateway/event_log.rs
+++ b/src/gateway/event_log.rs
@@ -87,6 +87,7 @@
         model: &'a str,
         weights: WeightNumber,
         revision: ObjectVersion,
+        age_ms: u64,
     },
     LeaseHeld {
         fencing: FencingNumber,
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -1,41 +1,39 @@
-//! Exchange of heartbeats between VMs, and registration of this VM in the store.
+//! Exchange of heartbeats between VMs.
 
+use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use rand::Rng;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
 use super::charge::{ChargeRequest, ChargeResponse};
 use super::event_log::LogEvent;
-use super::heartbeat::{CompactLoad, Heartbeat, HeartbeatScope, StoreRevisions, hash_name};
-use super::model::Member;
+use super::heartbeat::{CompactLoad, Heartbeat, HeartbeatScope, StoreRevisions};
+use super::name_hash::hash_name;
 use super::state::{Gateway, GatewayState};
+use super::zone_roles::HeartbeatTargets;
 use crate::clock::Instant;
 
 /// Interval between two heartbeats; placement works well with loads that are 200 ms old.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
 /// Minimum interval between two heartbeats, for heartbeats that are sent early.
 const HEARTBEAT_INTERVAL_MIN: Duration = Duration::from_millis(25);
+/// Number of VMs of a zone for which its representative sends early heartbeats that often; with
+/// more of them the interval is longer.
+const EARLY_HEARTBEAT_VMS: u32 = 24;
 /// One in this many heartbeats lists the addresses of known VMs.
 const KNOWN_VMS_EVERY_HEARTBEATS: u64 = 10;
 /// Maximum number of addresses in one heartbeat.
 const KNOWN_VMS_MAX: usize = 12;
 /// Maximum number of newly cached prompt prefixes in one heartbeat.
 const CACHED_PREFIXES_PER_HEARTBEAT_MAX: usize = 24;
-/// Maximum size of a datagram; below the usual MTU, so that it is not fragmented.
-const DATAGRAM_MAX_BYTES: usize = 1_400;
+/// Maximum size of a datagram. The sums of a zone can exceed the usual MTU; a lost fragment only
+/// makes the receivers use older sums for one interval.
+const DATAGRAM_MAX_BYTES: usize = 8_000;
 /// Number of heartbeats that announce that this VM shuts down.
 const LEAVING_HEARTBEATS: u64 = 2;
-/// Maximum interval between two reads of the list of VMs in the store.
-const MEMBER_LIST_INTERVAL: Duration = Duration::from_secs(20);
-/// Time from the first to the second read of the list, by which VMs that started together have
-/// registered.
-const FIRST_MEMBER_LIST_INTERVAL: Duration = Duration::from_millis(2_000);
-/// Maximum delay before a failed membership call to the store is repeated.
-const STORE_RETRY_DELAY_MAX: Duration = Duration::from_millis(800);
 /// Expired idle connections are closed with one in this many heartbeats.
 const POOL_SWEEP_EVERY_HEARTBEATS: u64 = 5;
 
@@ -61,10 +59,11 @@
         if sequence % POOL_SWEEP_EVERY_HEARTBEATS == 0 {
             gateway.pool.sweep();
         }
-        send_heartbeat(&gateway, &socket, sequence, false);
+        let receivers = send_heartbeat(&gateway, &socket, sequence, false);
         sequence += 1;
-        tokio::time::sleep(HEARTBEAT_INTERVAL_MIN).await;
-        let rest = HEARTBEAT_INTERVAL.saturating_sub(HEARTBEAT_INTERVAL_MIN);
+        let interval_min = HEARTBEAT_INTERVAL_MIN * (1 + receivers as u32 / EARLY_HEARTBEAT_VMS);
+        tokio::time::sleep(interval_min).await;
+        let rest = HEARTBEAT_INTERVAL.saturating_sub(interval_min);
         // Either outcome leads to the next heartbeat: the interval has passed, or one is due early.
         let _ = tokio::time::timeout(rest, gateway.heartbeat_due.notified()).await;
     }
@@ -96,10 +95,11 @@
         let (length, from) = socket.recv_from(&mut buffer).await?;
         match postcard::from_bytes::<Message>(&buffer[..length]) {
             Ok(Message::Heartbeat(heartbeat)) => {
-                forward_in_zone(&gateway, &socket, &heartbeat);
-                handle_heartbeat(&gateway, *heartbeat);
+                handle_heartbeat(&gateway, &socket, *heartbeat, false);
+            }
+            Ok(Message::Forwarded(heartbeat)) => {
+                handle_heartbeat(&gateway, &socket, *heartbeat, true);
             }
-            Ok(Message::Forwarded(heartbeat)) => handle_heartbeat(&gateway, *heartbeat),
             Ok(Message::ChargeRequest(request)) => gateway.handle_charge(request, from),
             Ok(Message::ChargeResponse(response)) => gateway.complete_charge(response),
             Err(error) => {
@@ -110,127 +110,121 @@
     }
 }
 
-/// Forwards the heartbeat of another zone's representative to the VMs of this zone.
-fn forward_in_zone(gateway: &Gateway, socket: &UdpSocket, heartbeat: &Heartbeat) {
-    let is_other = heartbeat.availability_zone != gateway.settings.availability_zone;
-    if is_other && matches!(heartbeat.scope, HeartbeatScope::Zone { .. }) {
-        let addresses = gateway
-            .state()
-            .peers
-            .zone_addresses(gateway.settings.peer_address);
-        let message = Message::Forwarded(Box::new(heartbeat.clone()));
-        send_to_all(gateway, socket, &message, &addresses);
-    }
-}
-
-fn handle_heartbeat(gateway: &Arc<Gateway>, heartbeat: Heartbeat) {
+fn handle_heartbeat(
+    gateway: &Arc<Gateway>,
+    socket: &UdpSocket,
+    heartbeat: Heartbeat,
+    is_forwarded: bool,
+) {
     let has_lease = heartbeat.lease.is_some();
-    if gateway.apply_heartbeat(heartbeat) {
+    let is_other_zone = heartbeat.availability_zone != gateway.settings.availability_zone;
+    let is_sum = matches!(heartbeat.scope, HeartbeatScope::Zone { .. });
+    let forwarded = (is_other_zone && is_sum).then(|| heartbeat.clone());
+    let sender = heartbeat.address;
+    let news = gateway.apply_heartbeat(heartbeat);
+    if news.is_new_process {
+        introduce(gateway, socket, sender);
+    }
+    if let Some(heartbeat) = forwarded.filter(|_| news.is_newer) {
+        forward_in_zone(gateway, socket, heartbeat, is_forwarded);
+    }
+    if news.is_ahead {
         gateway.catch_up_due.notify_one();
     }
     if has_lease {
         gateway.lease_received.notify_one();
     }
-    gateway.place_queued();
-}
-
-/// Registers this VM in the store and reads the list of VMs at intervals, until dropped.
-pub(super) async fn maintain_membership(gateway: Arc<Gateway>) {
-    let member = Member {
-        vm: gateway.settings.vm.clone(),
-        peer_address: gateway.settings.peer_address,
-        availability_zone: gateway.settings.availability_zone.clone(),
-    };
-    while let Err(failure) = gateway.platform.store.register(member.clone()).await {
-        let reason = failure.to_string();
-        gateway.event_log.log(&LogEvent::MembershipCallFailed {
-            call: "register",
-            reason,
-        });
-        tokio::time::sleep(with_jitter(STORE_RETRY_DELAY_MAX)).await;
-    }
-    let mut interval = FIRST_MEMBER_LIST_INTERVAL;
-    loop {
-        let wait = match gateway.platform.store.members().await {
-            Ok(members) => {
-                apply_members(&gateway, members);
-                std::mem::replace(&mut interval, MEMBER_LIST_INTERVAL)
-            }
-            Err(failure) => {
-                let reason = failure.to_string();
-                gateway.event_log.log(&LogEvent::MembershipCallFailed {
-                    call: "members",
-                    reason,
-                });
-                STORE_RETRY_DELAY_MAX
-            }
-        };
-        tokio::time::sleep(with_jitter(wait)).await;
-    }
+    gateway.place_queued_after_heartbeat();
 }
 
-fn apply_members(gateway: &Gateway, members: Vec<Result<Member, String>>) {
+/// Sends a heartbeat to a VM that has started, if this VM is a hub: it needs a relay at once.
+fn introduce(gateway: &Gateway, socket: &UdpSocket, address: SocketAddr) {
+    let revisions = gateway.revisions();
     let now = gateway.now();
-    for member in members {
-        match member {
-            Ok(member) if member.vm == gateway.settings.vm => {}
-            Ok(member) => {
-                let (address, zone) = (member.peer_address, member.availability_zone);
-                gateway.state().peers.add_address(address, zone, now);
-            }
-            Err(reason) => {
-                let call = "members";
-                gateway
-                    .event_log
-                    .log(&LogEvent::MembershipCallFailed { call, reason });
-            }
-        }
+    let mut state = gateway.state();
+    if !state.peers.is_complete(now) || !state.peers.is_hub(now) {
+        return;
     }
+    let sequence = state.last_heartbeat;
+    let heartbeat = vm_heartbeat(gateway, &mut state, revisions, sequence, false);
+    drop(state);
+    let message = Message::Heartbeat(Box::new(heartbeat));
+    send_to_all(gateway, socket, &message, &[address]);
 }
 
-/// Returns a random time from half of `time` to `time`.
-fn with_jitter(time: Duration) -> Duration {
-    rand::rng().random_range(time / 2..=time)
+/// Forwards the sums of another zone within this zone: the representative to all VMs, another VM to
+/// the representative.
+fn forward_in_zone(
+    gateway: &Gateway,
+    socket: &UdpSocket,
+    heartbeat: Heartbeat,
+    is_forwarded: bool,
+) {
+    let now = gateway.now();
+    let state = gateway.state();
+    let addresses = match state.peers.representative(now) {
+        None => state.peers.zone_addresses(gateway.settings.peer_address),
+        Some(_) if is_forwarded => Vec::new(),
+        Some(representative) => vec![representative.heartbeat.address],
+    };
+    drop(state);
+    let message = Message::Forwarded(Box::new(heartbeat));
+    send_to_all(gateway, socket, &message, &addresses);
 }
 
-fn send_heartbeat(gateway: &Gateway, socket: &UdpSocket, sequence: u64, is_leaving: bool) {
+/// Sends a heartbeat to the VMs of this zone and, from its representative, the sums of the zone to
+/// its VMs and the other zones; returns the number of receivers.
+fn send_heartbeat(gateway: &Gateway, socket: &UdpSocket, sequence: u64, is_leaving: bool) -> usize {
     let revisions = gateway.revisions();
     let now = gateway.now();
     let own_address = gateway.settings.peer_address;
     let mut state = gateway.state();
-    let own = vm_heartbeat(gateway, &mut state, revisions, sequence, is_leaving);
-    let mut in_zone = state.peers.zone_addresses(own_address);
+    let mut own = vm_heartbeat(gateway, &mut state, revisions, sequence, is_leaving);
+    own.new_cached_prefixes = state
+        .prefix_cache_index
+        .take_unannounced(CACHED_PREFIXES_PER_HEARTBEAT_MAX);
+    state.reported_loads.clone_from(&own.loads);
+    state.last_heartbeat = sequence;
+    let in_zone = state.peers.zone_addresses(own_address);
+    let mut targets = match is_leaving {
+        true => HeartbeatTargets {
+            every_round: in_zone.clone(),
+            ..HeartbeatTargets::default()
+        },
+        false => state.peers.heartbeat_targets(own_address, sequence, now),
+    };
     if in_zone.is_empty() && state.peers.other_zones().next().is_none() {
-        in_zone.extend(
-            gateway
-                .settings
-                .peer_seeds
-                .iter()
-                .filter(|address| **address != own_address),
-        );
+        let seeds = gateway.settings.peer_seeds.iter();
+        targets
+            .every_round
+            .extend(seeds.filter(|address| **address != own_address));
     }
     let zone = state.peers.is_zone_representative(now).then(|| {
         let heartbeat = zone_heartbeat(&mut state, &own, now);
-        (
-            heartbeat,
-            state.peers.other_zone_addresses(sequence as usize),
-        )
+        let mut receivers = state.peers.other_zone_addresses(sequence as usize);
+        // In a small zone every VM hears all others directly.
+        if targets.rounds > 1 {
+            receivers.extend(&in_zone);
+        }
+        (heartbeat, receivers)
     });
     drop(state);
-    send_to_all(
-        gateway,
-        socket,
-        &Message::Heartbeat(Box::new(own)),
-        &in_zone,
-    );
-    if let Some((heartbeat, contacts)) = zone {
-        send_to_all(
-            gateway,
-            socket,
-            &Message::Heartbeat(Box::new(heartbeat)),
-            &contacts,
-        );
+    let interval = HEARTBEAT_INTERVAL.as_millis() as u16;
+    // The sums of the representative show in each round that it is alive.
+    let rounds = if zone.is_some() { 1 } else { targets.rounds };
+    let to_others = Heartbeat {
+        next_in_ms: interval.saturating_mul(rounds as u16),
+        ..own.clone()
+    };
+    let message = |heartbeat| Message::Heartbeat(Box::new(heartbeat));
+    send_to_all(gateway, socket, &message(own), &targets.every_round);
+    send_to_all(gateway, socket, &message(to_others), &targets.this_round);
+    let mut receivers = targets.every_round.len() + targets.this_round.len();
+    if let Some((heartbeat, addresses)) = zone {
+        send_to_all(gateway, socket, &message(heartbeat), &addresses);
+        receivers += addresses.len();
     }
+    receivers
 }
 
 fn vm_heartbeat(
@@ -260,6 +254,8 @@
         sequence,
         address: settings.peer_address,
         availability_zone: settings.availability_zone.clone(),
+        cpu_percent: settings.cpu_percent(),
+        next_in_ms: HEARTBEAT_INTERVAL.as_millis() as u16,
         is_leaving,
         watches_store: state.watches_store() && !is_leaving,
         revisions,
@@ -274,9 +270,7 @@
             .map(|id| hash_name(id))
             .collect(),
         unlisted_weights: state.unlisted_weights(),
-        new_cached_prefixes: state
-            .prefix_cache_index
-            .take_unannounced(CACHED_PREFIXES_PER_HEARTBEAT_MAX),
+        new_cached_prefixes: Vec::new(),
         known_vms,
     }
 }
@@ -295,6 +289,10 @@
         vms += 1;
         merge_heartbeat(&mut heartbeat, &peer.heartbeat);
     }
+    // Of the weights reported for an engine, the newest.
+    let unlisted_weights = &mut heartbeat.unlisted_weights;
+    unlisted_weights.sort_unstable_by_key(|(engine, weights)| (*engine, Reverse(*weights)));
+    unlisted_weights.dedup_by_key(|(engine, _)| *engine);
     heartbeat.scope = HeartbeatScope::Zone { vms };
     heartbeat
 }
@@ -324,12 +322,13 @@
     if !other.engines_in_rollout.is_empty() {
         sum.engines_in_rollout.clone_from(&other.engines_in_rollout);
     }
-    if !other.unlisted_weights.is_empty() {
-        sum.unlisted_weights.clone_from(&other.unlisted_weights);
-    }
+    sum.unlisted_weights.extend(&other.unlisted_weights);
 }
 
 fn send_to_all(gateway: &Gateway, socket: &UdpSocket, message: &Message, addresses: &[SocketAddr]) {
+    if addresses.is_empty() {
+        return;
+    }
     let bytes = match postcard::to_stdvec(message) {
         Ok(bytes) if bytes.len() <= DATAGRAM_MAX_BYTES => bytes,
         Ok(bytes) => {
--- a/src/gateway/heartbeat.rs
+++ b/src/gateway/heartbeat.rs
@@ -6,25 +6,17 @@
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::xxh3_64;
 
 use super::model::WeightNumber;
+use super::name_hash::{NameHash, hash_name};
 use super::prefix_cache_index::CachedPrefix;
 use super::upstream_registry::UpstreamLoad;
 use crate::ids::{AvailabilityZoneId, Incarnation, ObjectVersion, VmId};
 use crate::steward::LeaseRecord;
 
-/// Hash that identifies an upstream or a customer in a heartbeat.
-pub(super) type NameHash = u32;
-
 /// Number of tokens in one load unit.
 const LOAD_UNIT_TOKENS: u64 = 64;
 
-/// Returns the low 32 bits of the XXH3 hash of a name.
-pub(super) fn hash_name(text: &str) -> NameHash {
-    xxh3_64(text.as_bytes()) as NameHash
-}
-
 /// Latest revisions of the store's objects that a VM has seen.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 #[derive(Serialize, Deserialize)]
@@ -130,6 +122,10 @@
     pub address: SocketAddr,
     /// Availability zone of the sender.
     pub availability_zone: AvailabilityZoneId,
+    /// Share of a core that the sender provides, in percent; VMs with more serve as relays.
+    pub cpu_percent: u8,
+    /// Time until the sender's next heartbeat to the same receiver.
+    pub next_in_ms: u16,
     /// Whether the sender is shutting down.
     pub is_leaving: bool,
     /// Whether the sender watches the store itself and receives responses.
--- a/src/gateway/lease_task.rs
+++ b/src/gateway/lease_task.rs
@@ -15,6 +15,8 @@
 };
 use crate::supervisor::StopSignal;
 
+/// A VM checks whether it has become a candidate this many times per lease duration.
+const CANDIDATE_CHECK_DIVISOR: u32 = 6;
 /// Timeout of releasing the lease at shutdown.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -40,6 +42,20 @@
     while !stop.is_raised() && !gateway.drain.is_started() {
         apply_peer_leases(&gateway, &mut core);
         let now = gateway.now();
+        // Only the hubs of the zones compete for the lease, so that the calls to the store do not
+        // grow with the fleet.
+        let is_candidate = core.held(now).is_some() || {
+            let state = gateway.state();
+            state.peers.is_hub(now) && state.peers.is_complete(now)
+        };
+        if !is_candidate {
+            publish_lease(&gateway, &core, &held);
+            tokio::select! {
+                () = tokio::time::sleep(lease_ttl / CANDIDATE_CHECK_DIVISOR) => {}
+                () = stop.clone().raised() => {}
+            }
+            continue;
+        }
         match core.next_action(now) {
             Some(action) => {
                 run_action(&gateway, &mut core, action, settings.renewal_interval).await
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -14,12 +14,17 @@
 mod engine_client;
 mod event_log;
 mod event_splitter;
+mod fetch_sources;
 mod gossip;
 mod heartbeat;
 mod lease_task;
+mod membership;
 mod metrics;
+mod mirror_updates;
 mod model;
+mod name_hash;
 mod object_mirror;
+mod peer_view;
 mod peers;
 mod placement;
 mod platform_api;
@@ -44,7 +49,9 @@
 mod table;
 mod throughput;
 mod upstream_registry;
+mod watch_schedule;
 mod weight_history;
+mod zone_roles;
 
 pub use allowance::{AllowanceExceeded, AllowanceSettings, Allowances, VmGroup};
 pub use cache_retention::{CacheRetention, is_store_likelier};
@@ -58,6 +65,7 @@
     WeightNumber,
 };
 pub use object_mirror::ObjectMirror;
+pub use peer_view::PeerView;
 pub use peers::{Peers, PeersSettings};
 pub use placement::{
     Candidate, Placement, PlacementSettings, ResourceDemand, choose_candidate,
@@ -80,4 +88,6 @@
 pub use upstream_registry::{
     Upstream, UpstreamInstance, UpstreamRegistry, UpstreamRegistrySettings,
 };
+pub use watch_schedule::{WatchPurpose, earliest_change, watch_wait};
 pub use weight_history::WeightHistory;
+pub use zone_roles::HeartbeatTargets;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -1,29 +1,30 @@
 //! State of the other VMs, learned from their heartbeats.
 //!
 //! VMs of one availability zone send heartbeats to each other directly. One of them, the zone
-//! representative, sends the sums of its zone to the other zones, and a VM that receives such a
-//! heartbeat forwards it within its own zone. So the traffic between zones does not grow with the
-//! square of the number of VMs.
+//! representative, sends the sums of its zone to the other zones and to its own VMs, and forwards
+//! the sums of other zones within its own. So the traffic does not grow with the square of the
+//! number of VMs.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
-
-use super::heartbeat::{Heartbeat, HeartbeatScope, NameHash};
+use super::heartbeat::{Heartbeat, HeartbeatScope};
+use super::zone_roles::{RoleRank, freshness, hash_rank, role_rank};
 use crate::clock::Instant;
-use crate::ids::{AvailabilityZoneId, VmId};
+use crate::ids::{AvailabilityZoneId, Incarnation, VmId};
 
 /// Timeouts of [`Peers`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PeersSettings {
-    /// Age up to which a peer's heartbeat is used.
+    /// Age up to which a peer's heartbeat is used, at least.
     pub freshness_timeout: Duration,
     /// Time without heartbeats after which a peer is removed.
     pub removal_timeout: Duration,
     /// Time without heartbeats of a zone's representative after which another one is accepted.
     pub representative_timeout: Duration,
+    /// Share of a core that this VM provides, in percent.
+    pub own_cpu_percent: u8,
 }
 
 impl Default for PeersSettings {
@@ -34,6 +35,7 @@
             // Longer than the network partitions after which VMs are expected to return.
             removal_timeout: Duration::from_secs(30),
             representative_timeout: Duration::from_millis(300),
+            own_cpu_percent: 100,
         }
     }
 }
@@ -47,6 +49,13 @@
     pub received_at: Instant,
 }
 
+impl Peer {
+    /// Returns the rank for roles that need capacity.
+    pub(super) fn role_rank(&self) -> RoleRank {
+        role_rank(&self.heartbeat.vm, self.heartbeat.cpu_percent)
+    }
+}
+
 /// Peers known to this VM.
 #[derive(Debug, Default)]
 pub struct Peers {
@@ -57,6 +66,10 @@
     vms: HashMap<VmId, Peer>,
     /// Last heartbeats of the representatives of other zones.
     zone_representatives: HashMap<AvailabilityZoneId, Peer>,
+    /// Last sums of this zone, from its representative.
+    zone_sum: Option<Peer>,
+    /// Time until which this VM may not know all VMs of its zone.
+    incomplete_until: Instant,
     addresses: HashMap<SocketAddr, KnownAddress>,
 }
 
@@ -77,6 +90,11 @@
         }
     }
 
+    /// Records that this VM starts and needs some heartbeat intervals to learn of its zone.
+    pub fn record_start(&mut self, now: Instant) {
+        self.incomplete_until = now + self.settings.freshness_timeout;
+    }
+
     /// Records a heartbeat; returns whether it is newer than the recorded one.
     pub fn record_heartbeat(&mut self, heartbeat: Heartbeat, now: Instant) -> bool {
         if heartbeat.vm == self.own_vm {
@@ -97,8 +115,9 @@
             HeartbeatScope::Zone { .. } if !is_own_zone => {
                 self.record_zone_heartbeat(heartbeat, now)
             }
+            HeartbeatScope::Zone { .. } => self.record_zone_sum(heartbeat, now),
             // From a VM of another zone only the address is used.
-            HeartbeatScope::Vm | HeartbeatScope::Zone { .. } => false,
+            HeartbeatScope::Vm => false,
         }
     }
 
@@ -124,17 +143,7 @@
 
     fn record_zone_heartbeat(&mut self, heartbeat: Heartbeat, now: Instant) -> bool {
         let known = self.zone_representatives.get(&heartbeat.availability_zone);
-        let is_old = known.is_some_and(|peer| {
-            let is_same_process = peer.heartbeat.vm == heartbeat.vm
-                && peer.heartbeat.incarnation == heartbeat.incarnation;
-            match is_same_process {
-                true => peer.heartbeat.sequence >= heartbeat.sequence,
-                // Two representatives overlap only briefly; the first one remains accepted.
-                false => {
-                    now.saturating_sub(peer.received_at) < self.settings.representative_timeout
-                }
-            }
-        });
+        let is_old = known.is_some_and(|known| self.is_old_sum(known, &heartbeat, now));
         if !is_old {
             let peer = Peer {
                 received_at: now,
@@ -146,6 +155,42 @@
         !is_old
     }
 
+    fn record_zone_sum(&mut self, heartbeat: Heartbeat, now: Instant) -> bool {
+        let known = self.zone_sum.as_ref();
+        if known.is_some_and(|known| self.is_old_sum(known, &heartbeat, now)) {
+            return false;
+        }
+        if let Some(peer) = self.vms.get_mut(&heartbeat.vm) {
+            peer.received_at = now;
+        }
+        self.zone_sum = Some(Peer {
+            received_at: now,
+            heartbeat,
+        });
+        true
+    }
+
+    fn is_old_sum(&self, known: &Peer, heartbeat: &Heartbeat, now: Instant) -> bool {
+        let is_same_process = known.heartbeat.vm == heartbeat.vm
+            && known.heartbeat.incarnation == heartbeat.incarnation;
+        match is_same_process {
+            true => known.heartbeat.sequence >= heartbeat.sequence,
+            // Two representatives overlap only briefly; the first one remains accepted.
+            false => now.saturating_sub(known.received_at) < self.settings.representative_timeout,
+        }
+    }
+
+    /// Returns whether this VM has heard a process of its zone.
+    pub fn knows_process(&self, vm: &str, incarnation: Incarnation) -> bool {
+        let known = self.vms.get(vm);
+        known.is_some_and(|peer| peer.heartbeat.incarnation == incarnation)
+    }
+
+    /// Returns whether this VM has run for long enough to know its zone.
+    pub fn is_complete(&self, now: Instant) -> bool {
+        now >= self.incomplete_until
+    }
+
     /// Returns whether a heartbeat of this zone contains changes that the other zones should
     /// receive immediately: engines that take part in a weight rollout, or have loaded weights.
     pub fn is_urgent(&self, heartbeat: &Heartbeat) -> bool {
@@ -234,12 +279,23 @@
             .collect()
     }
 
-    /// Returns the VMs of this zone and the representatives of other zones with fresh heartbeats.
+    /// Returns the VMs of this zone and the representatives of all zones with fresh heartbeats.
     pub fn fresh_peers(&self, now: Instant) -> impl Iterator<Item = &Peer> {
-        let all = self.vms.values().chain(self.zone_representatives.values());
+        let representatives = self.zone_representatives.values().chain(&self.zone_sum);
+        let all = self.vms.values().chain(representatives);
         all.filter(move |peer| self.is_fresh(peer, now))
     }
 
+    /// Returns the sums of this zone while they are recent; `None` at its representative, which
+    /// receives every heartbeat itself.
+    pub fn recent_zone_sum(&self, now: Instant) -> Option<&Peer> {
+        let is_recent = |peer: &&Peer| {
+            now.saturating_sub(peer.received_at) <= self.settings.representative_timeout * 2
+        };
+        let sum = self.zone_sum.as_ref().filter(is_recent)?;
+        (!self.is_zone_representative(now)).then_some(sum)
+    }
+
     /// Returns the VMs of this zone with fresh heartbeats.
     pub fn fresh_in_zone(&self, now: Instant) -> impl Iterator<Item = &Peer> {
         self.vms
@@ -263,6 +319,11 @@
             .count()
     }
 
+    /// Returns the zone of this VM.
+    pub(super) fn zone(&self) -> &AvailabilityZoneId {
+        &self.zone
+    }
+
     /// Returns the representatives of the other zones.
     pub fn other_zones(&self) -> impl Iterator<Item = &Peer> {
         self.zone_representatives.values()
@@ -279,7 +340,8 @@
 
     /// Returns whether a peer's heartbeat is fresh.
     pub fn is_fresh(&self, peer: &Peer, now: Instant) -> bool {
-        now.saturating_sub(peer.received_at) <= self.settings.freshness_timeout
+        let next_in = Duration::from_millis(peer.heartbeat.next_in_ms.into());
+        now.saturating_sub(peer.received_at) <= freshness(self.settings.freshness_timeout, next_in)
     }
 
     /// Returns the number of VMs of the fleet, including this one.
@@ -294,45 +356,40 @@
 
     /// Returns whether this VM is the representative of its zone.
     pub fn is_zone_representative(&self, now: Instant) -> bool {
-        self.first_in_zone(self.own_vm.as_str(), now, |_| true)
-            .is_none()
+        let mut fresh = self.fresh_in_zone(now).peekable();
+        if fresh.peek().is_some() && now < self.incomplete_until {
+            return false;
+        }
+        let own_rank = self.own_role_rank();
+        fresh.all(|peer| own_rank < peer.role_rank())
+    }
+
+    /// Returns the representative of this zone; `None` if it is this VM.
+    pub fn representative(&self, now: Instant) -> Option<&Peer> {
+        let first = self
+            .fresh_in_zone(now)
+            .min_by_key(|peer| peer.role_rank())?;
+        (first.role_rank() < self.own_role_rank()).then_some(first)
+    }
+
+    pub(super) fn own_role_rank(&self) -> RoleRank {
+        role_rank(&self.own_vm, self.settings.own_cpu_percent)
     }
 
     /// Returns the VM of this zone through which this VM watches the store; `None` if it watches
     /// the store directly.
     pub fn store_relay(&self, now: Instant) -> Option<&Peer> {
-        self.first_in_zone("", now, |peer| peer.heartbeat.watches_store)
-            .filter(|peer| rank(&peer.heartbeat.vm, "") < rank(&self.own_vm, ""))
+        let watching = self.fresh_in_zone(now);
+        let watching = watching.filter(|peer| peer.heartbeat.watches_store);
+        let first = watching.min_by_key(|peer| peer.role_rank())?;
+        (first.role_rank() < self.own_role_rank()).then_some(first)
     }
 
     /// Returns the VM of this zone that keeps a customer's account; `None` if it is this VM.
     pub fn account_owner(&self, customer: &str, now: Instant) -> Option<&Peer> {
         let others = self.fresh_in_zone(now);
-        let first = others.min_by_key(|peer| rank(&peer.heartbeat.vm, customer))?;
-        (rank(&first.heartbeat.vm, customer) < rank(&self.own_vm, customer)).then_some(first)
-    }
-
-    /// Returns whether the lease holder has reported that an engine takes part in a rollout.
-    pub fn is_in_rollout(&self, engine: NameHash, now: Instant) -> bool {
-        self.fresh_peers(now)
-            .any(|peer| peer.heartbeat.engines_in_rollout.contains(&engine))
-    }
-
-    /// Returns the first VM of this zone by rank among those that are eligible; `None` if `own_vm`
-    /// is not empty and ranks before it.
-    fn first_in_zone(
-        &self,
-        own_vm: &str,
-        now: Instant,
-        is_eligible: impl Fn(&Peer) -> bool,
-    ) -> Option<&Peer> {
-        let eligible = self.fresh_in_zone(now).filter(|peer| is_eligible(peer));
-        let first = eligible.min_by_key(|peer| rank(&peer.heartbeat.vm, ""))?;
-        (own_vm.is_empty() || rank(&first.heartbeat.vm, "") < rank(own_vm, "")).then_some(first)
+        let first = others.min_by_key(|peer| hash_rank(&peer.heartbeat.vm, customer))?;
+        (hash_rank(&first.heartbeat.vm, customer) < hash_rank(&self.own_vm, customer))
+            .then_some(first)
     }
 }
-
-/// Returns the rank of a VM for a purpose, in an order on which all VMs agree.
-fn rank(vm: &str, purpose: &str) -> u64 {
-    xxh3_64_with_seed(vm.as_bytes(), xxh3_64(purpose.as_bytes()))
-}
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -55,11 +55,17 @@
 }
 
 impl Connection {
-    /// Sends a request and waits for the head of the response.
+    /// Returns whether the peer has not closed the connection.
+    pub(super) fn is_open(&self) -> bool {
+        !self.sender.is_closed()
+    }
+
+    /// Sends a request, once the previous one has ended, and waits for the head of the response.
     pub(super) async fn request(
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, hyper::Error> {
+        self.sender.ready().await?;
         self.sender.send_request(request).await
     }
 }
--- a/src/gateway/prefix_cache_index.rs
+++ b/src/gateway/prefix_cache_index.rs
@@ -10,8 +10,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::heartbeat::NameHash;
 use super::model::WeightNumber;
+use super::name_hash::NameHash;
 use super::prompt::PrefixHash;
 use crate::clock::Instant;
 
--- a/src/gateway/queued_placement.rs
+++ b/src/gateway/queued_placement.rs
@@ -16,6 +16,9 @@
 
 /// Queued requests considered in one pass, which limits the time that the lock is held.
 const REQUESTS_PER_PASS_MAX: usize = 32;
+/// Minimum time between two passes that follow heartbeats: in a large fleet heartbeats arrive more
+/// often than the load of engines changes noticeably.
+const HEARTBEAT_PASS_INTERVAL_MIN: Duration = Duration::from_millis(25);
 
 #[derive(Debug, Default)]
 pub(super) struct ServiceQueue {
@@ -105,6 +108,15 @@
         }
     }
 
+    /// Places queued requests after a heartbeat, unless a pass took place shortly before.
+    pub(super) fn place_queued_after_heartbeat(self: &Arc<Self>) {
+        let now = self.now();
+        let is_due = |at: Instant| now.saturating_sub(at) >= HEARTBEAT_PASS_INTERVAL_MIN;
+        if is_due(self.state().last_queue_pass_at) {
+            self.place_queued();
+        }
+    }
+
     /// Places queued requests for which upstreams have room.
     pub(super) fn place_queued(self: &Arc<Self>) {
         // Sent without holding the lock: if the receiver is gone, dropping the dispatched request
@@ -171,6 +183,7 @@
         gateway: &Arc<Gateway>,
     ) -> Vec<(oneshot::Sender<PlacementResult>, PlacementResult)> {
         let now = gateway.now();
+        self.last_queue_pass_at = now;
         let mut placed = Vec::new();
         let mut queues = std::mem::take(&mut self.queues);
         for (id, service) in &mut queues {
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -16,6 +16,8 @@
     pub vm: VmId,
     /// `availability_zone`: availability zone in which the VM runs.
     pub availability_zone: AvailabilityZoneId,
+    /// `cpu_share`: share of a core that the VM provides; VMs with more serve as relays.
+    pub cpu_share: f64,
     /// `caller_address`: address of the listener for callers.
     pub caller_address: SocketAddr,
     /// `ready_address`: address of the listener for readiness checks.
@@ -35,6 +37,11 @@
 /// Limits and times that the gateway has to keep.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Bounds {
+    /// `contact_ms`: time after an interruption from which a VM that is connected again has to keep
+    /// all limits.
+    pub contact_timeout: Duration,
+    /// `drain_ms`: time after which an upstream that leaves must receive no requests.
+    pub drain_timeout: Duration,
     /// `lease_ms`: time for which the lease that permits orders is valid.
     pub lease_ttl: Duration,
     /// `engines_check_fencing`: whether engines refuse orders with an older fencing number.
@@ -52,11 +59,15 @@
     pub allowance_overage: f64,
     /// `allowance_slack`: units beyond that in a window.
     pub allowance_slack: u64,
+    /// `allowance_window_s`: window in which a customer's units are counted.
+    pub allowance_window: Duration,
 }
 
 impl Default for Bounds {
     fn default() -> Self {
         Self {
+            contact_timeout: Duration::from_millis(3_000),
+            drain_timeout: Duration::from_millis(2_000),
             lease_ttl: Duration::from_millis(3_000),
             engines_check_fencing: true,
             shutdown_timeout: Duration::from_secs(8),
@@ -65,6 +76,7 @@
             retry_slack: 50,
             allowance_overage: 0.1,
             allowance_slack: 0,
+            allowance_window: Duration::from_secs(8),
         }
     }
 }
@@ -75,6 +87,7 @@
         Self {
             vm: String::new(),
             availability_zone: String::new(),
+            cpu_share: 1.0,
             caller_address: local(8080),
             ready_address: local(8082),
             metrics_address: local(8081),
@@ -101,6 +114,11 @@
         }
     }
 
+    /// Returns the share of a core that the VM provides, in percent.
+    pub fn cpu_percent(&self) -> u8 {
+        (self.cpu_share * 100.0).round() as u8
+    }
+
     /// Reads settings from a file.
     ///
     /// # Errors
@@ -172,6 +190,12 @@
         accessor: Accessor::Name(|settings| &mut settings.availability_zone),
         meaning: "Availability zone in which the VM runs.",
     },
+    key(
+        "cpu_share",
+        "",
+        Accessor::Fraction(|settings| &mut settings.cpu_share),
+        "Share of a core that the VM provides; VMs with more serve as relays.",
+    ),
     key(
         "caller_address",
         "",
@@ -215,6 +239,20 @@
 ];
 
 const BOUNDS: &[Key<GatewaySettings>] = &[
+    key(
+        "contact_ms",
+        "ms",
+        Accessor::Millis(500..=600_000, |settings| {
+            &mut settings.bounds.contact_timeout
+        }),
+        "Time after an interruption from which a VM that is connected again has to keep all limits.",
+    ),
+    key(
+        "drain_ms",
+        "ms",
+        Accessor::Millis(500..=600_000, |settings| &mut settings.bounds.drain_timeout),
+        "Time after which an upstream that leaves must receive no requests.",
+    ),
     key(
         "lease_ms",
         "ms",
@@ -267,4 +305,10 @@
         }),
         "Units beyond that in a window.",
     ),
+    key(
+        "allowance_window_s",
+        "s",
+        Accessor::Seconds(1..=3_600, |settings| &mut settings.bounds.allowance_window),
+        "Window in which a customer's units are counted.",
+    ),
 ];
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -13,10 +13,12 @@
 use super::cache_retention::CacheRetention;
 use super::charge::PendingCharges;
 use super::event_log::{EventLog, LogEvent};
-use super::heartbeat::{HeldLease, NameHash, StoreRevisions, hash_name};
+use super::heartbeat::{CompactLoad, Heartbeat, HeartbeatScope, HeldLease, StoreRevisions};
 use super::metrics::GatewayMetrics;
 use super::model::{CacheStore, EngineProfile, ServiceId, WeightNumber};
+use super::name_hash::NameHash;
 use super::object_mirror::ObjectMirror;
+use super::peer_view::PeerView;
 use super::peers::{Peers, PeersSettings};
 use super::placement::PlacementSettings;
 use super::platform_api::{Platform, TrackedKind};
@@ -84,12 +86,20 @@
     pub(super) cache_store: Option<CacheStore>,
     pub(super) cache_retention: CacheRetention,
     pub(super) mirrors: HashMap<TrackedKind, ObjectMirror>,
+    /// Time at which the store last confirmed this VM's mirror of each kind, directly or through a
+    /// relay.
+    pub(super) confirmed_at: HashMap<TrackedKind, Instant>,
     /// Kinds that this VM watches at the store itself, with the last call successful.
     pub(super) directly_watched: HashSet<TrackedKind>,
     pub(super) lease: Option<HeldLease>,
     pub(super) engines_in_rollout: Vec<UpstreamId>,
     pub(super) queues: HashMap<ServiceId, ServiceQueue>,
-    peer_loads: HashMap<NameHash, UpstreamLoad>,
+    pub(super) last_queue_pass_at: Instant,
+    pub(super) peer_view: PeerView,
+    /// Sequence number of the last heartbeat of this VM.
+    pub(super) last_heartbeat: u64,
+    /// Load in the last heartbeat of this VM.
+    pub(super) reported_loads: Vec<CompactLoad>,
     pub(super) placement_settings: PlacementSettings,
 }
 
@@ -109,6 +119,17 @@
     pub(super) tried_upstreams: Vec<UpstreamId>,
 }
 
+/// What a received heartbeat means for this VM.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub(super) struct HeartbeatNews {
+    /// Whether it is newer than the recorded one.
+    pub(super) is_newer: bool,
+    /// Whether the sender has seen newer revisions of the store than this VM.
+    pub(super) is_ahead: bool,
+    /// Whether the sender is a process of this zone that this VM did not know.
+    pub(super) is_new_process: bool,
+}
+
 impl Gateway {
     pub(super) fn new(
         settings: GatewaySettings,
@@ -121,17 +142,25 @@
         let drain = Drain::default();
         let limits = LimitSettings::default();
         let bounds = &settings.bounds;
+        let mut peers = Peers::new(
+            PeersSettings {
+                own_cpu_percent: settings.cpu_percent(),
+                ..PeersSettings::default()
+            },
+            settings.vm.clone(),
+            settings.availability_zone.clone(),
+        );
+        peers.record_start(clock.now());
+        let mut allowances = Allowances::new(AllowanceSettings {
+            overage: bounds.allowance_overage,
+            slack_units: bounds.allowance_slack,
+            window: bounds.allowance_window,
+        });
+        allowances.record_start(clock.now());
         let state = GatewayState {
             upstreams: UpstreamRegistry::new(UpstreamRegistrySettings::default()),
-            peers: Peers::new(
-                PeersSettings::default(),
-                settings.vm.clone(),
-                settings.availability_zone.clone(),
-            ),
-            allowances: Allowances::new(AllowanceSettings {
-                overage: bounds.allowance_overage,
-                slack_units: bounds.allowance_slack,
-            }),
+            peers,
+            allowances,
             retry_budgets: RetryBudgets::new(RetryBudgetBounds {
                 ratio: bounds.retry_ratio,
                 slack: bounds.retry_slack,
@@ -142,11 +171,15 @@
             cache_store: None,
             cache_retention: CacheRetention::new(),
             mirrors: HashMap::new(),
+            confirmed_at: HashMap::new(),
             directly_watched: HashSet::new(),
             lease: None,
             engines_in_rollout: Vec::new(),
             queues: HashMap::new(),
-            peer_loads: HashMap::new(),
+            last_queue_pass_at: Instant::ZERO,
+            peer_view: PeerView::default(),
+            last_heartbeat: 0,
+            reported_loads: Vec::new(),
             placement_settings: PlacementSettings::default(),
         };
         Self {
@@ -252,9 +285,7 @@
     }
 
     /// Applies a heartbeat of a peer.
-    ///
-    /// Returns whether the peer has seen newer revisions of the store than this VM.
-    pub(super) fn apply_heartbeat(&self, heartbeat: super::heartbeat::Heartbeat) -> bool {
+    pub(super) fn apply_heartbeat(&self, heartbeat: Heartbeat) -> HeartbeatNews {
         let own_revisions = self.revisions();
         let now = self.now();
         let revisions = heartbeat.revisions;
@@ -263,25 +294,38 @@
             self.heartbeat_due.notify_one();
         }
         state.record_peer_weights(&heartbeat.unlisted_weights);
-        let is_own_zone = heartbeat.availability_zone == self.settings.availability_zone;
+        // The representative has announced to the other zones what its own zone's sums contain.
+        let is_for_zones = heartbeat.availability_zone == self.settings.availability_zone
+            && heartbeat.scope == HeartbeatScope::Vm;
         for cached_prefix in &heartbeat.new_cached_prefixes {
             state
                 .prefix_cache_index
-                .record_from_peer(*cached_prefix, is_own_zone, now);
+                .record_from_peer(*cached_prefix, is_for_zones, now);
         }
+        let is_new_process = heartbeat.scope == HeartbeatScope::Vm
+            && !heartbeat.is_leaving
+            && heartbeat.availability_zone == self.settings.availability_zone
+            && !state
+                .peers
+                .knows_process(&heartbeat.vm, heartbeat.incarnation);
         if !state.peers.record_heartbeat(heartbeat, now) {
-            return false;
+            return HeartbeatNews::default();
         }
-        state.recompute_peer_loads(now);
+        state.peer_view.record_heartbeat();
         let seen = |tracked| {
             state
                 .mirrors
                 .get(&tracked)
                 .map_or(0, ObjectMirror::revision)
         };
-        revisions.config > own_revisions.config
+        let is_ahead = revisions.config > own_revisions.config
             || revisions.upstreams > seen(TrackedKind::Upstreams)
-            || revisions.weights > seen(TrackedKind::Weights)
+            || revisions.weights > seen(TrackedKind::Weights);
+        HeartbeatNews {
+            is_newer: true,
+            is_ahead,
+            is_new_process,
+        }
     }
 
     /// Removes expired entries, recomputes the load of peers and places queued requests.
@@ -290,8 +334,11 @@
         let mut state = self.state();
         state.peers.sweep(now);
         state.upstreams.sweep(now);
-        state.recompute_peer_loads(now);
+        state.refresh_peer_view(now);
         state.prefix_cache_index.sweep(now);
+        if let Some(table) = self.table() {
+            state.record_account_owners(table.customers(), now);
+        }
         drop(state);
         self.place_queued();
     }
@@ -312,8 +359,9 @@
 
     /// Returns the load that all VMs have sent to an engine.
     pub(super) fn total_load(&self, upstream: &Upstream) -> UpstreamLoad {
-        let peers = self.peer_loads.get(&hash_name(&upstream.instance.id));
-        upstream.own_load.plus(peers.copied().unwrap_or_default())
+        upstream
+            .own_load
+            .plus(self.peer_view.load(upstream.name_hash))
     }
 
     /// Returns the weights of engines that are newer than those listed in the store.
@@ -323,7 +371,7 @@
             let listed = upstream.entry.models.iter();
             let newer = listed.filter_map(|loaded| {
                 let current = upstream.weights(&loaded.model)?;
-                (current > loaded.weights).then_some((hash_name(&upstream.instance.id), current))
+                (current > loaded.weights).then_some((upstream.name_hash, current))
             });
             newer.take(1)
         });
@@ -333,27 +381,15 @@
     /// Records weights that a peer reported before the store lists them.
     fn record_peer_weights(&mut self, reported: &[(NameHash, WeightNumber)]) {
         for (name, weights) in reported {
-            let ids: Vec<UpstreamId> = self
-                .upstreams
-                .iter()
-                .filter(|upstream| hash_name(&upstream.instance.id) == *name)
-                .map(|upstream| upstream.instance.id.clone())
-                .collect();
-            for upstream in ids {
-                if let Some(upstream) = self.upstreams.get_mut(&upstream) {
-                    upstream.record_single_model_weights(*weights);
-                }
+            if let Some(upstream) = self.upstreams.by_hash_mut(*name) {
+                upstream.record_single_model_weights(*weights);
             }
         }
     }
 
-    fn recompute_peer_loads(&mut self, now: Instant) {
-        self.peer_loads.clear();
-        for peer in self.peers.fresh_peers(now) {
-            for load in &peer.heartbeat.loads {
-                let sum = self.peer_loads.entry(load.engine).or_default();
-                *sum = sum.plus(load.load());
-            }
-        }
+    /// Updates the sums over the peers' heartbeats if they are too old.
+    pub(super) fn refresh_peer_view(&mut self, now: Instant) {
+        self.peer_view
+            .refresh(&self.peers, &self.reported_loads, now);
     }
 }
--- a/src/gateway/store_relay.rs
+++ b/src/gateway/store_relay.rs
@@ -13,12 +13,15 @@
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full, Limited};
 use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
 
+use super::mirror_updates::TargetTimes;
 use super::platform_api::{ChangeBatch, Listing, TrackedKind};
-use super::pool::connect;
+use super::pool::{Connection, connect};
 use super::response;
 use super::state::Gateway;
-use crate::ids::ObjectVersion;
+use crate::clock::Instant;
+use crate::ids::{ModelId, ObjectVersion};
 
 /// Maximum wait for changes in one call; equals the shortest maximum of a watch at the store.
 const WAIT_TIMEOUT: Duration = Duration::from_millis(2_000);
@@ -28,34 +31,134 @@
 const RESPONSE_MAX_BYTES: usize = 16 * 1024 * 1024;
 /// Prefix of the paths at which a VM serves its mirrors of the store.
 const SEEN_PATH: &str = "/seen/";
+/// Query of a call that waits for changes; the revision follows.
+const WATCH_QUERY: &str = "after=";
+/// Query of a call that returns the changes so far; the revision follows.
+const CHANGES_QUERY: &str = "since=";
 /// Status returned if this VM has no listing, or no longer keeps all changes after the revision.
 const STATUS_GONE: u16 = 410;
 
-/// Reads all objects of a kind from a peer.
-///
-/// # Errors
-///
-/// Returns why no complete response was received.
-pub(super) async fn read_listing(
-    peer: SocketAddr,
-    tracked: TrackedKind,
-) -> Result<Listing, String> {
-    let path = format!("{SEEN_PATH}{}", tracked.name());
-    with_timeout(RESPONSE_TIME_MARGIN, get(peer, path)).await
+/// Response of a peer with the age of its knowledge.
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub(super) struct PeerAnswer<T> {
+    content: T,
+    /// Time since the store confirmed that there are no newer objects.
+    confirmed_age_ms: u64,
+    /// Time since the newest target weights of each model were set.
+    target_ages_ms: Vec<(ModelId, u64)>,
 }
 
-/// Waits at a peer for changes of a kind after a revision.
-///
-/// # Errors
-///
-/// Returns why no complete response was received.
-pub(super) async fn watch(
-    peer: SocketAddr,
-    tracked: TrackedKind,
-    after: ObjectVersion,
-) -> Result<ChangeBatch, String> {
-    let path = format!("{SEEN_PATH}{}?after={after}", tracked.name());
-    with_timeout(WAIT_TIMEOUT + RESPONSE_TIME_MARGIN, get(peer, path)).await
+/// [`PeerAnswer`] with ages converted to times of this VM's clock.
+#[derive(Debug)]
+pub(super) struct ReceivedAnswer<T> {
+    pub(super) content: T,
+    pub(super) confirmed_at: Instant,
+    pub(super) target_times: TargetTimes,
+}
+
+impl<T> PeerAnswer<T> {
+    /// Converts the ages to times of this VM's clock.
+    pub(super) fn received_at(self, now: Instant) -> ReceivedAnswer<T> {
+        let at = |age_ms| now.saturating_sub(Duration::from_millis(age_ms));
+        let target_times = self
+            .target_ages_ms
+            .into_iter()
+            .map(|(model, age_ms)| (model, at(age_ms)));
+        ReceivedAnswer {
+            content: self.content,
+            confirmed_at: at(self.confirmed_age_ms),
+            target_times: TargetTimes {
+                default: now,
+                by_model: target_times.collect(),
+            },
+        }
+    }
+}
+
+/// Client of one peer's mirrors, which keeps its connection for the next call.
+#[derive(Debug)]
+pub(super) struct RelayClient {
+    address: SocketAddr,
+    connection: Option<Connection>,
+}
+
+impl RelayClient {
+    /// Creates a client, which connects on the first call.
+    pub(super) fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            connection: None,
+        }
+    }
+
+    /// Returns the address of the peer.
+    pub(super) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Reads all objects of a kind.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no complete response was received.
+    pub(super) async fn listing(
+        &mut self,
+        tracked: TrackedKind,
+    ) -> Result<PeerAnswer<Listing>, String> {
+        let path = format!("{SEEN_PATH}{}", tracked.name());
+        self.get(path, RESPONSE_TIME_MARGIN).await
+    }
+
+    /// Waits for changes of a kind after a revision.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no complete response was received.
+    pub(super) async fn watch(
+        &mut self,
+        tracked: TrackedKind,
+        after: ObjectVersion,
+    ) -> Result<PeerAnswer<ChangeBatch>, String> {
+        let path = format!("{SEEN_PATH}{}?{WATCH_QUERY}{after}", tracked.name());
+        self.get(path, WAIT_TIMEOUT + RESPONSE_TIME_MARGIN).await
+    }
+
+    /// Reads the changes of a kind after a revision, without waiting for any.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no complete response was received, or that the peer no longer keeps the changes.
+    pub(super) async fn changes(
+        &mut self,
+        tracked: TrackedKind,
+        after: ObjectVersion,
+    ) -> Result<PeerAnswer<ChangeBatch>, String> {
+        let path = format!("{SEEN_PATH}{}?{CHANGES_QUERY}{after}", tracked.name());
+        self.get(path, RESPONSE_TIME_MARGIN).await
+    }
+
+    async fn get<T: DeserializeOwned>(
+        &mut self,
+        path: String,
+        timeout: Duration,
+    ) -> Result<T, String> {
+        let exchange = async {
+            let kept = self.connection.take().filter(Connection::is_open);
+            let mut connection = match kept {
+                Some(connection) => connection,
+                None => connect(self.address)
+                    .await
+                    .map_err(|error| error.to_string())?,
+            };
+            let body = exchange(&mut connection, self.address, path).await?;
+            self.connection = Some(connection);
+            serde_json::from_slice(&body).map_err(|error| error.to_string())
+        };
+        let result = tokio::time::timeout(timeout, exchange).await;
+        result.unwrap_or_else(|_| Err("no response in time".into()))
+    }
 }
 
 /// Responds to a peer that reads this VM's mirrors of the store; returns `None` for other paths.
@@ -68,10 +171,17 @@
     let tracked = TrackedKind::ALL
         .into_iter()
         .find(|tracked| tracked.name() == name)?;
-    let after = query.and_then(|query| query.strip_prefix("after=")?.parse().ok());
-    let body = match after {
-        Some(after) => to_json(wait_for_changes(gateway, tracked, after).await),
-        None => to_json(gateway.listing(tracked)),
+    let revision_in = |prefix: &str| query?.strip_prefix(prefix)?.parse::<ObjectVersion>().ok();
+    let body = match (revision_in(WATCH_QUERY), revision_in(CHANGES_QUERY)) {
+        (Some(after), _) => {
+            let changes = wait_for_changes(gateway, tracked, after, WAIT_TIMEOUT).await;
+            to_json(gateway.peer_answer(tracked, changes))
+        }
+        (None, Some(after)) => {
+            let changes = wait_for_changes(gateway, tracked, after, Duration::ZERO).await;
+            to_json(gateway.peer_answer(tracked, changes))
+        }
+        (None, None) => to_json(gateway.peer_answer(tracked, gateway.listing(tracked))),
     };
     Some(match body {
         Ok(Some(body)) => response::text_response(200, "application/json", body),
@@ -80,15 +190,16 @@
     })
 }
 
-/// Waits until there are changes after a revision or [`WAIT_TIMEOUT`] has passed.
+/// Waits until there are changes after a revision or the time has passed.
 ///
 /// Returns `None` if there is no listing or some of the changes are no longer kept.
 async fn wait_for_changes(
     gateway: &Arc<Gateway>,
     tracked: TrackedKind,
     after: ObjectVersion,
+    wait: Duration,
 ) -> Option<ChangeBatch> {
-    let until = gateway.now() + WAIT_TIMEOUT;
+    let until = gateway.now() + wait;
     loop {
         let mut seen = std::pin::pin!(gateway.mirror_changed.notified());
         seen.as_mut().enable();
@@ -106,20 +217,38 @@
     }
 }
 
-fn to_json<T: serde::Serialize>(value: Option<T>) -> Result<Option<String>, serde_json::Error> {
-    value.map(|value| serde_json::to_string(&value)).transpose()
+impl Gateway {
+    /// Adds the age of this VM's knowledge to a response for a peer.
+    fn peer_answer<T>(&self, tracked: TrackedKind, content: Option<T>) -> Option<PeerAnswer<T>> {
+        let now = self.now();
+        let age_ms = |at: Instant| now.saturating_sub(at).as_millis() as u64;
+        let state = self.state();
+        let target_ages = state
+            .weight_histories
+            .iter()
+            .filter_map(|(model, history)| {
+                let set_at = history
+                    .newest_at()
+                    .filter(|_| tracked == TrackedKind::Weights)?;
+                Some((model.clone(), age_ms(set_at)))
+            });
+        Some(PeerAnswer {
+            content: content?,
+            confirmed_age_ms: state.confirmed_at.get(&tracked).copied().map_or(0, age_ms),
+            target_ages_ms: target_ages.collect(),
+        })
+    }
 }
 
-async fn with_timeout<T>(
-    time: Duration,
-    work: impl Future<Output = Result<T, String>>,
-) -> Result<T, String> {
-    let result = tokio::time::timeout(time, work).await;
-    result.unwrap_or_else(|_| Err("no response in time".into()))
+fn to_json<T: serde::Serialize>(value: Option<T>) -> Result<Option<String>, serde_json::Error> {
+    value.map(|value| serde_json::to_string(&value)).transpose()
 }
 
-async fn get<T: DeserializeOwned>(peer: SocketAddr, path: String) -> Result<T, String> {
-    let mut connection = connect(peer).await.map_err(|error| error.to_string())?;
+async fn exchange(
+    connection: &mut Connection,
+    peer: SocketAddr,
+    path: String,
+) -> Result<Bytes, String> {
     let request = Request::get(path)
         .header(http::header::HOST, peer.to_string())
         .body(Full::<Bytes>::default())
@@ -133,5 +262,5 @@
     }
     let body = Limited::new(response.into_body(), RESPONSE_MAX_BYTES);
     let body = body.collect().await.map_err(|error| error.to_string())?;
-    serde_json::from_slice(&body.to_bytes()).map_err(|error| error.to_string())
+    Ok(body.to_bytes())
 }
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -6,24 +6,25 @@
 
 use rand::Rng;
 
+use super::candidates::older_weights_cutoff;
 use super::event_log::LogEvent;
+use super::mirror_updates::TargetTimes;
 use super::object_mirror::ObjectMirror;
-use super::platform_api::{Listing, ObjectChange, ObjectRecord, StoreCallFailure, TrackedKind};
+use super::platform_api::{ChangeBatch, StoreCallFailure, TrackedKind};
 use super::state::Gateway;
-use super::store_relay;
-use super::table::RoutingTable;
+use super::store_relay::RelayClient;
+use super::watch_schedule::{WatchPurpose, earliest_change, watch_wait};
 use crate::clock::Instant;
 use crate::ids::{ObjectVersion, VmId};
 
-/// Maximum wait of a watch of a VM that receives no heartbeats from other zones. If the connection
-/// was cut silently, the missing response reveals it within the three seconds after which a VM
-/// counts as connected again.
-///
-/// Zones that receive each other's heartbeats share the load: each waits longer, for a random time,
-/// and the first one to see a change announces the new revision to the others.
-const WATCH_TIMEOUT: Duration = Duration::from_millis(2_000);
-/// Delay after changes of upstreams, so that one call returns several of them.
-const UPSTREAM_BATCH_DELAY: Duration = Duration::from_millis(200);
+/// Fraction of the time limit for leaving upstreams for which further changes are collected before
+/// the next watch, so that one call returns several of them.
+const UPSTREAM_BATCH_FRACTION: f64 = 0.1;
+/// Maximum time for which a starting VM waits for a relay before it lists the objects of the store
+/// itself. VMs with more processor time wait less, as they are likely to become relays.
+const FIRST_RELAY_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Interval between two checks for a relay at the start.
+const FIRST_RELAY_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Base of the exponential delay after failed calls.
 const RETRY_DELAY_MIN: Duration = Duration::from_millis(100);
 /// Maximum delay after a failed call.
@@ -40,21 +41,37 @@
 pub(super) async fn watch_kind(gateway: Arc<Gateway>, tracked: TrackedKind) {
     let mut watcher = StoreWatcher::default();
     let mut relay_after = Instant::ZERO;
+    let mut client: Option<RelayClient> = None;
+    if let Some((vm, address)) = gateway.first_relay().await {
+        match gateway.catch_up_from(tracked, &vm, address).await {
+            Ok(()) => watcher.is_listed = true,
+            Err(reason) => gateway.event_log.log(&LogEvent::PeerReadFailed {
+                tracked,
+                peer: &vm,
+                reason,
+            }),
+        }
+    }
     loop {
         let now = gateway.now();
         let relay = gateway.relay(now).filter(|_| now >= relay_after);
         let has_changes = match relay {
             Some((vm, address)) if watcher.is_listed => {
-                let result = watch_through_relay(&gateway, tracked, &vm, address).await;
-                if result.is_none() {
-                    relay_after = gateway.now() + RELAY_RETRY_DELAY;
+                // The connection is kept while the relay stays the same.
+                let kept = client.take().filter(|client| client.address() == address);
+                let mut current = kept.unwrap_or_else(|| RelayClient::new(address));
+                let result = watch_through_relay(&gateway, tracked, &vm, &mut current).await;
+                match result {
+                    Some(_) => client = Some(current),
+                    None => relay_after = gateway.now() + RELAY_RETRY_DELAY,
                 }
                 result.unwrap_or(false)
             }
             _ => watcher.call_store(&gateway, tracked).await,
         };
         if has_changes && tracked == TrackedKind::Upstreams {
-            tokio::time::sleep(UPSTREAM_BATCH_DELAY).await;
+            let drain_timeout = gateway.settings.bounds.drain_timeout;
+            tokio::time::sleep(drain_timeout.mul_f64(UPSTREAM_BATCH_FRACTION)).await;
         }
     }
 }
@@ -66,20 +83,23 @@
     gateway: &Arc<Gateway>,
     tracked: TrackedKind,
     vm: &str,
-    address: SocketAddr,
+    client: &mut RelayClient,
 ) -> Option<bool> {
     gateway.state().directly_watched.remove(&tracked);
     let after = gateway.mirror_revision(tracked);
-    let batch = tokio::select! {
-        batch = store_relay::watch(address, tracked, after) => batch,
+    let address = client.address();
+    let answer = tokio::select! {
+        answer = client.watch(tracked, after) => answer,
         () = gateway.relay_changed(address) => Err("the store relay of this VM has changed".into()),
     };
-    match batch {
-        Ok(batch) => {
+    match answer {
+        Ok(answer) => {
+            let answer = answer.received_at(gateway.now());
+            let batch = answer.content;
             let has_changes = !batch.changes.is_empty();
             // The relay receives responses from the store, so the store counts as reachable.
-            gateway.record_store_answer(tracked);
-            gateway.apply_changes(tracked, batch.changes, batch.revision);
+            gateway.record_source_answer(tracked, answer.confirmed_at);
+            gateway.apply_changes(tracked, batch.changes, batch.revision, &answer.target_times);
             Some(has_changes)
         }
         Err(reason) => {
@@ -111,7 +131,7 @@
         let call = if is_listing { "list" } else { "watch" };
         let result = match is_listing {
             true => gateway.list(tracked).await,
-            false => gateway.watch(tracked, revision).await,
+            false => gateway.watch(tracked, revision, self.failures > 0).await,
         };
         let time = gateway.now().saturating_sub(started);
         gateway
@@ -172,31 +192,21 @@
 pub(super) async fn catch_up(gateway: Arc<Gateway>) {
     loop {
         gateway.catch_up_due.notified().await;
+        let revisions = TrackedKind::ALL.map(|tracked| gateway.mirror_revision(tracked));
         tokio::time::sleep(CATCH_UP_DELAY).await;
-        for tracked in TrackedKind::ALL {
-            let Some((vm, address)) = gateway.newer_peer(tracked) else {
+        for (tracked, earlier) in TrackedKind::ALL.into_iter().zip(revisions) {
+            // A watch that returns changes is not stuck, even if peers are a little ahead.
+            let is_stuck = gateway.mirror_revision(tracked) == earlier;
+            let Some((vm, address)) = gateway.newer_peer(tracked).filter(|_| is_stuck) else {
                 continue;
             };
-            let read = store_relay::read_listing(address, tracked).await;
-            match read {
-                Ok(listing) => {
-                    let revision = listing.revision;
-                    let event = LogEvent::TakenFromPeer {
-                        tracked,
-                        peer: &vm,
-                        revision,
-                    };
-                    gateway.event_log.log(&event);
-                    gateway.apply_listing(tracked, listing);
-                }
-                Err(reason) => {
-                    let event = LogEvent::PeerReadFailed {
-                        tracked,
-                        peer: &vm,
-                        reason,
-                    };
-                    gateway.event_log.log(&event);
-                }
+            if let Err(reason) = gateway.catch_up_from(tracked, &vm, address).await {
+                let event = LogEvent::PeerReadFailed {
+                    tracked,
+                    peer: &vm,
+                    reason,
+                };
+                gateway.event_log.log(&event);
             }
         }
     }
@@ -216,6 +226,20 @@
         Some((peer.heartbeat.vm.clone(), peer.heartbeat.address))
     }
 
+    /// Waits for a store relay at the start; returns `None` if none appears in time.
+    async fn first_relay(&self) -> Option<(VmId, SocketAddr)> {
+        let idle_share = (1.0 - self.settings.cpu_share).clamp(0.0, 1.0);
+        let timeout = FIRST_RELAY_TIMEOUT.mul_f64(idle_share * rand::random::<f64>());
+        let until = self.now() + timeout;
+        loop {
+            let relay = self.relay(self.now());
+            if relay.is_some() || self.now() >= until {
+                return relay;
+            }
+            tokio::time::sleep(FIRST_RELAY_CHECK_INTERVAL).await;
+        }
+    }
+
     /// Completes once the store relay of this VM is no longer the VM at `address`.
     async fn relay_changed(&self, address: SocketAddr) {
         loop {
@@ -230,10 +254,45 @@
         }
     }
 
+    /// Reads from a peer the changes that this VM lacks, or all objects if the peer no longer keeps
+    /// the changes.
+    async fn catch_up_from(
+        &self,
+        tracked: TrackedKind,
+        vm: &str,
+        address: SocketAddr,
+    ) -> Result<(), String> {
+        let after = self.mirror_revision(tracked);
+        let mut client = RelayClient::new(address);
+        let revision = match client.changes(tracked, after).await {
+            Ok(answer) if after > 0 => {
+                let answer = answer.received_at(self.now());
+                let ChangeBatch { changes, revision } = answer.content;
+                self.apply_changes(tracked, changes, revision, &answer.target_times);
+                revision
+            }
+            _ => {
+                let answer = client.listing(tracked).await?.received_at(self.now());
+                let revision = answer.content.revision;
+                self.apply_listing(tracked, answer.content, &answer.target_times);
+                revision
+            }
+        };
+        let event = LogEvent::TakenFromPeer {
+            tracked,
+            peer: vm,
+            revision,
+        };
+        self.event_log.log(&event);
+        Ok(())
+    }
+
     async fn list(&self, tracked: TrackedKind) -> Result<bool, StoreCallFailure> {
         let listing = self.platform.store.list(tracked).await?;
-        self.record_store_answer(tracked);
-        self.apply_listing(tracked, listing);
+        let now = self.now();
+        let confirmed_at = self.record_source_answer(tracked, now);
+        let set_at = earliest_change(Duration::ZERO, confirmed_at, self.target_age_max(), now);
+        self.apply_listing(tracked, listing, &TargetTimes::all_at(set_at));
         Ok(true)
     }
 
@@ -241,44 +300,50 @@
         &self,
         tracked: TrackedKind,
         revision: ObjectVersion,
+        is_probe: bool,
     ) -> Result<bool, StoreCallFailure> {
-        let batch = self
-            .platform
-            .store
-            .watch(tracked, revision, self.watch_timeout())
-            .await?;
+        let started = self.now();
+        let wait = self.watch_wait(is_probe);
+        let batch = self.platform.store.watch(tracked, revision, wait).await?;
         let has_changes = !batch.changes.is_empty();
-        self.record_store_answer(tracked);
-        self.apply_changes(tracked, batch.changes, batch.revision);
+        let now = self.now();
+        let confirmed_at = self.record_source_answer(tracked, now);
+        let waited = now.saturating_sub(started);
+        let set_at = earliest_change(waited, confirmed_at, self.target_age_max(), now);
+        let target_times = TargetTimes::all_at(set_at);
+        self.apply_changes(tracked, batch.changes, batch.revision, &target_times);
         Ok(has_changes)
     }
 
-    /// Returns how long a watch may wait, with jitter so that watches of several zones do not end
-    /// together.
-    fn watch_timeout(&self) -> Duration {
+    /// Returns how long a watch may wait.
+    fn watch_wait(&self, is_probe: bool) -> Duration {
         let now = self.now();
-        let zones = self.state().peers.fresh_zones(now) as u32;
-        let longest = WATCH_TIMEOUT * (1 + zones);
-        rand::rng().random_range((longest / 2).max(WATCH_TIMEOUT)..=longest)
-    }
-
-    fn mirror_revision(&self, tracked: TrackedKind) -> ObjectVersion {
-        self.state()
-            .mirrors
-            .get(&tracked)
-            .map_or(0, ObjectMirror::revision)
+        let purpose = match is_probe {
+            true => WatchPurpose::Probe,
+            false => self.state().peers.watch_purpose(now),
+        };
+        let limits = watch_wait(purpose, self.settings.bounds.contact_timeout);
+        rand::rng().random_range(limits)
     }
 
-    /// Returns all objects of a kind that this VM has seen, or `None` before the first listing.
-    pub(super) fn listing(&self, tracked: TrackedKind) -> Option<Listing> {
-        self.state().mirrors.get(&tracked)?.listing()
+    /// Returns the age that is assumed for target weights that may be older.
+    ///
+    /// Engines with older weights then receive requests until this VM counts as connected, but no
+    /// longer.
+    fn target_age_max(&self) -> Duration {
+        let bounds = &self.settings.bounds;
+        older_weights_cutoff(bounds.weights_timeout).saturating_sub(bounds.contact_timeout)
     }
 
-    fn record_store_answer(&self, tracked: TrackedKind) {
+    /// Records that the store responded, directly or to the relay at `confirmed_at`; returns the
+    /// previous such time.
+    fn record_source_answer(&self, tracked: TrackedKind, confirmed_at: Instant) -> Option<Instant> {
         let now = self.now();
+        let mut state = self.state();
         if tracked == TrackedKind::Upstreams {
-            self.state().upstreams.record_store_back(now);
+            state.upstreams.record_store_back(now);
         }
+        state.confirmed_at.insert(tracked, confirmed_at)
     }
 
     fn record_store_failure(&self, tracked: TrackedKind) {
@@ -310,107 +375,12 @@
             };
             (revision, peer)
         });
-        let (revision, peer) = ahead.max_by_key(|(revision, _)| *revision)?;
+        // Reads within a zone are cheaper.
+        let own_zone = &self.settings.availability_zone;
+        let (revision, peer) = ahead.max_by_key(|(revision, peer)| {
+            let is_own_zone = peer.heartbeat.availability_zone == *own_zone;
+            (*revision > seen, is_own_zone, *revision)
+        })?;
         (revision > seen).then(|| (peer.heartbeat.vm.clone(), peer.heartbeat.address))
     }
-
-    /// Replaces all objects of a kind, unless newer changes were seen.
-    pub(super) fn apply_listing(&self, tracked: TrackedKind, listing: Listing) {
-        let revision = listing.revision;
-        let new_changes = self
-            .state()
-            .mirrors
-            .entry(tracked)
-            .or_default()
-            .replace(listing);
-        self.apply_new_changes(tracked, new_changes, revision);
-    }
-
-    /// Applies changes received from the store or from a peer.
-    pub(super) fn apply_changes(
-        &self,
-        tracked: TrackedKind,
-        changes: Vec<ObjectChange>,
-        revision: ObjectVersion,
-    ) {
-        let new_changes = self
-            .state()
-            .mirrors
-            .entry(tracked)
-            .or_default()
-            .apply(changes, revision);
-        self.apply_new_changes(tracked, new_changes, revision);
-    }
-
-    fn apply_new_changes(
-        &self,
-        tracked: TrackedKind,
-        new_changes: Vec<ObjectChange>,
-        revision: ObjectVersion,
-    ) {
-        let now = self.now();
-        let has_changes = !new_changes.is_empty();
-        for change in new_changes {
-            self.apply_change(tracked, change, revision, now);
-        }
-        if has_changes {
-            self.mirror_changed.notify_waiters();
-        }
-    }
-
-    fn apply_change(
-        &self,
-        tracked: TrackedKind,
-        change: ObjectChange,
-        revision: ObjectVersion,
-        now: Instant,
-    ) {
-        let name = &change.name;
-        match change.record {
-            Some(ObjectRecord::Config(config)) => self.set_table(RoutingTable::new(&config)),
-            Some(ObjectRecord::Upstream(entry)) => {
-                self.event_log.log(&LogEvent::UpstreamListed {
-                    upstream: name,
-                    service: &entry.service,
-                    is_ready: entry.stage == super::model::UpstreamStage::Ready,
-                    revision,
-                });
-                self.state().upstreams.apply(name, Some(entry), now);
-            }
-            Some(ObjectRecord::Weights(target)) => {
-                let (model, weights) = (&target.model, target.weights);
-                self.event_log.log(&LogEvent::WeightsNamed {
-                    model,
-                    weights,
-                    revision,
-                });
-                let mut state = self.state();
-                let history = state
-                    .weight_histories
-                    .entry(target.model.clone())
-                    .or_default();
-                history.record(weights, now);
-                drop(state);
-                self.target_weights_changed.notify_one();
-            }
-            Some(ObjectRecord::Unusable(reason)) => {
-                self.event_log.log(&LogEvent::ObjectUnusable {
-                    tracked,
-                    name,
-                    reason: &reason,
-                });
-                if tracked == TrackedKind::Upstreams {
-                    self.state().upstreams.apply(name, None, now);
-                }
-            }
-            None if tracked == TrackedKind::Upstreams => {
-                self.event_log.log(&LogEvent::UpstreamGone {
-                    upstream: name,
-                    revision,
-                });
-                self.state().upstreams.apply(name, None, now);
-            }
-            None => {}
-        }
-    }
 }
--- a/src/gateway/upstream_registry.rs
+++ b/src/gateway/upstream_registry.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use super::model::{UpstreamEntry, UpstreamStage, WeightNumber};
+use super::name_hash::{NameHash, hash_name};
 use crate::clock::Instant;
 use crate::ids::{ModelId, Tokens, UpstreamId};
 
@@ -63,6 +64,15 @@
             memory_tokens: self.memory_tokens + other.memory_tokens,
         }
     }
+
+    /// Returns this load without a part of it.
+    pub fn minus(self, part: Self) -> Self {
+        Self {
+            requests: self.requests.saturating_sub(part.requests),
+            prefill_tokens: self.prefill_tokens.saturating_sub(part.prefill_tokens),
+            memory_tokens: self.memory_tokens.saturating_sub(part.memory_tokens),
+        }
+    }
 }
 
 /// Upstream with this VM's observations of it.
@@ -70,6 +80,8 @@
 pub struct Upstream {
     /// Name and process lifetime.
     pub instance: UpstreamInstance,
+    /// Hash of the name, by which messages between VMs refer to the upstream.
+    pub name_hash: NameHash,
     /// Entry in the store.
     pub entry: UpstreamEntry,
     /// Load of the requests that this VM has sent.
@@ -91,6 +103,7 @@
                 id: id.to_owned(),
                 born_ms: entry.born_ms,
             },
+            name_hash: hash_name(id),
             own_load: UpstreamLoad::default(),
             weights: HashMap::new(),
             failure_rate: 0.0,
@@ -193,6 +206,7 @@
 pub struct UpstreamRegistry {
     settings: UpstreamRegistrySettings,
     upstreams: HashMap<UpstreamId, Upstream>,
+    ids_by_hash: HashMap<NameHash, UpstreamId>,
     is_store_lost: bool,
     reregistration_ends_at: Instant,
 }
@@ -248,6 +262,8 @@
                 |at: Instant| is_reregistering && now.saturating_sub(at) < reregistration_window;
             upstream.unlisted_at.is_none_or(is_kept)
         });
+        let upstreams = &self.upstreams;
+        self.ids_by_hash.retain(|_, id| upstreams.contains_key(id));
     }
 
     /// Returns an upstream by its name.
@@ -255,6 +271,16 @@
         self.upstreams.get(id)
     }
 
+    /// Returns an upstream by the hash of its name.
+    pub fn by_hash(&self, name_hash: NameHash) -> Option<&Upstream> {
+        self.get(self.ids_by_hash.get(&name_hash)?)
+    }
+
+    /// Returns an upstream by the hash of its name, for changes.
+    pub fn by_hash_mut(&mut self, name_hash: NameHash) -> Option<&mut Upstream> {
+        self.upstreams.get_mut(self.ids_by_hash.get(&name_hash)?)
+    }
+
     /// Returns an upstream by its name, for changes.
     pub fn get_mut(&mut self, id: &str) -> Option<&mut Upstream> {
         self.upstreams.get_mut(id)
@@ -287,8 +313,9 @@
             // The entry belongs to an earlier process lifetime and arrived late.
             Some(upstream) if upstream.instance.born_ms > entry.born_ms => {}
             _ => {
-                self.upstreams
-                    .insert(id.to_owned(), Upstream::new(id, entry));
+                let upstream = Upstream::new(id, entry);
+                self.ids_by_hash.insert(upstream.name_hash, id.to_owned());
+                self.upstreams.insert(id.to_owned(), upstream);
             }
         }
     }
--- a/src/gateway/weight_history.rs
+++ b/src/gateway/weight_history.rs
@@ -16,11 +16,12 @@
 }
 
 impl WeightHistory {
-    /// Records target weights that this VM learned of; returns whether they are the newest.
-    pub fn record(&mut self, weights: WeightNumber, now: Instant) -> bool {
+    /// Records target weights that were set at `set_at`; returns whether they are the newest.
+    pub fn record(&mut self, weights: WeightNumber, set_at: Instant) -> bool {
         let is_newer = weights > self.newest();
         if is_newer {
-            self.versions.push((weights, now));
+            self.versions
+                .push((weights, set_at.max(self.newest_at().unwrap_or_default())));
             if self.versions.len() > VERSIONS_MAX {
                 self.versions.remove(0);
             }
@@ -33,7 +34,7 @@
         self.versions.last().map_or(0, |(weights, _)| *weights)
     }
 
-    /// Returns when the newest target weights were recorded.
+    /// Returns when the newest target weights were set.
     pub fn newest_at(&self) -> Option<Instant> {
         self.versions.last().map(|(_, at)| *at)
     }
--- a/tests/gateway_peers.rs
+++ b/tests/gateway_peers.rs
@@ -19,6 +19,8 @@
         sequence,
         address: address(number),
         availability_zone: zone.into(),
+        cpu_percent: 100,
+        next_in_ms: 200,
         is_leaving: false,
         watches_store: true,
         revisions: StoreRevisions::default(),
--- a/tests/gateway_settings.rs
+++ b/tests/gateway_settings.rs
@@ -68,21 +68,28 @@
         text = text.replace(name, value);
     }
     for (name, value) in [
-        ("LeaseMs", "3000"),
-        ("GraceS", "8"),
-        ("VersionMs", "6000"),
-        ("BudgetRatio", "0.2"),
-        ("RetrySlack", "56"),
-        ("QuotaOverage", "0.1"),
-        ("QuotaSlack", "140000"),
+        ("Limits.CpuShare", "0.25"),
+        ("Bounds.ContactMs", "3000"),
+        ("Bounds.DrainMs", "2000"),
+        ("Bounds.LeaseMs", "3000"),
+        ("Bounds.GraceS", "8"),
+        ("Bounds.VersionMs", "6000"),
+        ("Bounds.BudgetRatio", "0.2"),
+        ("Bounds.RetrySlack", "56"),
+        ("Bounds.QuotaOverage", "0.1"),
+        ("Bounds.QuotaSlack", "140000"),
+        ("Bounds.QuotaWindowS", "8"),
     ] {
-        text = text.replace(&format!("{{{{#Bounds.{name}}}}}"), "");
-        text = text.replace(&format!("{{{{/Bounds.{name}}}}}"), "");
+        text = text.replace(&format!("{{{{#{name}}}}}"), "");
+        text = text.replace(&format!("{{{{/{name}}}}}"), "");
         text = text.replacen("{{.}}", value, 1);
     }
     let start = text.find("{{^Bounds.RequireFence}}").unwrap();
     text.truncate(start);
     let settings = GatewaySettings::parse(&text).unwrap();
     assert_eq!(settings.bounds.allowance_slack, 140_000);
+    assert_eq!(settings.bounds.allowance_window, Duration::from_secs(8));
+    assert_eq!(settings.cpu_share, 0.25);
+    assert_eq!(settings.bounds.contact_timeout, Duration::from_secs(3));
     assert_eq!(settings.peer_seeds.len(), 2);
 }
