fix(gateway): leave VMs that are cut off their part of a customer's rate in all zones

Ruled out: the lowered limit itself, which was in force before the window.

Change: the sums of a zone tell how many of its VMs are silent; the groups of an account are computed in one pure function; a VM that learns of peers introduces itself at once, and a small fleet no longer waits for a relay.

--- a/src/gateway/charge.rs
+++ b/src/gateway/charge.rs
@@ -10,7 +10,8 @@
 use tokio::net::UdpSocket;
 use tokio::sync::oneshot;
 
-use super::allowance::{AllowanceExceeded, VmGroup};
+use super::account_groups::AccountGroups;
+use super::allowance::AllowanceExceeded;
 use super::gossip::Message;
 use super::model::{Allowance, Customer};
 use super::name_hash::{NameHash, hash_name};
@@ -175,26 +176,10 @@
         is_this_vm_only: bool,
         now: Instant,
     ) -> Result<(), AllowanceExceeded> {
-        let name = hash_name(&customer.id);
-        let in_zone = self.peers.fresh_in_zone(now).count();
-        let silent = self.peers.stale_in_zone(now) + self.peers.unheard_vms();
-        let (own_vms, silent) = match is_this_vm_only {
-            true => (1, silent + in_zone),
-            false => (1 + in_zone, silent),
-        };
-        let zones = self.peers.other_zones().map(|peer| VmGroup {
-            vms: peer.heartbeat.vms(),
-            demand_per_s: self.peers.is_fresh(peer, now).then(|| {
-                let demands = &peer.heartbeat.demands;
-                let demand = demands.iter().find(|(customer, _)| *customer == name);
-                demand.map_or(0.0, |(_, units)| f64::from(*units))
-            }),
-        });
-        let mut others: Vec<VmGroup> = zones.collect();
-        others.push(VmGroup {
-            vms: silent,
-            demand_per_s: None,
-        });
+        let groups = self
+            .peers
+            .account_groups(&customer.id, is_this_vm_only, now);
+        let AccountGroups { own_vms, others } = groups;
         self.allowances
             .try_take(&customer.id, allowance, cost, own_vms, &others, now)
     }
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -293,7 +293,10 @@
     let unlisted_weights = &mut heartbeat.unlisted_weights;
     unlisted_weights.sort_unstable_by_key(|(engine, weights)| (*engine, Reverse(*weights)));
     unlisted_weights.dedup_by_key(|(engine, _)| *engine);
-    heartbeat.scope = HeartbeatScope::Zone { vms };
+    heartbeat.scope = HeartbeatScope::Zone {
+        vms,
+        silent_vms: state.peers.stale_in_zone(now) as u16,
+    };
     heartbeat
 }
 
--- a/src/gateway/heartbeat.rs
+++ b/src/gateway/heartbeat.rs
@@ -103,6 +103,8 @@
     Zone {
         /// Number of VMs whose state is included.
         vms: u16,
+        /// Number of VMs that are silent but may still run, cut off from the sender.
+        silent_vms: u16,
     },
 }
 
@@ -153,7 +155,15 @@
     pub fn vms(&self) -> usize {
         match self.scope {
             HeartbeatScope::Vm => 1,
-            HeartbeatScope::Zone { vms } => usize::from(vms),
+            HeartbeatScope::Zone { vms, .. } => usize::from(vms),
+        }
+    }
+
+    /// Returns the number of VMs of the sender's zone that may run without contact to the sender.
+    pub fn silent_vms(&self) -> usize {
+        match self.scope {
+            HeartbeatScope::Vm => 0,
+            HeartbeatScope::Zone { silent_vms, .. } => usize::from(silent_vms),
         }
     }
 }
--- a/src/gateway/membership.rs
+++ b/src/gateway/membership.rs
@@ -40,6 +40,8 @@
             Ok(members) => {
                 let vms = members.len() as u32;
                 apply_members(&gateway, members);
+                // Introduces this VM to those that it has learned of.
+                gateway.heartbeat_due.notify_one();
                 let next = MEMBER_LIST_INTERVAL.max(MEMBER_LIST_INTERVAL_PER_VM * vms);
                 let wait = std::mem::replace(&mut interval, next);
                 // The hubs of a zone inform its other VMs of later registrations.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -3,6 +3,7 @@
 //! The gateway represents requests, upstreams and weights by platform-independent types. [`Store`]
 //! and [`Dialect`] translate between these types and the names and formats of the platform.
 
+mod account_groups;
 mod admit;
 mod allowance;
 mod buffered;
@@ -53,6 +54,7 @@
 mod weight_history;
 mod zone_roles;
 
+pub use account_groups::AccountGroups;
 pub use allowance::{AllowanceExceeded, AllowanceSettings, Allowances, VmGroup};
 pub use cache_retention::{CacheRetention, is_store_likelier};
 pub use daemon::{GatewayError, run_gateway};
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -349,7 +349,7 @@
         let zones: usize = self
             .zone_representatives
             .values()
-            .map(|peer| peer.heartbeat.vms())
+            .map(|peer| peer.heartbeat.vms() + peer.heartbeat.silent_vms())
             .sum();
         1 + self.vms.len() + zones + self.unheard_vms()
     }
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -21,8 +21,11 @@
 /// the next watch, so that one call returns several of them.
 const UPSTREAM_BATCH_FRACTION: f64 = 0.1;
 /// Maximum time for which a starting VM waits for a relay before it lists the objects of the store
-/// itself. VMs with more processor time wait less, as they are likely to become relays.
-const FIRST_RELAY_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// itself, per VM of the fleet: a small fleet can list at once without many calls. VMs with more
+/// processor time wait less, as they are likely to become relays.
+const FIRST_RELAY_TIMEOUT_PER_VM: Duration = Duration::from_millis(5);
+/// Limit of the time that follows from the number of VMs.
+const FIRST_RELAY_TIMEOUT_MAX: Duration = Duration::from_millis(1_000);
 /// Interval between two checks for a relay at the start.
 const FIRST_RELAY_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Base of the exponential delay after failed calls.
@@ -229,11 +232,13 @@
     /// Waits for a store relay at the start; returns `None` if none appears in time.
     async fn first_relay(&self) -> Option<(VmId, SocketAddr)> {
         let idle_share = (1.0 - self.settings.cpu_share).clamp(0.0, 1.0);
-        let timeout = FIRST_RELAY_TIMEOUT.mul_f64(idle_share * rand::random::<f64>());
-        let until = self.now() + timeout;
+        let fraction = idle_share * rand::random::<f64>();
+        let started = self.now();
         loop {
             let relay = self.relay(self.now());
-            if relay.is_some() || self.now() >= until {
+            let vms = self.state().fleet_size() as u32;
+            let timeout = (FIRST_RELAY_TIMEOUT_PER_VM * vms).min(FIRST_RELAY_TIMEOUT_MAX);
+            if relay.is_some() || self.now() >= started + timeout.mul_f64(fraction) {
                 return relay;
             }
             tokio::time::sleep(FIRST_RELAY_CHECK_INTERVAL).await;
--- a/tests/gateway_peers.rs
+++ b/tests/gateway_peers.rs
@@ -36,7 +36,7 @@
 
 fn zone_heartbeat(zone: &str, number: u8, sequence: u64, vms: u16) -> Heartbeat {
     Heartbeat {
-        scope: HeartbeatScope::Zone { vms },
+        scope: HeartbeatScope::Zone { vms, silent_vms: 0 },
         ..heartbeat(zone, number, sequence)
     }
 }
