feat(gateway): fetch long prefixes from the cache store unasked, share findings of engines that do not respond

Change: a request with a long shared prefix names the cache store as its source if no other is known; long prefixes are announced to other zones before short ones; heartbeats carry the engines that a VM finds unreachable, and two reports make the others avoid an engine unless it has just answered them.

--- a/src/gateway/candidates.rs
+++ b/src/gateway/candidates.rs
@@ -9,12 +9,13 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::dispatch::DispatchedRequest;
-use super::fetch_sources::{CACHE_STORE_HOLDER, FetchSources};
+use super::fetch_sources::{CACHE_STORE_HOLDER, FetchSources, LONG_PREFIX_TOKENS_MIN};
 use super::model::WeightNumber;
 use super::name_hash::{NameHash, hash_name};
 use super::placement::{
     Candidate, Placement, ResourceDemand, choose_candidate, prefill_time, required_memory_tokens,
 };
+use super::prefix_cache_index::CachedPrefix;
 use super::prompt::{PrefixHash, Prompt};
 use super::state::{Gateway, GatewayState, PlacementRequest};
 use super::upstream_registry::{Upstream, UpstreamLoad};
@@ -29,9 +30,6 @@
 /// Time since target weights were set from which an engine without them costs more.
 const OLDER_WEIGHTS_GRACE: Duration = Duration::from_millis(1_300);
 
-/// Minimum length of an uncached shared prefix for its prompt to be saved to the cache store.
-const SAVED_PREFIX_TOKENS_MIN: Tokens = 1_000;
-
 /// Prompt of a request with its prefixes.
 struct PromptPrefixes<'a> {
     prompt: &'a Prompt,
@@ -138,14 +136,19 @@
                 .record_store_write(resource_demand.prompt_tokens, now);
         }
         let prefixes = prefixes.iter().flat_map(|prefixes| prefixes.shared());
-        for (prefix, _) in prefixes {
-            let weights = dispatched.weights.unwrap_or_default();
-            self.prefix_cache_index
-                .record_prefill(*prefix, name_hash, weights, now);
+        let weights = dispatched.weights.unwrap_or_default();
+        for (prefix, tokens) in prefixes {
+            let cached = CachedPrefix {
+                prefix: *prefix as NameHash,
+                engine: name_hash,
+                weights,
+                is_long: *tokens >= LONG_PREFIX_TOKENS_MIN,
+            };
+            self.prefix_cache_index.record_prefill(cached, now);
             if save_to.is_some() {
-                let store = hash_name(CACHE_STORE_HOLDER);
-                self.prefix_cache_index
-                    .record_prefill(*prefix, store, weights, now);
+                let engine = hash_name(CACHE_STORE_HOLDER);
+                let saved = CachedPrefix { engine, ..cached };
+                self.prefix_cache_index.record_prefill(saved, now);
             }
         }
         Ok(dispatched)
@@ -259,6 +262,7 @@
                 eligible.fetchable_tokens = eligible.fetch_from.map_or(0, |_| *tokens);
             }
         }
+        eligible.fetch_from = eligible.fetch_from.or(sources.unconfirmed_store());
         eligible
     }
 
@@ -273,7 +277,7 @@
         let uncached = shared_tokens.saturating_sub(available_tokens);
         let store = self
             .cache_store
-            .filter(|_| uncached >= SAVED_PREFIX_TOKENS_MIN);
+            .filter(|_| uncached >= LONG_PREFIX_TOKENS_MIN);
         store.map(|store| store.address)
     }
 
@@ -318,7 +322,9 @@
             cached_tokens: eligible.cached_tokens,
             fetchable_tokens: eligible.fetchable_tokens,
             is_same_zone: upstream.entry.availability_zone == gateway.settings.availability_zone,
-            is_avoided: upstream.is_avoided(now),
+            is_avoided: upstream.is_avoided(now)
+                || (self.peer_view.is_reported_unreachable(upstream.name_hash)
+                    && !upstream.has_responded_recently(now)),
             has_older_weights: self.has_older_weights(upstream, request, now),
             is_last_resort: upstream.is_rejecting(now)
                 || (request.prompt.is_some() && self.is_in_rollout(eligible.name_hash, upstream)),
--- a/src/gateway/charge.rs
+++ b/src/gateway/charge.rs
@@ -97,6 +97,20 @@
         self.state().charge(customer, allowance, cost, false, now)
     }
 
+    /// Records which customers' accounts are kept by other VMs of this zone.
+    pub(super) fn record_account_owners(&self) {
+        let Some(table) = self.table() else {
+            return;
+        };
+        let now = self.now();
+        let mut state = self.state();
+        for customer in table.customers() {
+            if state.peers.account_owner(&customer.id, now).is_some() {
+                state.allowances.record_other_owner(&customer.id, now);
+            }
+        }
+    }
+
     async fn charge_at_peer(
         &self,
         address: SocketAddr,
@@ -157,15 +171,6 @@
 }
 
 impl GatewayState {
-    /// Records which customers' accounts are kept by other VMs of this zone.
-    pub(super) fn record_account_owners(&mut self, customers: &[Arc<Customer>], now: Instant) {
-        for customer in customers {
-            if self.peers.account_owner(&customer.id, now).is_some() {
-                self.allowances.record_other_owner(&customer.id, now);
-            }
-        }
-    }
-
     /// Charges the account at this VM, which covers the share of the VM's whole zone, or only the
     /// VM's own share if `is_this_vm_only`.
     fn charge(
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -116,7 +116,7 @@
                 .prefill_tokens
                 .saturating_sub(self.load.prefill_tokens);
             upstream.clear_expected_response(self.number);
-            upstream.record_success();
+            upstream.record_success(now);
         }
         drop(state);
         self.gateway.place_queued();
--- a/src/gateway/fetch_sources.rs
+++ b/src/gateway/fetch_sources.rs
@@ -25,6 +25,8 @@
     sources: Vec<PrefixSources>,
     engine_retention: Duration,
     cache_store_retention: Duration,
+    /// Cache store that may hold the prompt although no VM has announced it.
+    unconfirmed_store: Option<SocketAddr>,
 }
 
 /// Sources of one prefix that was cached under some weights.
@@ -51,10 +53,21 @@
     age: Duration,
 }
 
+/// Minimum length of a shared prefix that is worth a transfer: to process fewer tokens takes about
+/// as long. Shorter prefixes are not saved, and announced only if there is room.
+pub(super) const LONG_PREFIX_TOKENS_MIN: Tokens = 1_000;
 /// Number of engines kept per prefix.
 const ENGINES_PER_PREFIX: usize = 2;
 
 impl FetchSources {
+    /// Returns the cache store if it may hold more of the prompt than an engine does.
+    ///
+    /// A VM learns of only some of the prompts that the others have saved, and a fetch without any
+    /// data costs much less than to process a long prefix again.
+    pub(super) fn unconfirmed_store(&self) -> Option<SocketAddr> {
+        self.unconfirmed_store
+    }
+
     /// Returns where an engine can fetch a prefix from: the engine that used it last or the cache
     /// store, whichever is less likely to have evicted it.
     ///
@@ -112,8 +125,13 @@
             engines: self.source_engines(service, prefix, weights, now),
             cache_store: self.cache_store_copy(prefix, weights, now),
         });
+        let shared_tokens = shared.last().map_or(0, |(_, tokens)| *tokens);
+        let store = self
+            .cache_store
+            .filter(|_| shared_tokens >= LONG_PREFIX_TOKENS_MIN);
         FetchSources {
             sources: sources.collect(),
+            unconfirmed_store: store.map(|store| store.address),
             engine_retention: self.engine_retention(service, now),
             cache_store_retention: self.cache_store_retention(now),
         }
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -34,8 +34,9 @@
 const DATAGRAM_MAX_BYTES: usize = 8_000;
 /// Number of heartbeats that announce that this VM shuts down.
 const LEAVING_HEARTBEATS: u64 = 2;
-/// Expired idle connections are closed with one in this many heartbeats.
-const POOL_SWEEP_EVERY_HEARTBEATS: u64 = 5;
+/// Expired idle connections are closed, and the owners of accounts determined, with one in this
+/// many heartbeats.
+const SWEEP_EVERY_HEARTBEATS: u64 = 5;
 
 /// Datagram exchanged between VMs.
 #[derive(Debug, Clone, PartialEq)]
@@ -56,8 +57,9 @@
     let mut sequence = 0;
     loop {
         gateway.tick();
-        if sequence % POOL_SWEEP_EVERY_HEARTBEATS == 0 {
+        if sequence % SWEEP_EVERY_HEARTBEATS == 0 {
             gateway.pool.sweep();
+            gateway.record_account_owners();
         }
         let receivers = send_heartbeat(&gateway, &socket, sequence, false);
         sequence += 1;
@@ -242,7 +244,8 @@
     let loads = busy
         .map(|upstream| CompactLoad::new(&upstream.instance.id, upstream.own_load))
         .collect();
-    let demands = state.allowances.demands(gateway.now()).into_iter();
+    let now = gateway.now();
+    let demands = state.allowances.demands(now).into_iter();
     let known_vms = match sequence % KNOWN_VMS_EVERY_HEARTBEATS {
         0 => state.peers.known_addresses(KNOWN_VMS_MAX),
         _ => Vec::new(),
@@ -270,6 +273,7 @@
             .map(|id| hash_name(id))
             .collect(),
         unlisted_weights: state.unlisted_weights(),
+        unreachable_engines: state.unreachable_engines(now),
         new_cached_prefixes: Vec::new(),
         known_vms,
     }
@@ -319,6 +323,13 @@
             None => sum.demands.push((*customer, *units)),
         }
     }
+    for (engine, vms) in &other.unreachable_engines {
+        let sums = &mut sum.unreachable_engines;
+        match sums.iter_mut().find(|(known, _)| known == engine) {
+            Some((_, known)) => *known += vms,
+            None => sums.push((*engine, *vms)),
+        }
+    }
     if other.lease.is_some() {
         sum.lease.clone_from(&other.lease);
     }
--- a/src/gateway/heartbeat.rs
+++ b/src/gateway/heartbeat.rs
@@ -144,6 +144,8 @@
     pub engines_in_rollout: Vec<NameHash>,
     /// Weights of engines that are newer than those listed in the store.
     pub unlisted_weights: Vec<(NameHash, WeightNumber)>,
+    /// Engines that the VMs whose state is included find unreachable, each with the number of VMs.
+    pub unreachable_engines: Vec<(NameHash, u16)>,
     /// Prompt prefixes that engines have cached since the last heartbeat.
     pub new_cached_prefixes: Vec<CachedPrefix>,
     /// Addresses and availability zones of VMs that the sender knows; empty in most heartbeats.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 mod daemon;
 mod dispatch;
 mod engine_client;
+mod engine_reports;
 mod event_log;
 mod event_splitter;
 mod fetch_sources;
--- a/src/gateway/peer_view.rs
+++ b/src/gateway/peer_view.rs
@@ -1,4 +1,5 @@
-//! Sums over the heartbeats of peers: load of engines, and engines that take part in a rollout.
+//! Sums over the heartbeats of peers: load of engines, engines that take part in a rollout, and
+//! engines that do not respond.
 //!
 //! Load pattern: hundreds of heartbeats a second, each of which changes little. The sums are
 //! computed when a placement needs them and at most once per [`AGE_MAX`], so their cost does not
@@ -7,7 +8,7 @@
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
-use super::heartbeat::CompactLoad;
+use super::heartbeat::{CompactLoad, Heartbeat};
 use super::name_hash::NameHash;
 use super::peers::Peers;
 use super::upstream_registry::UpstreamLoad;
@@ -19,11 +20,16 @@
 /// Age from which the sums are computed again even without new heartbeats, as peers fall silent.
 const AGE_MAX_WITHOUT_HEARTBEATS: Duration = Duration::from_millis(200);
 
+/// Number of VMs that have to find an engine unreachable before others avoid it too.
+const UNREACHABLE_REPORTS_MIN: u32 = 2;
+
 /// Sums over the fresh heartbeats of all peers.
 #[derive(Debug, Default)]
 pub struct PeerView {
     loads: HashMap<NameHash, UpstreamLoad>,
     engines_in_rollout: HashSet<NameHash>,
+    /// Number of other VMs that find an engine unreachable.
+    unreachable_reports: HashMap<NameHash, u32>,
     computed_at: Option<Instant>,
     has_new_heartbeats: bool,
 }
@@ -50,9 +56,11 @@
         self.has_new_heartbeats = false;
         self.loads.clear();
         self.engines_in_rollout.clear();
+        self.unreachable_reports.clear();
         match peers.recent_zone_sum(now) {
             Some(sum) => {
                 self.add_loads(&sum.heartbeat.loads);
+                self.add_reports(&sum.heartbeat);
                 for load in reported {
                     if let Some(sum) = self.loads.get_mut(&load.engine) {
                         *sum = sum.minus(load.load());
@@ -62,11 +70,13 @@
             None => {
                 for peer in peers.fresh_in_zone(now) {
                     self.add_loads(&peer.heartbeat.loads);
+                    self.add_reports(&peer.heartbeat);
                 }
             }
         }
         for peer in peers.other_zones().filter(|peer| peers.is_fresh(peer, now)) {
             self.add_loads(&peer.heartbeat.loads);
+            self.add_reports(&peer.heartbeat);
         }
         for peer in peers.fresh_peers(now) {
             self.engines_in_rollout
@@ -82,6 +92,20 @@
         }
     }
 
+    fn add_reports(&mut self, heartbeat: &Heartbeat) {
+        for (engine, vms) in &heartbeat.unreachable_engines {
+            *self.unreachable_reports.entry(*engine).or_default() += u32::from(*vms);
+        }
+    }
+
+    /// Returns whether several other VMs find an engine unreachable.
+    ///
+    /// A single report may be due to a path of that VM alone.
+    pub fn is_reported_unreachable(&self, engine: NameHash) -> bool {
+        let reports = self.unreachable_reports.get(&engine);
+        reports.is_some_and(|reports| *reports >= UNREACHABLE_REPORTS_MIN)
+    }
+
     /// Returns the load that all peers have sent to an engine.
     pub fn load(&self, engine: NameHash) -> UpstreamLoad {
         self.loads.get(&engine).copied().unwrap_or_default()
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -47,12 +47,21 @@
     pub heartbeat: Heartbeat,
     /// Time at which it was received.
     pub received_at: Instant,
+    role_rank: RoleRank,
 }
 
 impl Peer {
+    fn new(heartbeat: Heartbeat, received_at: Instant) -> Self {
+        Self {
+            role_rank: role_rank(&heartbeat.vm, heartbeat.cpu_percent),
+            heartbeat,
+            received_at,
+        }
+    }
+
     /// Returns the rank for roles that need capacity.
     pub(super) fn role_rank(&self) -> RoleRank {
-        role_rank(&self.heartbeat.vm, self.heartbeat.cpu_percent)
+        self.role_rank
     }
 }
 
@@ -133,10 +142,7 @@
             self.addresses.remove(&heartbeat.address);
             return true;
         }
-        let peer = Peer {
-            received_at: now,
-            heartbeat,
-        };
+        let peer = Peer::new(heartbeat, now);
         self.vms.insert(peer.heartbeat.vm.clone(), peer);
         true
     }
@@ -145,10 +151,7 @@
         let known = self.zone_representatives.get(&heartbeat.availability_zone);
         let is_old = known.is_some_and(|known| self.is_old_sum(known, &heartbeat, now));
         if !is_old {
-            let peer = Peer {
-                received_at: now,
-                heartbeat,
-            };
+            let peer = Peer::new(heartbeat, now);
             let zone = peer.heartbeat.availability_zone.clone();
             self.zone_representatives.insert(zone, peer);
         }
@@ -163,10 +166,7 @@
         if let Some(peer) = self.vms.get_mut(&heartbeat.vm) {
             peer.received_at = now;
         }
-        self.zone_sum = Some(Peer {
-            received_at: now,
-            heartbeat,
-        });
+        self.zone_sum = Some(Peer::new(heartbeat, now));
         true
     }
 
--- a/src/gateway/prefix_cache_index.rs
+++ b/src/gateway/prefix_cache_index.rs
@@ -37,6 +37,8 @@
     pub engine: NameHash,
     /// Weights under which the prefix was cached.
     pub weights: WeightNumber,
+    /// Whether it is long enough to be worth a transfer; these are announced first.
+    pub is_long: bool,
 }
 
 /// Cached prefixes known to this VM, with their holders.
@@ -61,18 +63,7 @@
 impl PrefixCacheIndex {
     /// Records that a request of this VM makes an engine cache a prefix, and queues the
     /// announcement.
-    pub fn record_prefill(
-        &mut self,
-        prefix: PrefixHash,
-        engine: NameHash,
-        weights: WeightNumber,
-        now: Instant,
-    ) {
-        let cached = CachedPrefix {
-            prefix: prefix as NameHash,
-            engine,
-            weights,
-        };
+    pub fn record_prefill(&mut self, cached: CachedPrefix, now: Instant) {
         let holder = self.record(cached, now);
         let is_announced =
             holder.announced_at + REANNOUNCE_INTERVAL > now && holder.announced_at != Instant::ZERO;
@@ -98,10 +89,15 @@
         self.unannounced_to_zones.drain(..count).collect()
     }
 
-    /// Queues a cached prefix for the other zones, discarding the oldest if there are too many, as
-    /// only the zone's representative sends them.
+    /// Queues a cached prefix for the other zones, as only the zone's representative sends them.
+    ///
+    /// If there are too many, short ones are left out and the oldest are discarded.
     fn queue_for_zones(&mut self, cached: CachedPrefix) {
-        if self.unannounced_to_zones.len() >= UNANNOUNCED_TO_ZONES_MAX {
+        let queued = self.unannounced_to_zones.len();
+        if !cached.is_long && queued >= UNANNOUNCED_TO_ZONES_MAX / 2 {
+            return;
+        }
+        if queued >= UNANNOUNCED_TO_ZONES_MAX {
             self.unannounced_to_zones.remove(0);
         }
         self.unannounced_to_zones.push(cached);
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -15,8 +15,7 @@
 use super::event_log::{EventLog, LogEvent};
 use super::heartbeat::{CompactLoad, Heartbeat, HeartbeatScope, HeldLease, StoreRevisions};
 use super::metrics::GatewayMetrics;
-use super::model::{CacheStore, EngineProfile, ServiceId, WeightNumber};
-use super::name_hash::NameHash;
+use super::model::{CacheStore, EngineProfile, ServiceId};
 use super::object_mirror::ObjectMirror;
 use super::peer_view::PeerView;
 use super::peers::{Peers, PeersSettings};
@@ -290,7 +289,7 @@
         let now = self.now();
         let revisions = heartbeat.revisions;
         let mut state = self.state();
-        if state.peers.is_zone_representative(now) && state.peers.is_urgent(&heartbeat) {
+        if state.peers.is_urgent(&heartbeat) && state.peers.is_zone_representative(now) {
             self.heartbeat_due.notify_one();
         }
         state.record_peer_weights(&heartbeat.unlisted_weights);
@@ -336,9 +335,6 @@
         state.upstreams.sweep(now);
         state.refresh_peer_view(now);
         state.prefix_cache_index.sweep(now);
-        if let Some(table) = self.table() {
-            state.record_account_owners(table.customers(), now);
-        }
         drop(state);
         self.place_queued();
     }
@@ -364,29 +360,6 @@
             .plus(self.peer_view.load(upstream.name_hash))
     }
 
-    /// Returns the weights of engines that are newer than those listed in the store.
-    pub(super) fn unlisted_weights(&self) -> Vec<(NameHash, WeightNumber)> {
-        let engines = self.upstreams.iter();
-        let newer = engines.flat_map(|upstream| {
-            let listed = upstream.entry.models.iter();
-            let newer = listed.filter_map(|loaded| {
-                let current = upstream.weights(&loaded.model)?;
-                (current > loaded.weights).then_some((upstream.name_hash, current))
-            });
-            newer.take(1)
-        });
-        newer.collect()
-    }
-
-    /// Records weights that a peer reported before the store lists them.
-    fn record_peer_weights(&mut self, reported: &[(NameHash, WeightNumber)]) {
-        for (name, weights) in reported {
-            if let Some(upstream) = self.upstreams.by_hash_mut(*name) {
-                upstream.record_single_model_weights(*weights);
-            }
-        }
-    }
-
     /// Updates the sums over the peers' heartbeats if they are too old.
     pub(super) fn refresh_peer_view(&mut self, now: Instant) {
         self.peer_view
--- a/src/gateway/upstream_registry.rs
+++ b/src/gateway/upstream_registry.rs
@@ -89,6 +89,8 @@
     weights: HashMap<ModelId, WeightNumber>,
     failure_rate: f64,
     avoided_until: Instant,
+    unreachable_until: Instant,
+    responded_at: Option<Instant>,
     rejecting_until: Instant,
     /// Time at which the first event or response of each request of this VM is overdue, by request
     /// number.
@@ -108,6 +110,8 @@
             weights: HashMap::new(),
             failure_rate: 0.0,
             avoided_until: Instant::ZERO,
+            unreachable_until: Instant::ZERO,
+            responded_at: None,
             rejecting_until: Instant::ZERO,
             responses_due: BTreeMap::new(),
             unlisted_at: None,
@@ -137,9 +141,11 @@
     }
 
     /// Records a response.
-    pub fn record_success(&mut self) {
+    pub fn record_success(&mut self, now: Instant) {
         self.failure_rate *= 1.0 - FAILURE_RATE_SMOOTHING;
         self.avoided_until = Instant::ZERO;
+        self.unreachable_until = Instant::ZERO;
+        self.responded_at = Some(now);
     }
 
     /// Records a failure; `weight` is less than 1 if it says little about the upstream.
@@ -166,6 +172,20 @@
     pub fn record_unreachable(&mut self, now: Instant) {
         self.record_failure(1.0, now);
         self.avoided_until = self.avoided_until.max(now + UNREACHABLE_BACKOFF);
+        self.unreachable_until = now + UNREACHABLE_BACKOFF;
+    }
+
+    /// Returns whether this VM finds the upstream unreachable or silent, which it reports to the
+    /// other VMs.
+    pub fn is_unreachable(&self, now: Instant) -> bool {
+        now < self.unreachable_until || self.responses_due.values().any(|due| *due < now)
+    }
+
+    /// Returns whether the upstream has responded to this VM recently, which outweighs reports of
+    /// other VMs.
+    pub fn has_responded_recently(&self, now: Instant) -> bool {
+        let is_recent = |at: Instant| now.saturating_sub(at) < UNREACHABLE_BACKOFF;
+        self.responded_at.is_some_and(is_recent)
     }
 
     /// Records the time at which the first event or response of a request of this VM is overdue.
--- a/tests/gateway_limits.rs
+++ b/tests/gateway_limits.rs
@@ -84,6 +84,7 @@
             lease: None,
             engines_in_rollout: vec![],
             unlisted_weights: vec![],
+            unreachable_engines: vec![],
             new_cached_prefixes: vec![],
             known_vms: vec![],
         }
@@ -177,10 +178,10 @@
             let factor = if now >= HOT_FROM { hot_factor } else { 0.5 };
             let per_step = self.allowance.rate_per_s as f64 * factor * STEP.as_secs_f64()
                 / (vms as f64 * self.cost as f64);
-            for number in 0..vms {
-                owed[number] += per_step;
-                while owed[number] >= 1.0 {
-                    owed[number] -= 1.0;
+            for (number, owed) in owed.iter_mut().enumerate() {
+                *owed += per_step;
+                while *owed >= 1.0 {
+                    *owed -= 1.0;
                     self.request(number, now);
                 }
             }
--- a/tests/gateway_peers.rs
+++ b/tests/gateway_peers.rs
@@ -29,6 +29,7 @@
         lease: None,
         engines_in_rollout: vec![],
         unlisted_weights: vec![],
+        unreachable_engines: vec![],
         new_cached_prefixes: vec![],
         known_vms: vec![],
     }
