--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -251,12 +251,8 @@
         _ => Vec::new(),
     };
     Heartbeat {
-        scope: HeartbeatScope::Vm,
-        vm: settings.vm.clone(),
         incarnation: gateway.incarnation,
         sequence,
-        address: settings.peer_address,
-        availability_zone: settings.availability_zone.clone(),
         cpu_percent: settings.cpu_percent(),
         next_in_ms: HEARTBEAT_INTERVAL.as_millis() as u16,
         is_leaving,
@@ -274,8 +270,12 @@
             .collect(),
         unlisted_weights: state.unlisted_weights(),
         unreachable_engines: state.unreachable_engines(now),
-        new_cached_prefixes: Vec::new(),
         known_vms,
+        ..Heartbeat::new(
+            settings.vm.clone(),
+            settings.availability_zone.clone(),
+            settings.peer_address,
+        )
     }
 }
 
--- a/src/gateway/heartbeat.rs
+++ b/src/gateway/heartbeat.rs
@@ -153,6 +153,31 @@
 }
 
 impl Heartbeat {
+    /// Creates a heartbeat of one VM without any load or news.
+    pub fn new(vm: VmId, availability_zone: AvailabilityZoneId, address: SocketAddr) -> Self {
+        Self {
+            scope: HeartbeatScope::Vm,
+            vm,
+            incarnation: 0,
+            sequence: 0,
+            address,
+            availability_zone,
+            cpu_percent: 0,
+            next_in_ms: 0,
+            is_leaving: false,
+            watches_store: false,
+            revisions: StoreRevisions::default(),
+            loads: Vec::new(),
+            demands: Vec::new(),
+            lease: None,
+            engines_in_rollout: Vec::new(),
+            unlisted_weights: Vec::new(),
+            unreachable_engines: Vec::new(),
+            new_cached_prefixes: Vec::new(),
+            known_vms: Vec::new(),
+        }
+    }
+
     /// Returns the number of VMs whose state is included.
     pub fn vms(&self) -> usize {
         match self.scope {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -89,7 +89,7 @@
 pub use status::FleetStatus;
 pub use table::RoutingTable;
 pub use upstream_registry::{
-    Upstream, UpstreamInstance, UpstreamRegistry, UpstreamRegistrySettings,
+    Upstream, UpstreamInstance, UpstreamLoad, UpstreamRegistry, UpstreamRegistrySettings,
 };
 pub use watch_schedule::{WatchPurpose, earliest_change, watch_wait};
 pub use weight_history::WeightHistory;
--- a/src/gateway/zone_roles.rs
+++ b/src/gateway/zone_roles.rs
@@ -55,7 +55,7 @@
         now: Instant,
     ) -> HeartbeatTargets {
         let mut others = self.zone_addresses(own_address);
-        if others.len() <= HUBS + OTHERS_PER_ROUND || round < ROUNDS_TO_ALL {
+        if others.len() <= HUBS + OTHERS_PER_ROUND {
             return HeartbeatTargets {
                 every_round: others,
                 this_round: Vec::new(),
@@ -64,12 +64,18 @@
         }
         let hubs = self.hub_addresses(now);
         others.retain(|address| !hubs.contains(address));
-        let start = (round as usize).wrapping_mul(OTHERS_PER_ROUND) % others.len();
-        let this_round = others.iter().cycle().skip(start).take(OTHERS_PER_ROUND);
+        let rounds = others.len().div_ceil(OTHERS_PER_ROUND);
+        if round >= ROUNDS_TO_ALL {
+            // Each VM starts with another group, so that no VM receives all heartbeats at once.
+            let offset = hash_rank(&own_address.to_string(), "") as usize % rounds;
+            let group = (offset + round as usize) % rounds;
+            let bound = |group: usize| group * others.len() / rounds;
+            others = others[bound(group)..bound(group + 1)].to_vec();
+        }
         HeartbeatTargets {
-            this_round: this_round.copied().collect(),
-            rounds: others.len().div_ceil(OTHERS_PER_ROUND) as u32,
             every_round: hubs,
+            this_round: others,
+            rounds: rounds as u32,
         }
     }
 
--- a/tests/gateway_limits.rs
+++ b/tests/gateway_limits.rs
@@ -6,7 +6,7 @@
 
 use celerylever::gateway::{
     Allowance, AllowanceSettings, Allowances, CostUnit, Heartbeat, HeartbeatScope, Peers,
-    PeersSettings, StoreRevisions,
+    PeersSettings,
 };
 use rstest::rstest;
 
@@ -64,29 +64,20 @@
     fn heartbeat(&mut self, number: usize, sequence: u64, now: Duration) -> Heartbeat {
         let demands = self.vms[number].accounts.demands(now);
         Heartbeat {
-            scope: HeartbeatScope::Vm,
-            vm: format!("vm-{number}"),
             incarnation: 1,
             sequence,
-            address: address(number),
-            availability_zone: self.vms[number].zone.clone(),
             cpu_percent: 25,
             next_in_ms: 200,
-            is_leaving: false,
-            watches_store: true,
-            revisions: StoreRevisions::default(),
-            loads: vec![],
-            // Hashes of names are not public; the simulation has a single customer.
+            // The simulation has a single customer.
             demands: demands
                 .iter()
                 .map(|(_, units)| (Peers::customer_hash(CUSTOMER), *units as u32))
                 .collect(),
-            lease: None,
-            engines_in_rollout: vec![],
-            unlisted_weights: vec![],
-            unreachable_engines: vec![],
-            new_cached_prefixes: vec![],
-            known_vms: vec![],
+            ..Heartbeat::new(
+                format!("vm-{number}"),
+                self.vms[number].zone.clone(),
+                address(number),
+            )
         }
     }
 
--- a/tests/gateway_peers.rs
+++ b/tests/gateway_peers.rs
@@ -3,7 +3,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use celerylever::gateway::{Heartbeat, HeartbeatScope, Peers, PeersSettings, StoreRevisions};
+use celerylever::gateway::{
+    CompactLoad, Heartbeat, HeartbeatScope, PeerView, Peers, PeersSettings, UpstreamLoad,
+};
 
 const MS: fn(u64) -> Duration = Duration::from_millis;
 
@@ -13,25 +15,12 @@
 
 fn heartbeat(zone: &str, number: u8, sequence: u64) -> Heartbeat {
     Heartbeat {
-        scope: HeartbeatScope::Vm,
-        vm: format!("vm-{zone}-{number}"),
         incarnation: 1,
         sequence,
-        address: address(number),
-        availability_zone: zone.into(),
         cpu_percent: 100,
         next_in_ms: 200,
-        is_leaving: false,
         watches_store: true,
-        revisions: StoreRevisions::default(),
-        loads: vec![],
-        demands: vec![],
-        lease: None,
-        engines_in_rollout: vec![],
-        unlisted_weights: vec![],
-        unreachable_engines: vec![],
-        new_cached_prefixes: vec![],
-        known_vms: vec![],
+        ..Heartbeat::new(format!("vm-{zone}-{number}"), zone.into(), address(number))
     }
 }
 
@@ -184,3 +173,76 @@
     assert_eq!(peers.fresh_peers(MS(1)).count(), 0);
     assert_eq!(peers.other_zone_addresses(0), [address(9)]);
 }
+
+fn load(requests: u32) -> CompactLoad {
+    let load = UpstreamLoad {
+        requests,
+        prefill_tokens: 640,
+        memory_tokens: 1_280,
+    };
+    CompactLoad::new("engine-1", load)
+}
+
+/// The sums of the zone contain the load that this VM has reported itself.
+#[test]
+fn the_own_load_is_not_counted_twice() {
+    let mut peers = Peers::new(
+        PeersSettings {
+            own_cpu_percent: 12,
+            ..PeersSettings::default()
+        },
+        "vm-a-1".into(),
+        "a".into(),
+    );
+    peers.record_heartbeat(heartbeat("a", 2, 1), MS(0));
+    let sum = Heartbeat {
+        loads: vec![load(5)],
+        ..zone_heartbeat("a", 2, 2, 2)
+    };
+    assert!(peers.record_heartbeat(sum, MS(10)));
+    let mut view = PeerView::default();
+    let reported = [load(2)];
+    assert!(view.refresh(&peers, &reported, MS(20)));
+    assert_eq!(view.load(load(0).engine).requests, 3);
+}
+
+/// One report may be due to the path of the VM that sent it, several are not.
+#[test]
+fn several_vms_condemn_an_engine_and_one_does_not() {
+    let reports = |zone: &str, number, vms| Heartbeat {
+        unreachable_engines: vec![(7, vms)],
+        ..zone_heartbeat(zone, number, 1, 3)
+    };
+    let mut peers = peers("a", 1);
+    let mut view = PeerView::default();
+    peers.record_heartbeat(reports("b", 9, 1), MS(0));
+    view.refresh(&peers, &[], MS(10));
+    assert!(!view.is_reported_unreachable(7));
+    view.record_heartbeat();
+    peers.record_heartbeat(reports("c", 8, 1), MS(20));
+    view.refresh(&peers, &[], MS(30));
+    assert!(view.is_reported_unreachable(7));
+    assert!(!view.is_reported_unreachable(8));
+}
+
+/// VMs that a zone has lost contact to keep their parts of a rate in all zones.
+#[test]
+fn vms_that_are_cut_off_in_another_zone_keep_their_part() {
+    let mut peers = peers("a", 1);
+    let sum = Heartbeat {
+        scope: HeartbeatScope::Zone {
+            vms: 2,
+            silent_vms: 1,
+        },
+        ..heartbeat("b", 9, 1)
+    };
+    peers.record_heartbeat(sum, MS(0));
+    let groups = peers.account_groups("teifi", false, MS(100));
+    let others: usize = groups.others.iter().map(|group| group.vms).sum();
+    let unknown = groups
+        .others
+        .iter()
+        .filter(|group| group.demand_per_s.is_none());
+    assert_eq!((groups.own_vms, others), (1, 3));
+    assert_eq!(unknown.map(|group| group.vms).sum::<usize>(), 1);
+}
--- a/tests/gateway_pure/main.rs
+++ b/tests/gateway_pure/main.rs
@@ -14,18 +14,20 @@
 mod streams;
 mod upstreams;
 mod waiting;
+mod watching;
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use celerylever::gateway::{
     Allowance, AllowanceSettings, Allowances, CacheRetention, CachedPrefix, Candidate, CostUnit,
-    EngineView, EventSplitter, Listing, LoadedModel, ObjectChange, ObjectMirror, ObjectRecord,
-    Placement, PlacementSettings, PrefixCacheIndex, QueueSettings, QueuedRequest, RequestQueue,
-    ResourceDemand, RetryBudgetBounds, RetryBudgets, RolloutAction, RolloutSchedule,
-    RolloutSettings, Route, RouteKind, RoutingConfig, RoutingTable, ShutdownPlan, TargetWeights,
-    UpstreamEntry, UpstreamInstance, UpstreamRegistry, UpstreamRegistrySettings, UpstreamStage,
-    VmGroup, WeightHistory, choose_candidate, is_store_likelier,
+    EngineView, EventSplitter, Heartbeat, HeartbeatScope, Listing, LoadedModel, ObjectChange,
+    ObjectMirror, ObjectRecord, Peers, PeersSettings, Placement, PlacementSettings,
+    PrefixCacheIndex, QueueSettings, QueuedRequest, RequestQueue, ResourceDemand,
+    RetryBudgetBounds, RetryBudgets, RolloutAction, RolloutSchedule, RolloutSettings, Route,
+    RouteKind, RoutingConfig, RoutingTable, ShutdownPlan, TargetWeights, UpstreamEntry,
+    UpstreamInstance, UpstreamRegistry, UpstreamRegistrySettings, UpstreamStage, VmGroup,
+    WatchPurpose, WeightHistory, choose_candidate, earliest_change, is_store_likelier, watch_wait,
 };
 use proptest::prelude::*;
 use rstest::rstest;
