test(gateway): windows for orders of two holders at engines that ignore fencing numbers

Cause: a row of docs/PROOFS.md said that the quiet lease after an acquisition is not tested. Change: the decision is a pure type, and the simulation of two holders that are paused, restarted and cut off records when each may send orders.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -26,6 +26,7 @@
 mod model;
 mod name_hash;
 mod object_mirror;
+mod order_window;
 mod peer_view;
 mod peers;
 mod placement;
@@ -68,6 +69,7 @@
     WeightNumber,
 };
 pub use object_mirror::ObjectMirror;
+pub use order_window::OrderWindow;
 pub use peer_view::PeerView;
 pub use peers::{Peers, PeersSettings};
 pub use placement::{
--- a/src/gateway/rollout_task.rs
+++ b/src/gateway/rollout_task.rs
@@ -9,6 +9,7 @@
 use super::engine_client::{self, CallFailure};
 use super::event_log::LogEvent;
 use super::model::WeightNumber;
+use super::order_window::OrderWindow;
 use super::platform_api::{Order, OrderReply};
 use super::rollout_schedule::{EngineView, RolloutAction, RolloutSchedule, RolloutSettings};
 use super::state::Gateway;
@@ -21,8 +22,6 @@
 const ROLLOUT_INTERVAL: Duration = Duration::from_millis(40);
 /// Interval between two passes while all engines have the target weights or no order may be sent.
 const IDLE_INTERVAL: Duration = Duration::from_millis(500);
-/// An order is sent only if at least the lease duration divided by this number is left.
-const LEASE_LEFT_DIVISOR: u32 = 4;
 /// Fraction of the time limit for new weights within which all engines should have them; the rest
 /// allows for lost orders.
 const ROLLOUT_DEADLINE_FRACTION: f64 = 0.85;
@@ -70,8 +69,8 @@
             acquired_at = now;
             rollouts.clear();
         }
-        let may_send_orders =
-            may_send_orders(&gateway, held_lease, acquired_at, now) && term > highest_fenced_term;
+        let may_send_orders = order_window(&gateway).is_open(held_lease, acquired_at, now)
+            && term > highest_fenced_term;
         let is_behind = may_send_orders
             && start_calls(
                 &gateway,
@@ -101,16 +100,12 @@
     }
 }
 
-/// Returns whether orders may be sent in the current term of the lease.
-///
-/// If engines ignore fencing numbers, no order is sent until every order of the previous term has
-/// ended.
-fn may_send_orders(gateway: &Gateway, held: HeldTerm, acquired_at: Instant, now: Instant) -> bool {
-    let lease_ttl = gateway.settings.bounds.lease_ttl;
-    let left = held.valid_until.saturating_sub(now);
-    let is_previous_term_over =
-        gateway.settings.bounds.engines_check_fencing || now >= acquired_at + lease_ttl;
-    left >= lease_ttl / LEASE_LEFT_DIVISOR && is_previous_term_over
+fn order_window(gateway: &Gateway) -> OrderWindow {
+    let bounds = &gateway.settings.bounds;
+    OrderWindow {
+        lease_ttl: bounds.lease_ttl,
+        engines_check_fencing: bounds.engines_check_fencing,
+    }
 }
 
 /// Starts the calls that are due; returns whether some engine lacks its target weights.
@@ -261,8 +256,7 @@
         return UpdateOutcome::Busy;
     }
     // The lease may have expired during the previous call, or while the process was paused.
-    let left = held.valid_until.saturating_sub(gateway.now());
-    if left < gateway.settings.bounds.lease_ttl / LEASE_LEFT_DIVISOR {
+    if !order_window(gateway).has_time_left(held, gateway.now()) {
         return UpdateOutcome::Busy;
     }
     let fencing = held.fencing_number;
--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use celerylever::gateway::OrderWindow;
 use celerylever::steward::{
     LeaseAction, LeaseCore, LeaseObject, LeaseRecord, LeaseSettings, LeaseWriteOutcome,
 };
@@ -21,6 +22,41 @@
     }
 }
 
+/// Engines that ignore fencing numbers get no orders of two VMs within one lease duration, whoever
+/// is paused, restarted or cut off, although the clocks run at rates that differ by 8%.
+#[test]
+fn two_holders_never_order_engines_within_one_lease_duration() {
+    let settings = settings(Duration::from_millis(10));
+    let lease_micros = settings.lease_ttl.as_micros() as u64;
+    let shortest = lease_micros * 1_000 / 1_040;
+    for seed in 0..SEEDS {
+        let outcome = Simulation::new(seed, settings).run();
+        assert!(outcome.order_ticks > 1_000, "seed {seed}: {outcome:?}");
+        let gap = outcome.order_gap_micros_min;
+        assert!(
+            gap.is_some_and(|gap| gap >= shortest),
+            "seed {seed}: {outcome:?}"
+        );
+    }
+}
+
+/// Without the wait after the acquisition the windows are closer, so the test above can fail.
+#[test]
+fn holders_that_rely_on_fencing_take_turns_sooner() {
+    let settings = settings(Duration::from_millis(10));
+    let window = OrderWindow {
+        lease_ttl: settings.lease_ttl,
+        engines_check_fencing: true,
+    };
+    let gap = |seed| {
+        let simulation = Simulation::with_order_window(seed, settings, window);
+        simulation.run().order_gap_micros_min
+    };
+    let lease_micros = settings.lease_ttl.as_micros() as u64;
+    let close = (0..SEEDS).filter(|seed| gap(*seed).is_some_and(|gap| gap < lease_micros / 2));
+    assert!(close.count() >= 5);
+}
+
 #[test]
 fn without_margin_windows_overlap() {
     let run = |seed| Simulation::new(seed, settings(Duration::ZERO)).run();
--- a/tests/lease_simulation/mod.rs
+++ b/tests/lease_simulation/mod.rs
@@ -7,8 +7,10 @@
 use std::collections::BinaryHeap;
 use std::time::Duration;
 
+use celerylever::gateway::OrderWindow;
 use celerylever::steward::{
-    LeaseAction, LeaseCore, LeaseHolder, LeaseObject, LeaseRecord, LeaseSettings, LeaseWriteOutcome,
+    HeldTerm, LeaseAction, LeaseCore, LeaseHolder, LeaseObject, LeaseRecord, LeaseSettings,
+    LeaseWriteOutcome,
 };
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -50,6 +52,10 @@
     pub(crate) violations: usize,
     pub(crate) terms: u64,
     pub(crate) held_ticks: u64,
+    /// Number of checks at which a node could send orders.
+    pub(crate) order_ticks: u64,
+    /// Shortest time between the windows of two holders for orders, in microseconds.
+    pub(crate) order_gap_micros_min: Option<u64>,
 }
 
 pub(crate) struct Simulation {
@@ -62,6 +68,11 @@
     events: BinaryHeap<Reverse<(u64, u64, Event)>>,
     event_count: u64,
     outcome: Outcome,
+    order_window: OrderWindow,
+    /// Term of each node that holds the lease, and when the node acquired it by its own clock.
+    acquired: [Option<(u64, Duration)>; 2],
+    /// Node that could send orders last, and when.
+    last_orders: Option<(usize, u64)>,
 }
 
 pub(crate) fn settings(margin: Duration) -> LeaseSettings {
@@ -81,6 +92,18 @@
 
 impl Simulation {
     pub(crate) fn new(seed: u64, settings: LeaseSettings) -> Self {
+        let order_window = OrderWindow {
+            lease_ttl: settings.lease_ttl,
+            engines_check_fencing: false,
+        };
+        Self::with_order_window(seed, settings, order_window)
+    }
+
+    pub(crate) fn with_order_window(
+        seed: u64,
+        settings: LeaseSettings,
+        order_window: OrderWindow,
+    ) -> Self {
         let node = |index: usize| Node {
             core: LeaseCore::new(settings, holder(index, 1)),
             incarnation: 1,
@@ -97,6 +120,9 @@
             events: BinaryHeap::new(),
             event_count: 0,
             outcome: Outcome::default(),
+            order_window,
+            acquired: [None, None],
+            last_orders: None,
         };
         simulation.schedule(0, Event::Tick);
         simulation
@@ -271,12 +297,34 @@
         }
     }
 
+    /// Records the time between the windows in which two nodes may send orders.
+    fn check_orders(&mut self, node: usize, held: HeldTerm) {
+        let local = self.local(node);
+        if self.acquired[node].is_none_or(|(term, _)| term != held.fencing_number) {
+            self.acquired[node] = Some((held.fencing_number, local));
+        }
+        let is_paused = self.now < self.nodes[node].paused_until;
+        let (_, acquired_at) = self.acquired[node].unwrap();
+        if is_paused || !self.order_window.is_open(held, acquired_at, local) {
+            return;
+        }
+        self.outcome.order_ticks += 1;
+        if let Some((_, at)) = self.last_orders.filter(|(last, _)| *last != node) {
+            let gap = self.now - at;
+            let shortest = self.outcome.order_gap_micros_min.unwrap_or(gap);
+            self.outcome.order_gap_micros_min = Some(shortest.min(gap));
+        }
+        self.last_orders = Some((node, self.now));
+    }
+
     fn check(&mut self) {
         for index in 0..self.nodes.len() {
             let node = &self.nodes[index];
             let Some(held) = node.core.held(self.local(index)) else {
                 continue;
             };
+            self.check_orders(index, held);
+            let node = &self.nodes[index];
             self.outcome.held_ticks += 1;
             let named = holder(index, node.incarnation);
             let is_named = self.object.record.as_ref().is_some_and(|record| {
