perf(gateway): let a starting VM of a large fleet read from a relay instead of the store

Cause: the wait for a relay followed from the number of known VMs, which is one before the list of VMs is read, so all 295 VMs listed and watched three kinds each at the start. Change: the wait begins once the list of VMs is read, VMs that become relays list first, and the sums of a zone show that its representative is a relay.

--- a/src/gateway/membership.rs
+++ b/src/gateway/membership.rs
@@ -40,6 +40,7 @@
             Ok(members) => {
                 let vms = members.len() as u32;
                 apply_members(&gateway, members);
+                gateway.state().is_member_list_read = true;
                 // Introduces this VM to those that it has learned of.
                 gateway.heartbeat_due.notify_one();
                 let next = MEMBER_LIST_INTERVAL.max(MEMBER_LIST_INTERVAL_PER_VM * vms);
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -23,6 +23,8 @@
     pub removal_timeout: Duration,
     /// Time without heartbeats of a zone's representative after which another one is accepted.
     pub representative_timeout: Duration,
+    /// Time after its start in which a VM learns of the others of its zone.
+    pub start_timeout: Duration,
     /// Share of a core that this VM provides, in percent.
     pub own_cpu_percent: u8,
 }
@@ -35,6 +37,8 @@
             // Longer than the network partitions after which VMs are expected to return.
             removal_timeout: Duration::from_secs(30),
             representative_timeout: Duration::from_millis(300),
+            // The first two heartbeats, which all VMs of the zone receive.
+            start_timeout: Duration::from_millis(400),
             own_cpu_percent: 100,
         }
     }
@@ -101,7 +105,7 @@
 
     /// Records that this VM starts and needs some heartbeat intervals to learn of its zone.
     pub fn record_start(&mut self, now: Instant) {
-        self.incomplete_until = now + self.settings.freshness_timeout;
+        self.incomplete_until = now + self.settings.start_timeout;
     }
 
     /// Records a heartbeat; returns whether it is newer than the recorded one.
@@ -165,6 +169,7 @@
         }
         if let Some(peer) = self.vms.get_mut(&heartbeat.vm) {
             peer.received_at = now;
+            peer.heartbeat.watches_store = heartbeat.watches_store;
         }
         self.zone_sum = Some(Peer::new(heartbeat, now));
         true
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -95,6 +95,8 @@
     pub(super) queues: HashMap<ServiceId, ServiceQueue>,
     pub(super) last_queue_pass_at: Instant,
     pub(super) peer_view: PeerView,
+    /// Whether this VM has read the list of VMs since its start.
+    pub(super) is_member_list_read: bool,
     /// Sequence number of the last heartbeat of this VM.
     pub(super) last_heartbeat: u64,
     /// Load in the last heartbeat of this VM.
@@ -177,6 +179,7 @@
             queues: HashMap::new(),
             last_queue_pass_at: Instant::ZERO,
             peer_view: PeerView::default(),
+            is_member_list_read: false,
             last_heartbeat: 0,
             reported_loads: Vec::new(),
             placement_settings: PlacementSettings::default(),
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -26,6 +26,9 @@
 const FIRST_RELAY_TIMEOUT_PER_VM: Duration = Duration::from_millis(5);
 /// Limit of the time that follows from the number of VMs.
 const FIRST_RELAY_TIMEOUT_MAX: Duration = Duration::from_millis(1_000);
+/// Maximum time for which a starting VM waits for the list of VMs, which shows the size of the
+/// fleet.
+const FIRST_MEMBER_LIST_TIMEOUT: Duration = Duration::from_millis(300);
 /// Interval between two checks for a relay at the start.
 const FIRST_RELAY_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Base of the exponential delay after failed calls.
@@ -231,14 +234,22 @@
 
     /// Waits for a store relay at the start; returns `None` if none appears in time.
     async fn first_relay(&self) -> Option<(VmId, SocketAddr)> {
-        let idle_share = (1.0 - self.settings.cpu_share).clamp(0.0, 1.0);
-        let fraction = idle_share * rand::random::<f64>();
+        // Squared, as the VMs that become relays have to list before the others give up.
+        let idle_share = (1.0 - self.settings.cpu_share).clamp(0.0, 1.0).powi(2);
+        let fraction = idle_share * rand::rng().random_range(0.5..=1.0);
         let started = self.now();
         loop {
             let relay = self.relay(self.now());
-            let vms = self.state().fleet_size() as u32;
+            let (vms, is_member_list_read) = {
+                let state = self.state();
+                (state.fleet_size() as u32, state.is_member_list_read)
+            };
             let timeout = (FIRST_RELAY_TIMEOUT_PER_VM * vms).min(FIRST_RELAY_TIMEOUT_MAX);
-            if relay.is_some() || self.now() >= started + timeout.mul_f64(fraction) {
+            let timeout = match is_member_list_read {
+                true => timeout.mul_f64(fraction),
+                false => FIRST_MEMBER_LIST_TIMEOUT,
+            };
+            if relay.is_some() || self.now() >= started + timeout {
                 return relay;
             }
             tokio::time::sleep(FIRST_RELAY_CHECK_INTERVAL).await;
