fix(gateway): count engines as late from weights that were replaced before a VM started

Change: peers tell the times of replaced weights too; weights of unknown age allow older engines half the contact timeout.

--- a/src/gateway/mirror_updates.rs
+++ b/src/gateway/mirror_updates.rs
@@ -1,7 +1,7 @@
 //! Application of changes, from the store or from peers, to the state of this VM.
 
 use super::event_log::LogEvent;
-use super::model::TargetWeights;
+use super::model::{TargetWeights, WeightNumber};
 use super::object_mirror::ObjectMirror;
 use super::platform_api::{Listing, ObjectChange, ObjectRecord, TrackedKind};
 use super::state::Gateway;
@@ -12,10 +12,10 @@
 /// Times at which target weights were set, as far as their source knows.
 #[derive(Debug, Clone, Default)]
 pub(super) struct TargetTimes {
-    /// Time for models that are not in `by_model`.
+    /// Time for weights that are not in `known`.
     pub(super) default: Instant,
-    /// Times by model.
-    pub(super) by_model: Vec<(ModelId, Instant)>,
+    /// Times of known weights, replaced ones included.
+    pub(super) known: Vec<(ModelId, WeightNumber, Instant)>,
 }
 
 impl TargetTimes {
@@ -23,13 +23,14 @@
     pub(super) fn all_at(time: Instant) -> Self {
         Self {
             default: time,
-            by_model: Vec::new(),
+            known: Vec::new(),
         }
     }
 
-    fn of(&self, model: &str) -> Instant {
-        let known = self.by_model.iter().find(|(known, _)| known == model);
-        known.map_or(self.default, |(_, at)| *at)
+    fn of_model(&self, model: &str) -> impl Iterator<Item = (WeightNumber, Instant)> {
+        let known = self.known.iter();
+        let of_model = known.filter(move |(known, _, _)| known == model);
+        of_model.map(|(_, weights, at)| (*weights, *at))
     }
 }
 
@@ -127,7 +128,7 @@
                 state.upstreams.apply(name, Some(entry), now);
             }
             Some(ObjectRecord::Weights(target)) => {
-                self.apply_target_weights(&target, revision, target_times.of(&target.model));
+                self.apply_target_weights(&target, revision, target_times);
             }
             Some(ObjectRecord::Unusable(reason)) => {
                 self.event_log.log(&LogEvent::ObjectUnusable {
@@ -154,9 +155,13 @@
         &self,
         target: &TargetWeights,
         revision: ObjectVersion,
-        set_at: Instant,
+        target_times: &TargetTimes,
     ) {
         let (model, weights) = (&target.model, target.weights);
+        let known = target_times
+            .of_model(model)
+            .find(|(known, _)| *known == weights);
+        let set_at = known.map_or(target_times.default, |(_, at)| at);
         let age_ms = self.now().saturating_sub(set_at).as_millis() as u64;
         self.event_log.log(&LogEvent::WeightsNamed {
             model,
@@ -167,6 +172,9 @@
         let mut state = self.state();
         let history = state.weight_histories.entry(model.clone()).or_default();
         history.record(weights, set_at);
+        for (earlier, at) in target_times.of_model(model) {
+            history.record_earlier(earlier, at);
+        }
         drop(state);
         self.target_weights_changed.notify_one();
     }
--- a/src/gateway/store_relay.rs
+++ b/src/gateway/store_relay.rs
@@ -16,6 +16,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::mirror_updates::TargetTimes;
+use super::model::WeightNumber;
 use super::platform_api::{ChangeBatch, Listing, TrackedKind};
 use super::pool::{Connection, connect};
 use super::response;
@@ -46,8 +47,8 @@
     content: T,
     /// Time since the store confirmed that there are no newer objects.
     confirmed_age_ms: u64,
-    /// Time since the newest target weights of each model were set.
-    target_ages_ms: Vec<(ModelId, u64)>,
+    /// Time since target weights of each model were set, replaced ones included.
+    target_ages_ms: Vec<(ModelId, WeightNumber, u64)>,
 }
 
 /// [`PeerAnswer`] with ages converted to times of this VM's clock.
@@ -65,13 +66,13 @@
         let target_times = self
             .target_ages_ms
             .into_iter()
-            .map(|(model, age_ms)| (model, at(age_ms)));
+            .map(|(model, weights, age_ms)| (model, weights, at(age_ms)));
         ReceivedAnswer {
             content: self.content,
             confirmed_at: at(self.confirmed_age_ms),
             target_times: TargetTimes {
                 default: now,
-                by_model: target_times.collect(),
+                known: target_times.collect(),
             },
         }
     }
@@ -223,15 +224,14 @@
         let now = self.now();
         let age_ms = |at: Instant| now.saturating_sub(at).as_millis() as u64;
         let state = self.state();
-        let target_ages = state
+        let histories = state
             .weight_histories
             .iter()
-            .filter_map(|(model, history)| {
-                let set_at = history
-                    .newest_at()
-                    .filter(|_| tracked == TrackedKind::Weights)?;
-                Some((model.clone(), age_ms(set_at)))
-            });
+            .filter(|_| tracked == TrackedKind::Weights);
+        let target_ages = histories.flat_map(|(model, history)| {
+            let versions = history.versions().iter();
+            versions.map(|(weights, set_at)| (model.clone(), *weights, age_ms(*set_at)))
+        });
         Some(PeerAnswer {
             content: content?,
             confirmed_age_ms: state.confirmed_at.get(&tracked).copied().map_or(0, age_ms),
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -344,11 +344,11 @@
 
     /// Returns the age that is assumed for target weights that may be older.
     ///
-    /// Engines with older weights then receive requests until this VM counts as connected, but no
-    /// longer.
+    /// Engines with older weights then receive requests for half of the time after which this VM
+    /// counts as connected; the rest is for calls to the store and the wait at the engine.
     fn target_age_max(&self) -> Duration {
         let bounds = &self.settings.bounds;
-        older_weights_cutoff(bounds.weights_timeout).saturating_sub(bounds.contact_timeout)
+        older_weights_cutoff(bounds.weights_timeout).saturating_sub(bounds.contact_timeout / 2)
     }
 
     /// Records that the store responded, directly or to the relay at `confirmed_at`; returns the
--- a/src/gateway/weight_history.rs
+++ b/src/gateway/weight_history.rs
@@ -29,6 +29,26 @@
         is_newer
     }
 
+    /// Records target weights that were replaced before this VM learned of the model.
+    ///
+    /// Engines that lack them are behind since then, and not only since the newest ones were set.
+    pub fn record_earlier(&mut self, weights: WeightNumber, set_at: Instant) {
+        let index = self.versions.partition_point(|(known, _)| *known < weights);
+        match self.versions.get(index) {
+            Some((next, next_at)) if *next > weights => {
+                let entry = (weights, set_at.min(*next_at));
+                self.versions.insert(index, entry);
+            }
+            // Known, or newer than all known ones.
+            _ => {}
+        }
+    }
+
+    /// Returns all target weights with the time at which they were set, in order.
+    pub fn versions(&self) -> &[(WeightNumber, Instant)] {
+        &self.versions
+    }
+
     /// Returns the newest target weights; 0 before the first.
     pub fn newest(&self) -> WeightNumber {
         self.versions.last().map_or(0, |(weights, _)| *weights)
