fix(gateway): keep the announced heartbeat interval in zones of any size

Cause, found by reading: the minimum interval grows with the receivers of a heartbeat, and from about 190 of them it exceeded the 200 ms that the heartbeat announces; the sum of reports on an engine could overflow. Change: both are bounded; a comment says why loads of weights are not logged at every VM.

--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -64,6 +64,8 @@
         let receivers = send_heartbeat(&gateway, &socket, sequence, false);
         sequence += 1;
         let interval_min = HEARTBEAT_INTERVAL_MIN * (1 + receivers as u32 / EARLY_HEARTBEAT_VMS);
+        // The next heartbeat has been announced for the end of the regular interval.
+        let interval_min = interval_min.min(HEARTBEAT_INTERVAL);
         tokio::time::sleep(interval_min).await;
         let rest = HEARTBEAT_INTERVAL.saturating_sub(interval_min);
         // Either outcome leads to the next heartbeat: the interval has passed, or one is due early.
@@ -326,7 +328,7 @@
     for (engine, vms) in &other.unreachable_engines {
         let sums = &mut sum.unreachable_engines;
         match sums.iter_mut().find(|(known, _)| known == engine) {
-            Some((_, known)) => *known += vms,
+            Some((_, known)) => *known = known.saturating_add(*vms),
             None => sums.push((*engine, *vms)),
         }
     }
--- a/src/gateway/mirror_updates.rs
+++ b/src/gateway/mirror_updates.rs
@@ -112,8 +112,8 @@
                 let is_ready = entry.stage == super::model::UpstreamStage::Ready;
                 let mut state = self.state();
                 let known = state.upstreams.get(name);
-                // Each load of weights changes the entry, at each VM; these are logged by the
-                // holder of the lease only.
+                // Each load of weights changes the entry. Logged at every VM, these changes would
+                // grow with VMs and engines; the holder of the lease logs the loads.
                 let is_news = known.is_none_or(|known| {
                     known.is_ready() != is_ready || known.entry.born_ms != entry.born_ms
                 });
