feat(gateway): tell what ended an attempt, a stream and a request at a stop

An incident left hypotheses that the logs could not tell apart: a run given up for its engine's silence, a connection that broke and an abort at a stop all were outcome "unknown" with a free text, a request ended by the shutdown was told by a count only, and its refusal carried no request id. Whether work on replaced weights had waited at its engine was not told at all.

New counters: gateway_aborts, a label "cause" on gateway_attempt_failures, and the histogram gateway_older_weights.

--- /dev/null
+++ b/src/gateway/attempt_failure.rs
@@ -0,0 +1,94 @@
+//! Failures of attempts at upstreams and their causes.
+
+use std::fmt;
+
+use serde::Serialize;
+
+/// Reason why an attempt returned no response that can be forwarded.
+#[derive(Debug)]
+pub(super) enum AttemptFailure {
+    /// No byte of the request was sent.
+    NotSent(String),
+    /// The upstream stated with this status that it did not run the request.
+    NotRun(u16),
+    /// The request may have run.
+    Unknown(FailureCause, String),
+    /// The deadline of the request has passed.
+    Timeout,
+}
+
+/// What ended an attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize)]
+#[serde(rename_all = "snake_case")]
+pub(super) enum FailureCause {
+    /// No connection to the upstream could be used.
+    Unreachable,
+    /// The upstream stated that it did not run the request.
+    Rejected,
+    /// The connection failed, or ended in the middle of a response.
+    Connection,
+    /// The upstream sent no event in time; its run was given up.
+    Stalled,
+    /// The response does not belong to the request or cannot be forwarded.
+    UnusableResponse,
+    /// The deadline of the request passed.
+    Deadline,
+}
+
+impl FailureCause {
+    /// Returns the name that is used in log lines and metrics.
+    pub(super) fn name(self) -> &'static str {
+        match self {
+            Self::Unreachable => "unreachable",
+            Self::Rejected => "rejected",
+            Self::Connection => "connection",
+            Self::Stalled => "stalled",
+            Self::UnusableResponse => "unusable_response",
+            Self::Deadline => "deadline",
+        }
+    }
+}
+
+impl AttemptFailure {
+    /// Returns the failure of a response that cannot be forwarded.
+    pub(super) fn unusable(reason: impl Into<String>) -> Self {
+        Self::Unknown(FailureCause::UnusableResponse, reason.into())
+    }
+
+    /// Returns the failure of a connection after the request was sent.
+    pub(super) fn connection(reason: impl Into<String>) -> Self {
+        Self::Unknown(FailureCause::Connection, reason.into())
+    }
+
+    /// Returns the label of the outcome: whether the request was sent and may have run.
+    pub(super) fn outcome(&self) -> &'static str {
+        match self {
+            Self::NotSent(_) => "not_sent",
+            Self::NotRun(_) => "not_run",
+            Self::Unknown(..) => "unknown",
+            Self::Timeout => "timeout",
+        }
+    }
+
+    pub(super) fn cause(&self) -> FailureCause {
+        match self {
+            Self::NotSent(_) => FailureCause::Unreachable,
+            Self::NotRun(_) => FailureCause::Rejected,
+            Self::Unknown(cause, _) => *cause,
+            Self::Timeout => FailureCause::Deadline,
+        }
+    }
+}
+
+impl fmt::Display for AttemptFailure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NotSent(reason) | Self::Unknown(_, reason) => f.write_str(reason),
+            Self::NotRun(status) => {
+                write!(f, "upstream did not run the request, status {status}")
+            }
+            Self::Timeout => f.write_str("no response before the deadline"),
+        }
+    }
+}
--- a/src/gateway/buffered.rs
+++ b/src/gateway/buffered.rs
@@ -6,9 +6,11 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 
+use super::attempt_failure::AttemptFailure;
+use super::connection_headers::{closes_connection, keep_alive_timeout};
 use super::dispatch::DispatchedRequest;
 use super::model::RouteKind;
-use super::request::{AdmittedRequest, AttemptFailure, closes_connection, keep_alive_timeout};
+use super::request::AdmittedRequest;
 use crate::entry::strip_hop_by_hop;
 use crate::error::Refusal;
 
@@ -68,7 +70,7 @@
         let body = tokio::time::timeout(left, read_body(body))
             .await
             .map_err(|_| AttemptFailure::Timeout)?
-            .map_err(AttemptFailure::Unknown)?;
+            .map_err(AttemptFailure::connection)?;
         let keep_alive = keep_alive_timeout(&parts.headers);
         if !closes_connection(&parts.headers) {
             let instance = dispatched.instance.clone();
--- a/src/gateway/candidates.rs
+++ b/src/gateway/candidates.rs
@@ -113,7 +113,8 @@
         let dispatched = DispatchedRequest::new(gateway, eligible.upstream, load, weights)
             .with_cached(eligible.cached_tokens, eligible.fetch_from)
             .with_save_to(save_to)
-            .with_tokens_ahead(candidate.prefill_tokens);
+            .with_tokens_ahead(candidate.prefill_tokens)
+            .with_time_behind(self.time_behind_target(eligible.upstream, prefixes.as_ref(), now));
         let name_hash = eligible.name_hash;
         let prefill_tokens_total = candidate.prefill_tokens + load.prefill_tokens;
         let due = dispatched.response_due(
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -307,7 +307,11 @@
             requests
         }
     };
-    gateway.event_log.log(&LogEvent::Stopped { requests_cut });
+    gateway.event_log.log(&LogEvent::Stopped {
+        requests_cut,
+        connections: gateway.drain.connection_count(),
+        stopping_ms: gateway.stopping_ms(),
+    });
 }
 
 /// Completes once the process was requested to stop and the load balancer had time to stop sending
@@ -322,7 +326,11 @@
     let _ = gateway.stop_requested_at.set(gateway.now());
     gateway.drain.start();
     let requests = gateway.drain.request_count();
-    gateway.event_log.log(&LogEvent::Stopping { requests });
+    let connections = gateway.drain.connection_count();
+    gateway.event_log.log(&LogEvent::Stopping {
+        requests,
+        connections,
+    });
     tokio::time::sleep(plan.close_idle_after).await;
     gateway.drain.close_idle_connections();
     tokio::time::sleep(
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -42,6 +42,8 @@
     pub(super) ahead_tokens: Tokens,
     /// Time at which the request was placed.
     pub(super) placed_at: Instant,
+    /// Time for which the engine had lacked target weights when the request was placed.
+    pub(super) time_behind: Duration,
     number: u64,
     load: UpstreamLoad,
     is_awaiting_first_response: bool,
@@ -65,6 +67,7 @@
             save_to: None,
             ahead_tokens: 0,
             placed_at: gateway.now(),
+            time_behind: Duration::ZERO,
             number: gateway.next_request_number.fetch_add(1, Ordering::Relaxed),
             load,
             is_awaiting_first_response: true,
@@ -91,6 +94,11 @@
         self
     }
 
+    pub(super) fn with_time_behind(mut self, time_behind: Duration) -> Self {
+        self.time_behind = time_behind;
+        self
+    }
+
     /// Returns the number that identifies the request at this VM.
     pub(super) fn number(&self) -> u64 {
         self.number
@@ -102,10 +110,10 @@
         self.placed_at + (expected_work * OVERDUE_WORK_FACTOR).max(objective) + OVERDUE_SLACK
     }
 
-    /// Records that the first event or the response has arrived.
-    pub(super) fn record_first_response(&mut self) {
+    /// Records that the first event or the response has arrived; returns `false` if it had before.
+    pub(super) fn record_first_response(&mut self) -> bool {
         if !std::mem::take(&mut self.is_awaiting_first_response) {
-            return;
+            return false;
         }
         let now = self.gateway.now();
         let mut state = self.gateway.state();
@@ -120,6 +128,7 @@
         }
         drop(state);
         self.gateway.place_queued();
+        true
     }
 
     /// Records the weights that served the request.
--- a/src/gateway/event_log.rs
+++ b/src/gateway/event_log.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 use slog::{KV, Key, Logger, Record, Serializer, info};
 
+use super::attempt_failure::FailureCause;
 use super::model::WeightNumber;
 use super::platform_api::TrackedKind;
 use crate::clock::{Instant, SharedClock};
@@ -31,9 +32,12 @@
     },
     Stopping {
         requests: usize,
+        connections: usize,
     },
     Stopped {
         requests_cut: usize,
+        connections: usize,
+        stopping_ms: Option<u64>,
     },
     Reloaded {
         is_changed: bool,
@@ -148,8 +152,17 @@
         weights: Option<WeightNumber>,
         held_tokens: u64,
         ahead_tokens: u64,
+        /// Time for which the upstream has lacked target weights; 0 if it lacks none.
+        behind_ms: u64,
         waited_ms: u64,
     },
+    /// The first event came from an engine that lacks target weights.
+    OlderWeightsUsed {
+        upstream: &'a str,
+        weights: Option<WeightNumber>,
+        behind_ms: u64,
+        after_ms: u64,
+    },
     Refused {
         code: u16,
         name: &'static str,
@@ -161,8 +174,11 @@
         upstream: &'a str,
         attempt: u32,
         outcome: &'static str,
+        cause: FailureCause,
         reason: &'a str,
         after_ms: u64,
+        /// Time since the process was requested to stop.
+        stopping_ms: Option<u64>,
     },
     Resumed {
         upstream: &'a str,
@@ -171,6 +187,14 @@
     StreamBroken {
         reason: &'a str,
         after_event: Option<u64>,
+        /// Number of upstreams that ran the request or may have run it.
+        runs: u32,
+        stopping_ms: Option<u64>,
+    },
+    /// The shutdown ended the request before its response was complete.
+    Aborted {
+        stage: AbortStage,
+        stopping_ms: Option<u64>,
     },
     Answered {
         upstream: &'a str,
@@ -187,6 +211,27 @@
     },
 }
 
+/// Progress of a request that the shutdown aborts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize)]
+#[serde(rename_all = "snake_case")]
+pub(super) enum AbortStage {
+    /// The caller has received nothing and gets a complete refusal.
+    BeforeResponse,
+    /// The caller has received part of a stream, which ends early.
+    Streaming,
+}
+
+impl AbortStage {
+    /// Returns the name that is used in metrics.
+    pub(super) fn name(self) -> &'static str {
+        match self {
+            Self::BeforeResponse => "before_response",
+            Self::Streaming => "streaming",
+        }
+    }
+}
+
 impl LogEvent<'_> {
     fn kind(&self) -> &'static str {
         match self {
@@ -195,9 +240,10 @@
             Self::Placed { .. } => "placed",
             Self::Answered { .. } => "answered",
             Self::Refused { .. } => "refused",
-            Self::AttemptFailed { .. } | Self::Resumed { .. } | Self::StreamBroken { .. } => {
-                "failed"
-            }
+            Self::AttemptFailed { .. } | Self::Resumed { .. } => "failed",
+            // Not suppressed by the attempts that fail at the same time.
+            Self::StreamBroken { .. } | Self::Aborted { .. } => "broken",
+            Self::OlderWeightsUsed { .. } => "older_weights_used",
             Self::CallerLeft { .. } => "caller_left",
             Self::UpstreamListed { .. } | Self::UpstreamGone { .. } => "upstream",
             Self::ObjectUnusable { .. } => "object_unusable",
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -5,6 +5,8 @@
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter};
 
+use super::attempt_failure::FailureCause;
+use super::event_log::AbortStage;
 use super::platform_api::TrackedKind;
 use crate::error::Code;
 use crate::ids::ObjectVersion;
@@ -19,6 +21,7 @@
     refusals: Counter<u64>,
     retries: Counter<u64>,
     attempt_failures: Counter<u64>,
+    aborts: Counter<u64>,
     responses: Counter<u64>,
     orders: Counter<u64>,
     first_event: Histogram<f64>,
@@ -26,6 +29,7 @@
     queue_time: Histogram<f64>,
     store_call: Histogram<f64>,
     weights_in_place: Histogram<f64>,
+    older_weights: Histogram<f64>,
     config_version: Gauge<u64>,
 }
 
@@ -48,7 +52,14 @@
         Self {
             refusals: counter("gateway_refusals", "Requests refused, by result code"),
             retries: counter("gateway_repeats", "Requests sent once more, by reason"),
-            attempt_failures: counter("gateway_attempt_failures", "Failed attempts, by outcome"),
+            attempt_failures: counter(
+                "gateway_attempt_failures",
+                "Failed attempts, by outcome and cause",
+            ),
+            aborts: counter(
+                "gateway_aborts",
+                "Requests ended by the shutdown, by what the caller had received",
+            ),
             responses: counter("gateway_answers", "Answers passed on, by class of status"),
             orders: counter("gateway_orders", "Orders to engines, by reply"),
             first_event: seconds(
@@ -59,6 +70,10 @@
             queue_time: seconds("gateway_waited", "Time in the queue before an upstream"),
             store_call: seconds("gateway_store_call", "Time of calls to the store"),
             weights_in_place: seconds("gateway_weights_in_place", "Time from naming to in place"),
+            older_weights: seconds(
+                "gateway_older_weights",
+                "Time for which an engine lacked target weights at a first event",
+            ),
             config_version: meter.u64_gauge("gateway_config_version").build(),
         }
     }
@@ -71,9 +86,21 @@
         self.retries.add(1, &[KeyValue::new("reason", reason)]);
     }
 
-    pub(super) fn count_attempt_failure(&self, outcome: &'static str) {
-        self.attempt_failures
-            .add(1, &[KeyValue::new("outcome", outcome)]);
+    pub(super) fn count_attempt_failure(&self, outcome: &'static str, cause: FailureCause) {
+        let labels = [
+            KeyValue::new("outcome", outcome),
+            KeyValue::new("cause", cause.name()),
+        ];
+        self.attempt_failures.add(1, &labels);
+    }
+
+    pub(super) fn count_abort(&self, stage: AbortStage) {
+        self.aborts.add(1, &[KeyValue::new("stage", stage.name())]);
+    }
+
+    /// Records the time for which an engine had lacked target weights when its first event came.
+    pub(super) fn record_older_weights(&self, behind: Duration) {
+        self.older_weights.record(behind.as_secs_f64(), &[]);
     }
 
     pub(super) fn record_response(&self, status: u16, after: Duration) {
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -5,11 +5,12 @@
 
 use bytes::Bytes;
 use gotham::helpers::http::Body;
-use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri};
+use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use http_body_util::Full;
 use hyper::body::Incoming;
 
 use super::admit::admit;
+use super::attempt_failure::{AttemptFailure, FailureCause};
 use super::dispatch::DispatchedRequest;
 use super::event_log::LogEvent;
 use super::model::{Customer, Route, RouteKind};
@@ -80,19 +81,6 @@
     unreachable_upstreams: u32,
 }
 
-/// Reason why an attempt returned no response that can be forwarded.
-#[derive(Debug)]
-pub(super) enum AttemptFailure {
-    /// No byte of the request was sent.
-    NotSent(String),
-    /// The upstream stated with this status that it did not run the request.
-    NotRun(u16),
-    /// The request may have run.
-    Unknown(String),
-    /// The deadline of the request has passed.
-    Timeout,
-}
-
 /// Response of an upstream whose head has arrived and whose body has not been read.
 #[derive(Debug)]
 pub(super) struct UpstreamResponse {
@@ -101,26 +89,22 @@
     pub(super) connection: Connection,
 }
 
-/// Admits a request, forwards it and returns its id with the response or the refusal.
+/// Admits a request, forwards it and returns the response.
+///
+/// # Errors
+///
+/// Returns the refusal for the caller.
 pub(super) async fn respond(
     gateway: Arc<Gateway>,
     received: ReceivedRequest,
+    head: RequestHead,
     request_guard: RequestGuard,
-) -> (RequestId, Result<Response<Body>, Refusal>) {
-    let head = gateway
-        .platform
-        .dialect
-        .read_request_head(&received.headers);
-    let id = head.id.clone().unwrap_or_default();
-    let result = admit(&gateway, received, head).await;
-    let result = match result {
-        Ok(admitted) if admitted.route.kind == RouteKind::Streaming => {
-            stream::respond(admitted, request_guard).await
-        }
-        Ok(admitted) => admitted.respond_buffered().await,
-        Err(refusal) => Err(refusal),
-    };
-    (id, result)
+) -> Result<Response<Body>, Refusal> {
+    let admitted = admit(&gateway, received, head).await?;
+    match admitted.route.kind {
+        RouteKind::Streaming => stream::respond(admitted, request_guard).await,
+        RouteKind::Idempotent | RouteKind::NonIdempotent => admitted.respond_buffered().await,
+    }
 }
 
 impl AdmittedRequest {
@@ -180,6 +164,7 @@
                 weights: dispatched.weights,
                 held_tokens: dispatched.cached_tokens,
                 ahead_tokens: dispatched.ahead_tokens,
+                behind_ms: dispatched.time_behind.as_millis() as u64,
                 waited_ms: gateway.now().saturating_sub(now).as_millis() as u64,
             },
         );
@@ -196,28 +181,22 @@
         dispatched: &DispatchedRequest,
         failure: AttemptFailure,
     ) -> Result<(), Refusal> {
-        let (outcome, reason) = match &failure {
-            AttemptFailure::NotSent(reason) => ("not_sent", reason.clone()),
-            AttemptFailure::NotRun(status) => (
-                "not_run",
-                format!("upstream did not run the request, status {status}"),
-            ),
-            AttemptFailure::Unknown(reason) => ("unknown", reason.clone()),
-            AttemptFailure::Timeout => ("timeout", "no response before the deadline".to_owned()),
-        };
-        self.gateway.metrics.count_attempt_failure(outcome);
+        let (outcome, cause, reason) = (failure.outcome(), failure.cause(), failure.to_string());
+        self.gateway.metrics.count_attempt_failure(outcome, cause);
         self.gateway.event_log.log_request(
             &self.id,
             &LogEvent::AttemptFailed {
                 upstream: &dispatched.instance.id,
                 attempt: self.progress.sends,
                 outcome,
+                cause,
                 reason: &reason,
                 after_ms: self
                     .gateway
                     .now()
                     .saturating_sub(dispatched.placed_at)
                     .as_millis() as u64,
+                stopping_ms: self.gateway.stopping_ms(),
             },
         );
         self.progress.last_failure = Some(outcome);
@@ -232,7 +211,7 @@
                 dispatched.record_rejection();
                 return Ok(());
             }
-            AttemptFailure::Unknown(_) | AttemptFailure::Timeout => {}
+            AttemptFailure::Unknown(..) | AttemptFailure::Timeout => {}
         }
         dispatched.record_failure(1.0);
         self.gateway.pool.close_idle(&dispatched.instance);
@@ -281,7 +260,9 @@
                 self.progress.sends -= 1;
                 return Err(AttemptFailure::NotSent(reason));
             }
-            Ok(Err(SendFailure::Broken(reason))) => return Err(AttemptFailure::Unknown(reason)),
+            Ok(Err(SendFailure::Broken(reason))) => {
+                return Err(AttemptFailure::Unknown(FailureCause::Connection, reason));
+            }
             Err(_) => return Err(AttemptFailure::Timeout),
         };
         let head = gateway
@@ -296,19 +277,19 @@
             None => is_rejection,
         };
         if !is_same_request {
-            return Err(AttemptFailure::Unknown(
-                "the response carries the id of another request".into(),
+            return Err(AttemptFailure::unusable(
+                "the response carries the id of another request",
             ));
         }
         match status {
             _ if head.is_not_run => Err(AttemptFailure::NotRun(status.as_u16())),
             StatusCode::MISDIRECTED_REQUEST => Err(AttemptFailure::NotRun(status.as_u16())),
-            _ if !head.is_sealed => Err(AttemptFailure::Unknown(
-                "the response carries no seal of the upstream".into(),
+            _ if !head.is_sealed => Err(AttemptFailure::unusable(
+                "the response carries no seal of the upstream",
             )),
             StatusCode::SERVICE_UNAVAILABLE
             | StatusCode::TOO_MANY_REQUESTS
-            | StatusCode::REQUEST_TIMEOUT => Err(AttemptFailure::Unknown(format!(
+            | StatusCode::REQUEST_TIMEOUT => Err(AttemptFailure::unusable(format!(
                 "status {status} without a statement whether the request ran"
             ))),
             _ => Ok(UpstreamResponse {
@@ -319,20 +300,6 @@
         }
     }
 
-    /// Records a response that is forwarded to the caller.
-    pub(super) fn record_response(&self, dispatched: &DispatchedRequest, status: StatusCode) {
-        let after = self.gateway.now().saturating_sub(self.arrived_at);
-        self.gateway.metrics.record_response(status.as_u16(), after);
-        self.gateway.event_log.log_request(
-            &self.id,
-            &LogEvent::Answered {
-                upstream: &dispatched.instance.id,
-                status: status.as_u16(),
-                after_ms: after.as_millis() as u64,
-            },
-        );
-    }
-
     /// Returns the refusal of a request that gets no further attempt.
     ///
     /// If an upstream may have run the request, the code of the refusal does not state that it did
@@ -424,19 +391,3 @@
         request.body(Full::new(self.body.clone()))
     }
 }
-
-/// Returns the idle timeout of a connection from the `keep-alive` header of a response.
-pub(super) fn keep_alive_timeout(headers: &HeaderMap) -> Option<Duration> {
-    let value = headers.get("keep-alive")?.to_str().ok()?;
-    let mut parts = value.split(',').map(str::trim);
-    let seconds = parts.find_map(|part| part.strip_prefix("timeout="))?;
-    seconds.parse().ok().map(Duration::from_secs)
-}
-
-/// Returns whether the `connection` header of a response announces that the upstream closes the
-/// connection.
-pub(super) fn closes_connection(headers: &HeaderMap) -> bool {
-    let values = headers.get_all(http::header::CONNECTION).iter();
-    let mut texts = values.filter_map(|value: &HeaderValue| value.to_str().ok());
-    texts.any(|text| text.to_ascii_lowercase().contains("close"))
-}
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -13,7 +13,7 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::{TcpListener, TcpStream};
 
-use super::event_log::LogEvent;
+use super::event_log::{AbortStage, LogEvent};
 use super::request::{self, ReceivedRequest};
 use super::response;
 use super::state::Gateway;
@@ -99,41 +99,36 @@
         );
         return refuse(&gateway, &RequestId::new(), &refusal);
     };
+    let head = gateway
+        .platform
+        .dialect
+        .read_request_head(&received.headers);
+    let id = head.id.clone().unwrap_or_default();
     if gateway.refuses_new_requests() {
         let refusal = response::retryable_refusal(
             Code::Draining,
             "the VM is shutting down",
             DRAINING_RETRY_AFTER,
         );
-        let id = gateway
-            .platform
-            .dialect
-            .read_request_head(&received.headers)
-            .id
-            .unwrap_or_default();
         return with_connection_close(refuse(&gateway, &id, &refusal));
     }
-    let answering =
-        AssertUnwindSafe(request::respond(gateway.clone(), received, request_guard)).catch_unwind();
+    let responding = request::respond(gateway.clone(), received, head, request_guard);
     let result = tokio::select! {
         biased;
-        result = answering => result,
+        result = AssertUnwindSafe(responding).catch_unwind() => result,
         () = gateway.drain.wait_for_abort() => {
+            gateway.record_abort(&id, AbortStage::BeforeResponse);
             // An upstream may be running the request, so the refusal must not state that it did not
             // run.
-            let refusal = Refusal::new(Code::UpstreamUnknown, "the VM is shutting down");
-            Ok((RequestId::new(), Err(refusal)))
+            Ok(Err(Refusal::new(Code::UpstreamUnknown, "the VM is shutting down")))
         }
     };
-    let (id, result) = result.unwrap_or_else(|_| {
+    let result = result.unwrap_or_else(|_| {
         gateway.telemetry.metrics().record_handler_panic();
-        let refusal = Refusal::new(Code::Internal, "the handler of the request panicked");
-        (RequestId::new(), Err(refusal))
+        let message = "the handler of the request panicked";
+        Err(Refusal::new(Code::Internal, message))
     });
-    let response = match result {
-        Ok(response) => response,
-        Err(refusal) => refuse(&gateway, &id, &refusal),
-    };
+    let response = result.unwrap_or_else(|refusal| refuse(&gateway, &id, &refusal));
     match gateway.drain.is_started() {
         true => with_connection_close(response),
         false => response,
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -12,7 +12,7 @@
 use super::allowance::{AllowanceSettings, Allowances};
 use super::cache_retention::CacheRetention;
 use super::charge::PendingCharges;
-use super::event_log::{EventLog, LogEvent};
+use super::event_log::{AbortStage, EventLog, LogEvent};
 use super::heartbeat::{CompactLoad, Heartbeat, HeartbeatScope, HeldLease, StoreRevisions};
 use super::metrics::GatewayMetrics;
 use super::model::{CacheStore, EngineProfile, ServiceId};
@@ -219,6 +219,19 @@
         Some(self.now().saturating_sub(*at))
     }
 
+    /// Returns the time since the process was requested to stop in milliseconds, for log lines.
+    pub(super) fn stopping_ms(&self) -> Option<u64> {
+        self.time_since_stop().map(|time| time.as_millis() as u64)
+    }
+
+    /// Counts and logs a request that the shutdown ends before its response is complete.
+    pub(super) fn record_abort(&self, id: &str, stage: AbortStage) {
+        self.metrics.count_abort(stage);
+        let stopping_ms = self.stopping_ms();
+        self.event_log
+            .log_request(id, &LogEvent::Aborted { stage, stopping_ms });
+    }
+
     /// Returns whether new requests are refused because of the shutdown.
     pub(super) fn refuses_new_requests(&self) -> bool {
         let plan = ShutdownPlan::within(self.settings.bounds.shutdown_timeout);
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -10,13 +10,13 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 
+use super::attempt_failure::{AttemptFailure, FailureCause};
+use super::connection_headers::{closes_connection, keep_alive_timeout};
 use super::dispatch::DispatchedRequest;
-use super::event_log::LogEvent;
+use super::event_log::{AbortStage, LogEvent};
 use super::event_splitter::EventSplitter;
 use super::pool::Connection;
-use super::request::{
-    AdmittedRequest, AttemptFailure, UpstreamResponse, closes_connection, keep_alive_timeout,
-};
+use super::request::{AdmittedRequest, UpstreamResponse};
 use crate::entry::{RequestGuard, strip_hop_by_hop};
 use crate::error::{Code, Refusal};
 
@@ -160,23 +160,30 @@
         let frame = match tokio::time::timeout(wait, engine.body.frame()).await {
             Ok(frame) => frame,
             Err(_) if wait == left => return Err(AttemptFailure::Timeout),
-            Err(_) => return Err(AttemptFailure::Unknown("stalled: no event in time".into())),
+            Err(_) => {
+                let reason = "no event in time".to_owned();
+                return Err(AttemptFailure::Unknown(FailureCause::Stalled, reason));
+            }
         };
         let data = match frame {
             None if splitter.is_inside_event() => {
-                return Err(AttemptFailure::Unknown(
-                    "the stream ended inside an event".into(),
+                return Err(AttemptFailure::connection(
+                    "the stream ended inside an event",
                 ));
             }
             None => return Ok(ReadOutcome::End),
-            Some(Err(error)) => return Err(AttemptFailure::Unknown(format!("stream: {error}"))),
+            Some(Err(error)) => {
+                return Err(AttemptFailure::connection(format!("stream: {error}")));
+            }
             Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
         };
         let events = splitter
             .push(&data)
-            .map_err(|error| AttemptFailure::Unknown(error.to_string()))?;
+            .map_err(|error| AttemptFailure::unusable(error.to_string()))?;
         if !events.is_empty() {
-            engine.dispatched.record_first_response();
+            if engine.dispatched.record_first_response() {
+                admitted.record_first_event(&engine.dispatched);
+            }
             return Ok(ReadOutcome::Events(events));
         }
     }
@@ -232,6 +239,7 @@
                 () = self.request_guard.wait_for_abort() => {
                     let refusal = Refusal::new(Code::StreamBroken, "the VM is shutting down");
                     self.source = StreamSource::Ended;
+                    self.admitted.gateway.record_abort(&self.admitted.id, AbortStage::Streaming);
                     self.log_broken(&refusal, self.splitter.last_id());
                     return Err(io::Error::other(refusal));
                 }
@@ -296,7 +304,7 @@
                         "the engine answered the resumed stream with another status".to_owned();
                     failure_result = self
                         .admitted
-                        .record_failure(&next, AttemptFailure::Unknown(reason));
+                        .record_failure(&next, AttemptFailure::unusable(reason));
                 }
                 Err(failure) => failure_result = self.admitted.record_failure(&next, failure),
             }
@@ -307,6 +315,8 @@
         let event = LogEvent::StreamBroken {
             reason: &refusal.message,
             after_event,
+            runs: self.admitted.progress.runs,
+            stopping_ms: self.admitted.gateway.stopping_ms(),
         };
         self.admitted
             .gateway
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -7,5 +7,5 @@
 
 pub use exporter::Telemetry;
 pub use labels::{Event, PeerDropReason, RetryReason, StoreCall, StoreOutcome};
-pub use logger::{json_logger, stderr_logger};
+pub use logger::{QueuedLines, flushable_json_logger, json_logger, stderr_logger};
 pub use metrics::{CustomerMetrics, Metrics};
--- a/tests/telemetry_output.rs
+++ b/tests/telemetry_output.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use celerylever::telemetry::json_logger;
+use celerylever::telemetry::{flushable_json_logger, json_logger};
 
 /// Lines written while the reader stands still.
 const LINES: usize = 50_000;
@@ -64,3 +64,17 @@
 fn text(output: &Output) -> String {
     String::from_utf8(output.0.lock().unwrap().clone()).unwrap()
 }
+
+#[test]
+fn queued_lines_are_waited_for_up_to_a_bound() {
+    let output = Output::default();
+    let (log, queued_lines) = flushable_json_logger(output.clone(), "test");
+    let reader = output.0.lock().unwrap();
+    for line in 0..100 {
+        slog::info!(log, "request"; "line" => line, "text" => "two\nlines");
+    }
+    assert!(!queued_lines.wait_written(Duration::from_millis(20)));
+    drop(reader);
+    assert!(queued_lines.wait_written(Duration::from_secs(10)));
+    assert_eq!(text(&output).lines().count(), 100);
+}
