fix(gateway): read a silent engine until another one has the request

Callers of resumable streams received the head, some events and a closed connection while their engine was alive: an engine that sent nothing for 1.3 s was closed before it was known whether another run was allowed, the retry budget had a retry, and another engine had room, could be reached and accepted the request. The second of two allowed runs was closed in the same way although nothing could follow it.

A stall now starts a search while the engine is still read. The search needs another allowed run, a retry in the budget, a place and a connection; events that arrive end it and give all of that back, and one without result is repeated at intervals without holding a place. Only then is the request sent. The silent engine is closed once the other one has answered, or after 250 ms, as two engines may work on a request for 400 ms. Events that it sends meanwhile are withheld: they are forwarded if the other engine rejects the request or the stream ends, and dropped if the other engine repeats them. If no switch is possible, the engine is read until it goes on, breaks, the deadline passes or the caller leaves.

The decision when to search is a pure function (`SilentStream`). `request` and `stream` are split into files for the exchange, the stream of one engine and the takeover. An abort is now also noticed while a broken stream is being resumed.

--- a/src/gateway/attempt_failure.rs
+++ b/src/gateway/attempt_failure.rs
@@ -61,6 +61,11 @@
         Self::Unknown(FailureCause::Connection, reason.into())
     }
 
+    /// Returns the failure of an engine whose run is given up because it sent no event in time.
+    pub(super) fn stalled() -> Self {
+        Self::Unknown(FailureCause::Stalled, "no event in time".into())
+    }
+
     /// Returns the label of the outcome: whether the request was sent and may have run.
     pub(super) fn outcome(&self) -> &'static str {
         match self {
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -40,6 +40,8 @@
     pub(super) save_to: Option<SocketAddr>,
     /// Prompt tokens that the engine processes before this request.
     pub(super) ahead_tokens: Tokens,
+    /// Number of the attempt, from 1; set when the request is to be sent.
+    pub(super) attempt: u32,
     /// Time at which the request was placed.
     pub(super) placed_at: Instant,
     /// Time for which the engine had lacked target weights when the request was placed.
@@ -66,6 +68,7 @@
             fetch_from: None,
             save_to: None,
             ahead_tokens: 0,
+            attempt: 0,
             placed_at: gateway.now(),
             time_behind: Duration::ZERO,
             number: gateway.next_request_number.fetch_add(1, Ordering::Relaxed),
--- /dev/null
+++ b/src/gateway/engine_stream.rs
@@ -0,0 +1,126 @@
+//! Stream of events from one engine.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+
+use super::attempt_failure::AttemptFailure;
+use super::connection_headers::{closes_connection, keep_alive_timeout};
+use super::dispatch::DispatchedRequest;
+use super::event_splitter::EventSplitter;
+use super::exchange::UpstreamResponse;
+use super::pool::Connection;
+use super::request::AdmittedRequest;
+
+/// Body of an engine's response, with the connection and the load that the run takes.
+pub(super) struct EngineStream {
+    body: Incoming,
+    connection: Option<Connection>,
+    keep_alive: Option<Duration>,
+    is_reusable: bool,
+    pub(super) dispatched: DispatchedRequest,
+}
+
+/// Result of reading from an engine's response.
+pub(super) enum ReadOutcome {
+    Events(Bytes),
+    End,
+}
+
+/// Separates the head of a response from its stream.
+pub(super) fn split_response(
+    received: UpstreamResponse,
+    dispatched: DispatchedRequest,
+    admitted: &AdmittedRequest,
+) -> (http::response::Parts, EngineStream) {
+    let (parts, body) = received.response.into_parts();
+    let mut dispatched = dispatched;
+    let model = admitted
+        .placement_request
+        .prompt
+        .as_ref()
+        .map(|prompt| prompt.model.as_str());
+    if let (Some(weights), Some(model)) = (received.head.weights, model) {
+        dispatched.record_weights(weights, model);
+    }
+    let engine = EngineStream {
+        body,
+        is_reusable: !closes_connection(&parts.headers),
+        keep_alive: keep_alive_timeout(&parts.headers),
+        connection: Some(received.connection),
+        dispatched,
+    };
+    (parts, engine)
+}
+
+/// Reads until at least one complete event has arrived or the stream ends.
+pub(super) async fn read_events(
+    admitted: &AdmittedRequest,
+    engine: &mut EngineStream,
+    splitter: &mut EventSplitter,
+) -> Result<ReadOutcome, AttemptFailure> {
+    loop {
+        let left = admitted.deadline.saturating_sub(admitted.gateway.now());
+        let frame = match tokio::time::timeout(left, engine.body.frame()).await {
+            Ok(frame) => frame,
+            Err(_) => return Err(AttemptFailure::Timeout),
+        };
+        let data = match frame {
+            None if splitter.is_inside_event() => {
+                return Err(AttemptFailure::connection(
+                    "the stream ended inside an event",
+                ));
+            }
+            None => return Ok(ReadOutcome::End),
+            Some(Err(error)) => {
+                return Err(AttemptFailure::connection(format!("stream: {error}")));
+            }
+            Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+        };
+        let events = splitter
+            .push(&data)
+            .map_err(|error| AttemptFailure::unusable(error.to_string()))?;
+        if !events.is_empty() {
+            if engine.dispatched.record_first_response() {
+                admitted.record_first_event(&engine.dispatched);
+            }
+            return Ok(ReadOutcome::Events(events));
+        }
+    }
+}
+
+/// Closes the connection to an engine, which makes the engine abort the request.
+pub(super) fn close_stream(engine: EngineStream) -> DispatchedRequest {
+    let EngineStream {
+        body,
+        connection,
+        dispatched,
+        ..
+    } = engine;
+    drop(connection);
+    drop(body);
+    dispatched
+}
+
+/// Records a response that has ended and returns its connection to the pool.
+pub(super) fn finish_stream(
+    admitted: &AdmittedRequest,
+    mut engine: EngineStream,
+    status: http::StatusCode,
+) {
+    admitted.record_response(&engine.dispatched, status);
+    let connection = engine.connection.take().filter(|_| engine.is_reusable);
+    if let Some(connection) = connection {
+        let gateway = admitted.gateway.clone();
+        let instance = engine.dispatched.instance.clone();
+        let keep_alive = engine.keep_alive;
+        tokio::spawn(async move {
+            gateway
+                .pool
+                .return_connection(&instance, connection, keep_alive)
+                .await
+        });
+    }
+}
--- /dev/null
+++ b/src/gateway/exchange.rs
@@ -0,0 +1,170 @@
+//! Exchange of a request with an upstream, up to the head of the response.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+
+use super::attempt_failure::{AttemptFailure, FailureCause};
+use super::dispatch::DispatchedRequest;
+use super::platform_api::{ResponseHead, UpstreamHeaders};
+use super::pool::{Connection, SendFailure};
+use super::prompt::cache_salt;
+use super::request::AdmittedRequest;
+
+/// Response of an upstream whose head has arrived and whose body has not been read.
+#[derive(Debug)]
+pub(super) struct UpstreamResponse {
+    pub(super) response: http::Response<Incoming>,
+    pub(super) head: ResponseHead,
+    pub(super) connection: Connection,
+}
+
+impl AdmittedRequest {
+    /// Sends the request to an upstream and waits for the head of the response.
+    ///
+    /// # Errors
+    ///
+    /// Returns whether the request was sent, and whether it may have run.
+    pub(super) async fn send(
+        &mut self,
+        dispatched: &DispatchedRequest,
+        last_event_id: Option<u64>,
+    ) -> Result<UpstreamResponse, AttemptFailure> {
+        let connection = self.connect(dispatched).await?;
+        self.progress.sends += 1;
+        let result = self.exchange(connection, dispatched, last_event_id).await;
+        if matches!(result, Err(AttemptFailure::NotSent(_))) {
+            self.progress.sends -= 1;
+        }
+        result
+    }
+
+    /// Returns a connection to an upstream.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`AttemptFailure::NotSent`] if the upstream could not be reached.
+    pub(super) async fn connect(
+        &self,
+        dispatched: &DispatchedRequest,
+    ) -> Result<Connection, AttemptFailure> {
+        let left = self.deadline.saturating_sub(self.gateway.now());
+        let pool = &self.gateway.pool;
+        let connect = pool.connection(&dispatched.instance, dispatched.address);
+        match tokio::time::timeout(left, connect).await {
+            Ok(connection) => {
+                connection.map_err(|failure| AttemptFailure::NotSent(failure.to_string()))
+            }
+            Err(_) => Err(AttemptFailure::Timeout),
+        }
+    }
+
+    /// Sends the request over a connection and waits for the head of the response.
+    ///
+    /// # Errors
+    ///
+    /// Returns whether the request was sent, and whether it may have run.
+    pub(super) async fn exchange(
+        &self,
+        connection: Connection,
+        dispatched: &DispatchedRequest,
+        last_event_id: Option<u64>,
+    ) -> Result<UpstreamResponse, AttemptFailure> {
+        let left = self.deadline.saturating_sub(self.gateway.now());
+        let request = self.upstream_request(dispatched, left, last_event_id);
+        let request = request.map_err(|error| AttemptFailure::NotSent(error.to_string()))?;
+        let (instance, address) = (&dispatched.instance, dispatched.address);
+        let send = self
+            .gateway
+            .pool
+            .send(connection, instance, address, request);
+        let (response, connection) = match tokio::time::timeout(left, send).await {
+            Ok(Ok(received)) => received,
+            Ok(Err(SendFailure::NotSent(reason))) => return Err(AttemptFailure::NotSent(reason)),
+            Ok(Err(SendFailure::Broken(reason))) => {
+                return Err(AttemptFailure::Unknown(FailureCause::Connection, reason));
+            }
+            Err(_) => return Err(AttemptFailure::Timeout),
+        };
+        let head = self
+            .gateway
+            .platform
+            .dialect
+            .read_response_head(response.headers());
+        let status = response.status();
+        // An upstream may reject a request before it has read the request id.
+        let is_rejection = head.is_not_run || status == StatusCode::MISDIRECTED_REQUEST;
+        let is_same_request = match &head.request_id {
+            Some(id) => *id == self.id,
+            None => is_rejection,
+        };
+        if !is_same_request {
+            return Err(AttemptFailure::unusable(
+                "the response carries the id of another request",
+            ));
+        }
+        match status {
+            _ if head.is_not_run => Err(AttemptFailure::NotRun(status.as_u16())),
+            StatusCode::MISDIRECTED_REQUEST => Err(AttemptFailure::NotRun(status.as_u16())),
+            _ if !head.is_sealed => Err(AttemptFailure::unusable(
+                "the response carries no seal of the upstream",
+            )),
+            StatusCode::SERVICE_UNAVAILABLE
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::REQUEST_TIMEOUT => Err(AttemptFailure::unusable(format!(
+                "status {status} without a statement whether the request ran"
+            ))),
+            _ => Ok(UpstreamResponse {
+                response,
+                head,
+                connection,
+            }),
+        }
+    }
+
+    fn upstream_request(
+        &self,
+        dispatched: &DispatchedRequest,
+        left: Duration,
+        last_event_id: Option<u64>,
+    ) -> Result<Request<Full<Bytes>>, http::Error> {
+        let mut headers = self.headers.clone();
+        let salt = self.placement_request.prompt.as_ref().map(|_| {
+            cache_salt(
+                self.placement_request.isolated_customer.as_deref(),
+                dispatched.weights.unwrap_or_default(),
+            )
+        });
+        let upstream_headers = UpstreamHeaders {
+            time_left: left,
+            upstream: &dispatched.instance.id,
+            customer: self.customer.as_ref().map(|customer| customer.id.as_str()),
+            cache_salt: salt.as_deref(),
+            fetch_from: dispatched.fetch_from,
+            save_to: dispatched.save_to,
+            priority: self
+                .placement_request
+                .prompt
+                .as_ref()
+                .map(|_| self.priority()),
+            last_event_id,
+            weights: dispatched.weights,
+        };
+        self.gateway
+            .platform
+            .dialect
+            .set_upstream_headers(&mut headers, &upstream_headers);
+        let target = self
+            .uri
+            .path_and_query()
+            .map_or("/", |target| target.as_str());
+        let mut request = Request::builder().method(self.method.clone()).uri(target);
+        if let Some(current) = request.headers_mut() {
+            *current = headers;
+        }
+        request.body(Full::new(self.body.clone()))
+    }
+}
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -52,6 +52,8 @@
 pub(super) struct Connection {
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
+    /// Whether an earlier request was sent over it.
+    is_reused: bool,
 }
 
 impl Connection {
@@ -97,7 +99,24 @@
         }
     }
 
-    /// Sends a request over an idle or a new connection and waits for the head of the response.
+    /// Returns an idle or a new connection to an upstream.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SendFailure::NotSent`] if no connection could be opened in time.
+    pub(super) async fn connection(
+        &self,
+        instance: &UpstreamInstance,
+        address: SocketAddr,
+    ) -> Result<Connection, SendFailure> {
+        match self.take_idle(instance) {
+            Some(connection) => Ok(connection),
+            None => connect(address).await,
+        }
+    }
+
+    /// Sends a request over a connection, or over another one if the upstream has closed it, and
+    /// waits for the head of the response.
     ///
     /// # Errors
     ///
@@ -105,29 +124,25 @@
     /// [`SendFailure::Broken`].
     pub(super) async fn send(
         &self,
+        mut connection: Connection,
         instance: &UpstreamInstance,
         address: SocketAddr,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
     ) -> Result<(Response<Incoming>, Connection), SendFailure> {
-        let mut request = request;
-        while let Some(mut connection) = self.take_idle(instance) {
+        loop {
             match connection.sender.try_send_request(request).await {
                 Ok(response) => return Ok((response, connection)),
                 Err(mut error) => match error.take_message() {
-                    Some(unsent) => request = unsent,
+                    Some(unsent) if connection.is_reused => request = unsent,
+                    Some(_) => {
+                        return Err(SendFailure::NotSent(
+                            "the connection closed before the request was written".into(),
+                        ));
+                    }
                     None => return Err(SendFailure::Broken(error.into_error().to_string())),
                 },
             }
-        }
-        let mut connection = connect(address).await?;
-        match connection.sender.try_send_request(request).await {
-            Ok(response) => Ok((response, connection)),
-            Err(mut error) => Err(match error.take_message() {
-                Some(_) => SendFailure::NotSent(
-                    "the connection closed before the request was written".into(),
-                ),
-                None => SendFailure::Broken(error.into_error().to_string()),
-            }),
+            connection = self.connection(instance, address).await?;
         }
     }
 
@@ -149,6 +164,7 @@
         let mut idle = self.lock();
         let connections = idle.entry(instance.clone()).or_default();
         if connections.len() < IDLE_CONNECTIONS_MAX {
+            connection.is_reused = true;
             connections.push(IdleConnection {
                 connection,
                 reusable_until,
@@ -210,6 +226,7 @@
     Ok(Connection {
         sender,
         task: task.abort_handle(),
+        is_reused: false,
     })
 }
 
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -5,18 +5,14 @@
 
 use bytes::Bytes;
 use gotham::helpers::http::Body;
-use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
-use http_body_util::Full;
-use hyper::body::Incoming;
+use http::{HeaderMap, Method, Response, Uri};
 
 use super::admit::admit;
-use super::attempt_failure::{AttemptFailure, FailureCause};
+use super::attempt_failure::AttemptFailure;
 use super::dispatch::DispatchedRequest;
 use super::event_log::LogEvent;
 use super::model::{Customer, Route, RouteKind};
-use super::platform_api::{RequestHead, ResponseHead, UpstreamHeaders};
-use super::pool::{Connection, SendFailure};
-use super::prompt::cache_salt;
+use super::platform_api::RequestHead;
 use super::queued_placement::PlacementError;
 use super::request_queue::QueuedRequest;
 use super::response::retryable_refusal;
@@ -81,14 +77,6 @@
     unreachable_upstreams: u32,
 }
 
-/// Response of an upstream whose head has arrived and whose body has not been read.
-#[derive(Debug)]
-pub(super) struct UpstreamResponse {
-    pub(super) response: Response<Incoming>,
-    pub(super) head: ResponseHead,
-    pub(super) connection: Connection,
-}
-
 /// Admits a request, forwards it and returns the response.
 ///
 /// # Errors
@@ -122,27 +110,18 @@
                 "too little time is left to send the request",
             ));
         }
-        if self.progress.sends >= SENDS_MAX || self.progress.unreachable_upstreams >= SENDS_MAX {
+        if !self.may_send() {
             return Err(self.refuse(
                 Code::UpstreamRefused,
                 "the maximum number of attempts failed",
             ));
         }
-        let queued_request = QueuedRequest {
-            priority: self.priority(),
-            // Set when the request enters the queue.
-            prefill_tokens: 0,
-            place_by: self.arrived_at + self.route.objective,
-            deadline: now + left.mul_f64(QUEUE_TIME_FRACTION),
-        };
         let gateway = self.gateway.clone();
-        let placed = gateway
-            .place(&self.id, &self.placement_request, queued_request)
-            .await;
+        let placed = self.place().await;
         gateway
             .metrics
             .record_queue_time(gateway.now().saturating_sub(now));
-        let dispatched = placed.map_err(|error| self.refuse_unplaced(error))?;
+        let mut dispatched = placed.map_err(|error| self.refuse_unplaced(error))?;
         let is_retry = self.progress.sends > 0;
         if is_retry && !gateway.take_retry(&self.placement_request.service) {
             return Err(self.refuse(
@@ -153,22 +132,53 @@
         if let Some(reason) = self.progress.last_failure.filter(|_| is_retry) {
             gateway.metrics.count_retry(reason);
         }
+        self.record_placed(&mut dispatched, now);
+        Ok(dispatched)
+    }
+
+    /// Chooses an untried upstream, waiting in the queue if necessary.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the request was not placed.
+    pub(super) async fn place(&self) -> Result<DispatchedRequest, PlacementError> {
+        let now = self.gateway.now();
+        let left = self.deadline.saturating_sub(now);
+        let queued_request = QueuedRequest {
+            priority: self.priority(),
+            // Set when the request enters the queue.
+            prefill_tokens: 0,
+            place_by: self.arrived_at + self.route.objective,
+            deadline: now + left.mul_f64(QUEUE_TIME_FRACTION),
+        };
+        self.gateway
+            .place(&self.id, &self.placement_request, queued_request)
+            .await
+    }
+
+    /// Records the upstream of the next attempt, which was searched since `searched_since`.
+    pub(super) fn record_placed(
+        &mut self,
+        dispatched: &mut DispatchedRequest,
+        searched_since: Instant,
+    ) {
+        dispatched.attempt = self.progress.sends + 1;
         self.placement_request
             .tried_upstreams
             .push(dispatched.instance.id.clone());
+        let gateway = &self.gateway;
         gateway.event_log.log_request(
             &self.id,
             &LogEvent::Placed {
                 upstream: &dispatched.instance.id,
-                attempt: self.progress.sends + 1,
+                attempt: dispatched.attempt,
                 weights: dispatched.weights,
                 held_tokens: dispatched.cached_tokens,
                 ahead_tokens: dispatched.ahead_tokens,
                 behind_ms: dispatched.time_behind.as_millis() as u64,
-                waited_ms: gateway.now().saturating_sub(now).as_millis() as u64,
+                waited_ms: gateway.now().saturating_sub(searched_since).as_millis() as u64,
             },
         );
-        Ok(dispatched)
     }
 
     /// Records a failed attempt.
@@ -187,7 +197,7 @@
             &self.id,
             &LogEvent::AttemptFailed {
                 upstream: &dispatched.instance.id,
-                attempt: self.progress.sends,
+                attempt: dispatched.attempt,
                 outcome,
                 cause,
                 reason: &reason,
@@ -225,6 +235,11 @@
         }
     }
 
+    /// Returns whether the number of attempts allows another one.
+    pub(super) fn may_send(&self) -> bool {
+        self.progress.sends < SENDS_MAX && self.progress.unreachable_upstreams < SENDS_MAX
+    }
+
     /// Returns whether the request may be run once more.
     pub(super) fn may_retry(&self) -> bool {
         let is_retryable = match self.route.kind {
@@ -235,71 +250,6 @@
         is_retryable && self.progress.runs < self.route.attempts
     }
 
-    /// Sends the request to an upstream and waits for the head of the response.
-    ///
-    /// # Errors
-    ///
-    /// Returns whether the request was sent, and whether it may have run.
-    pub(super) async fn send(
-        &mut self,
-        dispatched: &DispatchedRequest,
-        last_event_id: Option<u64>,
-    ) -> Result<UpstreamResponse, AttemptFailure> {
-        let gateway = self.gateway.clone();
-        let left = self.deadline.saturating_sub(gateway.now());
-        let request = self.upstream_request(dispatched, left, last_event_id);
-        let request = request.map_err(|error| AttemptFailure::NotSent(error.to_string()))?;
-        self.progress.sends += 1;
-        let send = gateway
-            .pool
-            .send(&dispatched.instance, dispatched.address, request);
-        let sent = tokio::time::timeout(left, send).await;
-        let (response, connection) = match sent {
-            Ok(Ok(received)) => received,
-            Ok(Err(SendFailure::NotSent(reason))) => {
-                self.progress.sends -= 1;
-                return Err(AttemptFailure::NotSent(reason));
-            }
-            Ok(Err(SendFailure::Broken(reason))) => {
-                return Err(AttemptFailure::Unknown(FailureCause::Connection, reason));
-            }
-            Err(_) => return Err(AttemptFailure::Timeout),
-        };
-        let head = gateway
-            .platform
-            .dialect
-            .read_response_head(response.headers());
-        let status = response.status();
-        // An upstream may reject a request before it has read the request id.
-        let is_rejection = head.is_not_run || status == StatusCode::MISDIRECTED_REQUEST;
-        let is_same_request = match &head.request_id {
-            Some(id) => *id == self.id,
-            None => is_rejection,
-        };
-        if !is_same_request {
-            return Err(AttemptFailure::unusable(
-                "the response carries the id of another request",
-            ));
-        }
-        match status {
-            _ if head.is_not_run => Err(AttemptFailure::NotRun(status.as_u16())),
-            StatusCode::MISDIRECTED_REQUEST => Err(AttemptFailure::NotRun(status.as_u16())),
-            _ if !head.is_sealed => Err(AttemptFailure::unusable(
-                "the response carries no seal of the upstream",
-            )),
-            StatusCode::SERVICE_UNAVAILABLE
-            | StatusCode::TOO_MANY_REQUESTS
-            | StatusCode::REQUEST_TIMEOUT => Err(AttemptFailure::unusable(format!(
-                "status {status} without a statement whether the request ran"
-            ))),
-            _ => Ok(UpstreamResponse {
-                response,
-                head,
-                connection,
-            }),
-        }
-    }
-
     /// Returns the refusal of a request that gets no further attempt.
     ///
     /// If an upstream may have run the request, the code of the refusal does not state that it did
@@ -340,54 +290,11 @@
         }
     }
 
-    fn priority(&self) -> u8 {
+    pub(super) fn priority(&self) -> u8 {
         let customer = self
             .customer
             .as_ref()
             .and_then(|customer| customer.priority);
         customer.unwrap_or(self.route.priority)
     }
-
-    fn upstream_request(
-        &self,
-        dispatched: &DispatchedRequest,
-        left: Duration,
-        last_event_id: Option<u64>,
-    ) -> Result<Request<Full<Bytes>>, http::Error> {
-        let mut headers = self.headers.clone();
-        let salt = self.placement_request.prompt.as_ref().map(|_| {
-            cache_salt(
-                self.placement_request.isolated_customer.as_deref(),
-                dispatched.weights.unwrap_or_default(),
-            )
-        });
-        let upstream_headers = UpstreamHeaders {
-            time_left: left,
-            upstream: &dispatched.instance.id,
-            customer: self.customer.as_ref().map(|customer| customer.id.as_str()),
-            cache_salt: salt.as_deref(),
-            fetch_from: dispatched.fetch_from,
-            save_to: dispatched.save_to,
-            priority: self
-                .placement_request
-                .prompt
-                .as_ref()
-                .map(|_| self.priority()),
-            last_event_id,
-            weights: dispatched.weights,
-        };
-        self.gateway
-            .platform
-            .dialect
-            .set_upstream_headers(&mut headers, &upstream_headers);
-        let target = self
-            .uri
-            .path_and_query()
-            .map_or("/", |target| target.as_str());
-        let mut request = Request::builder().method(self.method.clone()).uri(target);
-        if let Some(current) = request.headers_mut() {
-            *current = headers;
-        }
-        request.body(Full::new(self.body.clone()))
-    }
 }
--- a/src/gateway/retry_budgets.rs
+++ b/src/gateway/retry_budgets.rs
@@ -59,6 +59,11 @@
         self.budget(service, vms, now).try_take(now)
     }
 
+    /// Returns whether a service's budget has a retry left.
+    pub fn has_retry(&mut self, service: &str, vms: usize, now: Instant) -> bool {
+        self.budget(service, vms, now).has_retry(now)
+    }
+
     fn budget(&mut self, service: &str, vms: usize, now: Instant) -> &mut RetryBudget {
         let bounds = self.bounds;
         let budget = self.budgets.entry(service.to_owned());
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -1,59 +1,44 @@
 //! Forwarding of event streams, which are resumed at another engine if one fails.
 
 use std::io;
-use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::stream;
 use gotham::helpers::http::Body;
 use http::Response;
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body::{Frame, Incoming};
+use hyper::body::Frame;
 
-use super::attempt_failure::{AttemptFailure, FailureCause};
-use super::connection_headers::{closes_connection, keep_alive_timeout};
+use super::attempt_failure::AttemptFailure;
 use super::dispatch::DispatchedRequest;
+use super::engine_stream::{
+    EngineStream, ReadOutcome, close_stream, finish_stream, read_events, split_response,
+};
 use super::event_log::{AbortStage, LogEvent};
 use super::event_splitter::EventSplitter;
-use super::pool::Connection;
-use super::request::{AdmittedRequest, UpstreamResponse};
+use super::exchange::UpstreamResponse;
+use super::request::AdmittedRequest;
+use super::takeover::{self, Silence};
 use crate::entry::{RequestGuard, strip_hop_by_hop};
 use crate::error::{Code, Refusal};
 
-/// Time without an event after which a stream is resumed at another engine; less than the two
-/// seconds after which the first callers close the connection.
-const EVENT_STALL_TIMEOUT: Duration = Duration::from_millis(1_300);
-
 /// Event stream that is being forwarded to a caller.
-struct EventStream {
-    admitted: AdmittedRequest,
-    source: StreamSource,
-    splitter: EventSplitter,
-    first_events: Option<Bytes>,
-    status: http::StatusCode,
-    request_guard: RequestGuard,
+pub(super) struct EventStream {
+    pub(super) admitted: AdmittedRequest,
+    pub(super) source: StreamSource,
+    pub(super) splitter: EventSplitter,
+    /// Events that have been read and not been forwarded.
+    pub(super) pending_events: Option<Bytes>,
+    pub(super) status: http::StatusCode,
+    _request_guard: RequestGuard,
 }
 
 /// Source of the events that have not been forwarded yet.
-enum StreamSource {
+pub(super) enum StreamSource {
     Engine(Box<EngineStream>),
     Ended,
 }
 
-struct EngineStream {
-    body: Incoming,
-    connection: Option<Connection>,
-    keep_alive: Option<Duration>,
-    is_reusable: bool,
-    dispatched: DispatchedRequest,
-}
-
-/// Result of reading from an engine's response.
-enum ReadOutcome {
-    Events(Bytes),
-    End,
-}
-
 /// Opens a stream at an engine and returns the response that forwards it.
 ///
 /// # Errors
@@ -77,7 +62,7 @@
         let mut splitter = EventSplitter::after(last_event_id);
         // The head is withheld until the first event, so that the request can still be sent to
         // another engine.
-        let first_events = read_events(&admitted, &mut engine, &mut splitter, None).await;
+        let first_events = read_events(&admitted, &mut engine, &mut splitter).await;
         let first_events = match first_events {
             Ok(ReadOutcome::Events(events)) => Some(events),
             Ok(ReadOutcome::End) => None,
@@ -104,8 +89,8 @@
             admitted,
             source,
             splitter,
-            first_events,
-            request_guard,
+            pending_events: first_events,
+            _request_guard: request_guard,
         };
         let frames = stream::unfold(Some(event_stream), |event_stream| async move {
             let mut event_stream = event_stream?;
@@ -122,160 +107,84 @@
     }
 }
 
-fn split_response(
-    received: UpstreamResponse,
-    dispatched: DispatchedRequest,
-    admitted: &AdmittedRequest,
-) -> (http::response::Parts, EngineStream) {
-    let (parts, body) = received.response.into_parts();
-    let mut dispatched = dispatched;
-    let model = admitted
-        .placement_request
-        .prompt
-        .as_ref()
-        .map(|prompt| prompt.model.as_str());
-    if let (Some(weights), Some(model)) = (received.head.weights, model) {
-        dispatched.record_weights(weights, model);
-    }
-    let engine = EngineStream {
-        body,
-        is_reusable: !closes_connection(&parts.headers),
-        keep_alive: keep_alive_timeout(&parts.headers),
-        connection: Some(received.connection),
-        dispatched,
-    };
-    (parts, engine)
-}
-
-/// Reads until at least one complete event has arrived or the stream ends.
-async fn read_events(
-    admitted: &AdmittedRequest,
-    engine: &mut EngineStream,
-    splitter: &mut EventSplitter,
-    stall_timeout: Option<Duration>,
-) -> Result<ReadOutcome, AttemptFailure> {
-    loop {
-        let left = admitted.deadline.saturating_sub(admitted.gateway.now());
-        let wait = stall_timeout.map_or(left, |stall_timeout| stall_timeout.min(left));
-        let frame = match tokio::time::timeout(wait, engine.body.frame()).await {
-            Ok(frame) => frame,
-            Err(_) if wait == left => return Err(AttemptFailure::Timeout),
-            Err(_) => {
-                let reason = "no event in time".to_owned();
-                return Err(AttemptFailure::Unknown(FailureCause::Stalled, reason));
-            }
-        };
-        let data = match frame {
-            None if splitter.is_inside_event() => {
-                return Err(AttemptFailure::connection(
-                    "the stream ended inside an event",
-                ));
-            }
-            None => return Ok(ReadOutcome::End),
-            Some(Err(error)) => {
-                return Err(AttemptFailure::connection(format!("stream: {error}")));
-            }
-            Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
-        };
-        let events = splitter
-            .push(&data)
-            .map_err(|error| AttemptFailure::unusable(error.to_string()))?;
-        if !events.is_empty() {
-            if engine.dispatched.record_first_response() {
-                admitted.record_first_event(&engine.dispatched);
-            }
-            return Ok(ReadOutcome::Events(events));
-        }
-    }
-}
-
-/// Closes the connection to an engine, which makes the engine abort the request.
-fn close_stream(engine: EngineStream) -> DispatchedRequest {
-    let EngineStream {
-        body,
-        connection,
-        dispatched,
-        ..
-    } = engine;
-    drop(connection);
-    drop(body);
-    dispatched
-}
-
-fn finish_stream(admitted: &AdmittedRequest, mut engine: EngineStream, status: http::StatusCode) {
-    admitted.record_response(&engine.dispatched, status);
-    let connection = engine.connection.take().filter(|_| engine.is_reusable);
-    if let Some(connection) = connection {
-        let gateway = admitted.gateway.clone();
-        let instance = engine.dispatched.instance.clone();
-        let keep_alive = engine.keep_alive;
-        tokio::spawn(async move {
-            gateway
-                .pool
-                .return_connection(&instance, connection, keep_alive)
-                .await
-        });
-    }
-}
-
 impl EventStream {
     /// Returns the next complete events, or `None` at the end of the stream.
     ///
     /// # Errors
     ///
-    /// Returns an error if the stream broke and cannot be resumed.
+    /// Returns an error if the stream broke and cannot be resumed, or the shutdown ends it.
     async fn next(&mut self) -> io::Result<Option<Bytes>> {
-        if let Some(first_events) = self.first_events.take() {
-            return Ok(Some(first_events));
+        let gateway = self.admitted.gateway.clone();
+        tokio::select! {
+            biased;
+            next = self.next_events() => next.map_err(io::Error::other),
+            () = gateway.drain.wait_for_abort() => {
+                let refusal = Refusal::new(Code::StreamBroken, "the VM is shutting down");
+                self.source = StreamSource::Ended;
+                gateway.record_abort(&self.admitted.id, AbortStage::Streaming);
+                self.log_broken(&refusal, self.splitter.last_id());
+                Err(io::Error::other(refusal))
+            }
         }
+    }
+
+    async fn next_events(&mut self) -> Result<Option<Bytes>, Refusal> {
+        let mut silence = Silence::since(self.admitted.gateway.now());
         loop {
+            if let Some(events) = self.pending_events.take() {
+                return Ok(Some(events));
+            }
             let StreamSource::Engine(engine) = &mut self.source else {
                 return Ok(None);
             };
-            let stall_timeout = self.admitted.may_retry().then_some(EVENT_STALL_TIMEOUT);
             let read = tokio::select! {
                 biased;
-                read = read_events(&self.admitted, engine, &mut self.splitter, stall_timeout) => read,
-                () = self.request_guard.wait_for_abort() => {
-                    let refusal = Refusal::new(Code::StreamBroken, "the VM is shutting down");
-                    self.source = StreamSource::Ended;
-                    self.admitted.gateway.record_abort(&self.admitted.id, AbortStage::Streaming);
-                    self.log_broken(&refusal, self.splitter.last_id());
-                    return Err(io::Error::other(refusal));
+                read = read_events(&self.admitted, engine, &mut self.splitter) => read,
+                reserved = takeover::reserve_engine(&self.admitted, &mut silence) => {
+                    self.take_over(reserved).await?;
+                    silence.record_search(self.admitted.gateway.now());
+                    continue;
                 }
             };
-            let failure = match read {
+            match read {
                 Ok(ReadOutcome::Events(events)) => return Ok(Some(events)),
                 Ok(ReadOutcome::End) => {
-                    if let StreamSource::Engine(engine) =
-                        std::mem::replace(&mut self.source, StreamSource::Ended)
-                    {
+                    if let Some(engine) = self.take_engine() {
                         finish_stream(&self.admitted, *engine, self.status);
                     }
-                    return Ok(None);
                 }
-                Err(failure) => failure,
-            };
-            self.resume(failure).await.map_err(io::Error::other)?;
+                Err(failure) => {
+                    if let Some(engine) = self.take_engine() {
+                        let dispatched = close_stream(*engine);
+                        let result = self.admitted.record_failure(&dispatched, failure);
+                        drop(dispatched);
+                        self.resume(result).await?;
+                    }
+                }
+            }
         }
     }
 
-    /// Resumes the stream at another engine after the last complete event.
+    /// Returns the engine's stream, which is not a source of events from now on.
+    pub(super) fn take_engine(&mut self) -> Option<Box<EngineStream>> {
+        match std::mem::replace(&mut self.source, StreamSource::Ended) {
+            StreamSource::Engine(engine) => Some(engine),
+            StreamSource::Ended => None,
+        }
+    }
+
+    /// Resumes the stream at another engine after the last complete event, if the result of the
+    /// failed attempt permits.
     ///
     /// # Errors
     ///
     /// Returns the refusal if the stream cannot be resumed.
-    async fn resume(&mut self, failure: AttemptFailure) -> Result<(), Refusal> {
-        let StreamSource::Engine(engine) = std::mem::replace(&mut self.source, StreamSource::Ended)
-        else {
-            return Err(Refusal::new(
-                Code::StreamBroken,
-                "the stream has already ended",
-            ));
-        };
-        let dispatched = close_stream(*engine);
+    pub(super) async fn resume(
+        &mut self,
+        failure_result: Result<(), Refusal>,
+    ) -> Result<(), Refusal> {
         let after_event = self.splitter.last_id();
-        let mut failure_result = self.admitted.record_failure(&dispatched, failure);
+        let mut failure_result = failure_result;
         loop {
             if let Err(refusal) = failure_result {
                 self.log_broken(&refusal, after_event);
@@ -283,34 +192,55 @@
             }
             let next = self.admitted.next_upstream().await;
             let next = next.inspect_err(|refusal| self.log_broken(refusal, after_event))?;
-            match self.admitted.send(&next, after_event).await {
-                Ok(received) if received.response.status() == self.status => {
-                    let upstream = &next.instance.id;
-                    let event = LogEvent::Resumed {
-                        upstream,
-                        after_event,
-                    };
-                    self.admitted
-                        .gateway
-                        .event_log
-                        .log_request(&self.admitted.id, &event);
-                    let (_, engine) = split_response(received, next, &self.admitted);
-                    self.splitter = EventSplitter::after(after_event);
-                    self.source = StreamSource::Engine(Box::new(engine));
+            let sent = self.admitted.send(&next, after_event).await;
+            match self.check_resumed(sent) {
+                Ok(received) => {
+                    self.continue_with(received, next, after_event);
                     return Ok(());
                 }
-                Ok(_) => {
-                    let reason =
-                        "the engine answered the resumed stream with another status".to_owned();
-                    failure_result = self
-                        .admitted
-                        .record_failure(&next, AttemptFailure::unusable(reason));
-                }
                 Err(failure) => failure_result = self.admitted.record_failure(&next, failure),
             }
         }
     }
 
+    /// Checks that the response of another engine can continue the stream.
+    ///
+    /// # Errors
+    ///
+    /// Returns the failure of the attempt.
+    pub(super) fn check_resumed(
+        &self,
+        sent: Result<UpstreamResponse, AttemptFailure>,
+    ) -> Result<UpstreamResponse, AttemptFailure> {
+        match sent {
+            Ok(received) if received.response.status() != self.status => {
+                let reason = "the engine answered the resumed stream with another status";
+                Err(AttemptFailure::unusable(reason))
+            }
+            sent => sent,
+        }
+    }
+
+    /// Continues the stream after an event with the response of another engine.
+    pub(super) fn continue_with(
+        &mut self,
+        received: UpstreamResponse,
+        dispatched: DispatchedRequest,
+        after_event: Option<u64>,
+    ) {
+        let event = LogEvent::Resumed {
+            upstream: &dispatched.instance.id,
+            after_event,
+        };
+        self.admitted
+            .gateway
+            .event_log
+            .log_request(&self.admitted.id, &event);
+        let (_, engine) = split_response(received, dispatched, &self.admitted);
+        self.splitter = EventSplitter::after(after_event);
+        self.source = StreamSource::Engine(Box::new(engine));
+    }
+
     fn log_broken(&self, refusal: &Refusal, after_event: Option<u64>) {
         let event = LogEvent::StreamBroken {
             reason: &refusal.message,
--- a/src/retry/budget.rs
+++ b/src/retry/budget.rs
@@ -61,10 +61,15 @@
         self.level_units = (self.level_units + earned).min(max_units.max(self.level_units));
     }
 
+    /// Returns whether a retry is left.
+    pub fn has_retry(&mut self, now: Instant) -> bool {
+        self.refill(now);
+        self.level_units >= UNITS_PER_RETRY
+    }
+
     /// Takes one retry if one is left; returns whether it did.
     pub fn try_take(&mut self, now: Instant) -> bool {
-        self.refill(now);
-        let has_retry = self.level_units >= UNITS_PER_RETRY;
+        let has_retry = self.has_retry(now);
         if has_retry {
             self.level_units -= UNITS_PER_RETRY;
         }
--- a/tests/gateway_pure/main.rs
+++ b/tests/gateway_pure/main.rs
@@ -11,6 +11,7 @@
 mod rolling_out;
 mod routing;
 mod shutdown;
+mod stalls;
 mod streams;
 mod upstreams;
 mod waiting;
@@ -19,15 +20,17 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use celerylever::clock::Instant;
 use celerylever::gateway::{
     Allowance, AllowanceSettings, Allowances, CacheRetention, CachedPrefix, Candidate, CostUnit,
     EngineView, EventSplitter, Heartbeat, HeartbeatScope, Listing, LoadedModel, ObjectChange,
     ObjectMirror, ObjectRecord, Peers, PeersSettings, Placement, PlacementSettings,
     PrefixCacheIndex, QueueSettings, QueuedRequest, RequestQueue, ResourceDemand,
     RetryBudgetBounds, RetryBudgets, RolloutAction, RolloutSchedule, RolloutSettings, Route,
-    RouteKind, RoutingConfig, RoutingTable, ShutdownPlan, TargetWeights, UpstreamEntry,
-    UpstreamInstance, UpstreamRegistry, UpstreamRegistrySettings, UpstreamStage, VmGroup,
-    WatchPurpose, WeightHistory, choose_candidate, earliest_change, is_store_likelier, watch_wait,
+    RouteKind, RoutingConfig, RoutingTable, ShutdownPlan, SilentStream, StallSettings,
+    TargetWeights, UpstreamEntry, UpstreamInstance, UpstreamRegistry, UpstreamRegistrySettings,
+    UpstreamStage, VmGroup, WatchPurpose, WeightHistory, choose_candidate, earliest_change,
+    is_store_likelier, watch_wait,
 };
 use proptest::prelude::*;
 use rstest::rstest;
