fix(gateway): withdraw requests that would begin on replaced weights

Callers' requests began on weights that had been replaced for longer than `weights_ms`. A request was sent to an engine with older weights until 0.8 of that time, and nothing bounded how long it waited there: at an engine that is full or silent it began whenever the engine came to it. Weights that were set while it waited already were not looked at either, nor those of a resumed run.

Class: a bound that is checked once, at the send, for something that happens later.

Nine tests with an engine that keeps a request in its queue failed before, for instance:

begun on replaced weights, by this time after the limit: [("r1", 1, 809.245713ms)]

A stream that has had no event at 0.9 of the limit is now withdrawn: its connection is closed, which makes the engine drop it, and it is sent again where it may run again, also to the same engine once that has the target weights. The wait ends also if the weights are set meanwhile. The run counts as one that may have happened. A stream that may run once is answered with 502: it may have begun as the connection was closed, so that neither a second run nor a refusal that promises none would be true. A buffered response does not tell when its request began and is not withdrawn.

--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -211,10 +211,12 @@
                 dispatched.record_rejection();
                 return Ok(());
             }
-            AttemptFailure::Unknown(..) | AttemptFailure::Timeout => {}
+            AttemptFailure::Unknown(FailureCause::Withdrawn, _) => self.allow_again(dispatched),
+            AttemptFailure::Unknown(..) | AttemptFailure::Timeout => {
+                dispatched.record_failure(1.0);
+                self.gateway.pool.close_idle(&dispatched.instance);
+            }
         }
-        dispatched.record_failure(1.0);
-        self.gateway.pool.close_idle(&dispatched.instance);
         self.progress.runs += 1;
         self.progress.may_have_run = true;
         let is_timeout = matches!(failure, AttemptFailure::Timeout);
@@ -253,7 +255,8 @@
         let send = gateway
             .pool
             .send(&dispatched.instance, dispatched.address, request);
-        let sent = tokio::time::timeout(left, send).await;
+        let sent = tokio::time::timeout(left, send);
+        let sent = self.unless_withdrawn(dispatched, sent).await?;
         let (response, connection) = match sent {
             Ok(Ok(received)) => received,
             Ok(Err(SendFailure::NotSent(reason))) => {
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -157,7 +157,12 @@
     loop {
         let left = admitted.deadline.saturating_sub(admitted.gateway.now());
         let wait = stall_timeout.map_or(left, |stall_timeout| stall_timeout.min(left));
-        let frame = match tokio::time::timeout(wait, engine.body.frame()).await {
+        let frame = tokio::time::timeout(wait, engine.body.frame());
+        let frame = match splitter.is_inside_event() {
+            true => frame.await,
+            false => admitted.unless_withdrawn(&engine.dispatched, frame).await?,
+        };
+        let frame = match frame {
             Ok(frame) => frame,
             Err(_) if wait == left => return Err(AttemptFailure::Timeout),
             Err(_) => {
