--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -81,7 +81,8 @@
             .gateway
             .pool
             .send(connection, instance, address, request);
-        let (response, connection) = match tokio::time::timeout(left, send).await {
+        let sent = tokio::time::timeout(left, send);
+        let (response, connection) = match self.unless_withdrawn(dispatched, sent).await? {
             Ok(Ok(received)) => received,
             Ok(Err(SendFailure::NotSent(reason))) => return Err(AttemptFailure::NotSent(reason)),
             Ok(Err(SendFailure::Broken(reason))) => {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -33,6 +33,7 @@
 mod order_window;
 mod peer_view;
 mod peers;
+mod pending_call;
 mod placement;
 mod platform_api;
 mod pool;
@@ -61,6 +62,7 @@
 mod upstream_registry;
 mod watch_schedule;
 mod weight_history;
+mod withdrawal;
 mod zone_roles;
 
 pub use account_groups::AccountGroups;
@@ -79,6 +81,7 @@
 pub use order_window::OrderWindow;
 pub use peer_view::PeerView;
 pub use peers::{Peers, PeersSettings};
+pub use pending_call::PendingCall;
 pub use placement::{
     Candidate, Placement, PlacementSettings, ResourceDemand, choose_candidate,
     first_event_time_max, required_memory_tokens,
