fix(gateway): withdraw requests that would begin on replaced weights

Callers' requests began on weights that had been replaced for longer than `weights_ms`. A request was sent to an engine with older weights until 0.8 of that time, and nothing bounded how long it waited there: at an engine that is full or silent it began whenever the engine came to it. Weights that were set while it waited already were not looked at either, nor those of a resumed run.

Class: a bound that is checked once, at the send, for something that happens later.

A stream that has had no event at 0.9 of the limit is now withdrawn: its connection is closed, which makes the engine drop it, and it is sent again where it may run again, also to the same engine once that has the target weights. The wait ends also if the weights are set meanwhile. The run counts as one that may have happened. A stream that may run once is answered with 502: it may have begun as the connection was closed, so that neither a second run nor a refusal that promises none would be true. A buffered response does not tell when its request began and is not withdrawn.

The log line of a first event on older weights counts from the engine's state at that event, so that weights set while the request waited show as well.

--- a/src/gateway/attempt_failure.rs
+++ b/src/gateway/attempt_failure.rs
@@ -30,6 +30,8 @@
     Connection,
     /// The upstream sent no event in time; its run was given up.
     Stalled,
+    /// The request had not begun when the engine's weights were replaced for too long.
+    Withdrawn,
     /// The response does not belong to the request or cannot be forwarded.
     UnusableResponse,
     /// The deadline of the request passed.
@@ -44,6 +46,7 @@
             Self::Rejected => "rejected",
             Self::Connection => "connection",
             Self::Stalled => "stalled",
+            Self::Withdrawn => "withdrawn",
             Self::UnusableResponse => "unusable_response",
             Self::Deadline => "deadline",
         }
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -113,6 +113,11 @@
         self.placed_at + (expected_work * OVERDUE_WORK_FACTOR).max(objective) + OVERDUE_SLACK
     }
 
+    /// Returns whether neither the first event nor the response has arrived.
+    pub(super) fn is_awaiting_first_response(&self) -> bool {
+        self.is_awaiting_first_response
+    }
+
     /// Records that the first event or the response has arrived; returns `false` if it had before.
     pub(super) fn record_first_response(&mut self) -> bool {
         if !std::mem::take(&mut self.is_awaiting_first_response) {
--- a/src/gateway/engine_stream.rs
+++ b/src/gateway/engine_stream.rs
@@ -63,7 +63,12 @@
 ) -> Result<ReadOutcome, AttemptFailure> {
     loop {
         let left = admitted.deadline.saturating_sub(admitted.gateway.now());
-        let frame = match tokio::time::timeout(left, engine.body.frame()).await {
+        let frame = tokio::time::timeout(left, engine.body.frame());
+        let frame = match splitter.is_inside_event() {
+            true => frame.await,
+            false => admitted.unless_withdrawn(&engine.dispatched, frame).await?,
+        };
+        let frame = match frame {
             Ok(frame) => frame,
             Err(_) => return Err(AttemptFailure::Timeout),
         };
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -81,7 +81,9 @@
             .gateway
             .pool
             .send(connection, instance, address, request);
-        let (response, connection) = match tokio::time::timeout(left, send).await {
+        let sent = tokio::time::timeout(left, send);
+        let sent = self.unless_withdrawn(dispatched, sent).await?;
+        let (response, connection) = match sent {
             Ok(Ok(received)) => received,
             Ok(Err(SendFailure::NotSent(reason))) => return Err(AttemptFailure::NotSent(reason)),
             Ok(Err(SendFailure::Broken(reason))) => {
--- a/src/gateway/mirror_updates.rs
+++ b/src/gateway/mirror_updates.rs
@@ -176,6 +176,6 @@
             history.record_earlier(earlier, at);
         }
         drop(state);
-        self.target_weights_changed.notify_one();
+        self.target_weights_changed.send_replace(());
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -61,6 +61,7 @@
 mod upstream_registry;
 mod watch_schedule;
 mod weight_history;
+mod withdrawal;
 mod zone_roles;
 
 pub use account_groups::AccountGroups;
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -8,7 +8,7 @@
 use http::{HeaderMap, Method, Response, Uri};
 
 use super::admit::admit;
-use super::attempt_failure::AttemptFailure;
+use super::attempt_failure::{AttemptFailure, FailureCause};
 use super::dispatch::DispatchedRequest;
 use super::event_log::LogEvent;
 use super::model::{Customer, Route, RouteKind};
@@ -221,10 +221,12 @@
                 dispatched.record_rejection();
                 return Ok(());
             }
-            AttemptFailure::Unknown(..) | AttemptFailure::Timeout => {}
+            AttemptFailure::Unknown(FailureCause::Withdrawn, _) => self.allow_again(dispatched),
+            AttemptFailure::Unknown(..) | AttemptFailure::Timeout => {
+                dispatched.record_failure(1.0);
+                self.gateway.pool.close_idle(&dispatched.instance);
+            }
         }
-        dispatched.record_failure(1.0);
-        self.gateway.pool.close_idle(&dispatched.instance);
         self.progress.runs += 1;
         self.progress.may_have_run = true;
         let is_timeout = matches!(failure, AttemptFailure::Timeout);
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -23,12 +23,11 @@
 
     /// Records the first event of a stream; logs it if the engine lacks target weights.
     pub(super) fn record_first_event(&self, dispatched: &DispatchedRequest) {
-        let now = self.gateway.now();
-        let since_placed = now.saturating_sub(dispatched.placed_at);
-        if dispatched.time_behind.is_zero() {
+        let Some(behind_since) = self.behind_since(dispatched) else {
             return;
-        }
-        let behind = dispatched.time_behind + since_placed;
+        };
+        let now = self.gateway.now();
+        let behind = now.saturating_sub(behind_since);
         self.gateway.metrics.record_older_weights(behind);
         self.gateway.event_log.log_request(
             &self.id,
@@ -36,7 +35,7 @@
                 upstream: &dispatched.instance.id,
                 weights: dispatched.weights,
                 behind_ms: behind.as_millis() as u64,
-                after_ms: since_placed.as_millis() as u64,
+                after_ms: now.saturating_sub(dispatched.placed_at).as_millis() as u64,
             },
         );
     }
--- a/src/gateway/rollout_task.rs
+++ b/src/gateway/rollout_task.rs
@@ -49,6 +49,7 @@
 ) {
     let mut rollouts: HashMap<ModelId, RolloutSchedule> = HashMap::new();
     let (result_sender, mut result_receiver) = mpsc::unbounded_channel::<UpdateResult>();
+    let mut targets = gateway.target_weights_changed.subscribe();
     let mut term = 0;
     let mut acquired_at = Instant::ZERO;
     let mut highest_fenced_term = 0;
@@ -88,7 +89,8 @@
         };
         tokio::select! {
             () = tokio::time::sleep(interval) => {}
-            () = gateway.target_weights_changed.notified() => {}
+            // The sender lives as long as the gateway.
+            _ = targets.changed() => {}
             changed = held.changed() => if changed.is_err() { return },
             result = result_receiver.recv() => if let Some(result) = result {
                 if let UpdateOutcome::Fenced(number) = result.outcome {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -7,7 +7,7 @@
 
 use arc_swap::ArcSwapOption;
 use tokio::net::UdpSocket;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 use super::allowance::{AllowanceSettings, Allowances};
 use super::cache_retention::CacheRetention;
@@ -62,7 +62,7 @@
     /// Signals that a heartbeat of the lease's holder was received.
     pub(super) lease_received: Notify,
     /// Signals that the operator set new target weights.
-    pub(super) target_weights_changed: Notify,
+    pub(super) target_weights_changed: watch::Sender<()>,
     pub(super) pending_charges: PendingCharges,
     /// Socket for datagrams between VMs; set at start-up.
     pub(super) peer_socket: OnceLock<Arc<UdpSocket>>,
@@ -193,7 +193,7 @@
             catch_up_due: Notify::new(),
             mirror_changed: Notify::new(),
             lease_received: Notify::new(),
-            target_weights_changed: Notify::new(),
+            target_weights_changed: watch::Sender::new(()),
             pending_charges: PendingCharges::default(),
             peer_socket: OnceLock::new(),
             stop_requested_at: OnceLock::new(),
