fix(gateway): count the time of a pause since new weights were set

A VM that was paused, or too slow to run, while new weights were set went on to send requests to engines without them after the time limit, although it had counted as connected again for long enough. A watch of the store that waits returns a change when it is made, and the VM took the time at which it noticed the response for that time. A watch of a zone in a fleet of several zones waits for up to `(contact_ms - 1000) * zones`, so that the error was as long; the other VMs of the zone took the wrong time over from their relay. The same held for the time at which the store last confirmed the objects, and for the ages in responses of peers.

Class: the time at which an event is noticed stands for the time at which it happened.

A pending call is now checked every 100 ms. A check in time proves that no response had arrived before the check before it; a change in the response is not older than that, and a pause is not taken for a wait. Ages in responses of peers count from the same time, or from the start of a call that does not wait.

The pure test of a watch that waited expected the time of the response; it expects the last time at which the call was known to be pending, 150 ms before.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -33,6 +33,7 @@
 mod order_window;
 mod peer_view;
 mod peers;
+mod pending_call;
 mod placement;
 mod platform_api;
 mod pool;
@@ -80,6 +81,7 @@
 pub use order_window::OrderWindow;
 pub use peer_view::PeerView;
 pub use peers::{Peers, PeersSettings};
+pub use pending_call::PendingCall;
 pub use placement::{
     Candidate, Placement, PlacementSettings, ResourceDemand, choose_candidate,
     first_event_time_max, required_memory_tokens,
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -10,6 +10,7 @@
 use super::event_log::LogEvent;
 use super::mirror_updates::TargetTimes;
 use super::object_mirror::ObjectMirror;
+use super::pending_call::{PendingCall, observe};
 use super::platform_api::{ChangeBatch, StoreCallFailure, TrackedKind};
 use super::state::Gateway;
 use super::store_relay::RelayClient;
@@ -94,13 +95,18 @@
     gateway.state().directly_watched.remove(&tracked);
     let after = gateway.mirror_revision(tracked);
     let address = client.address();
-    let answer = tokio::select! {
-        answer = client.watch(tracked, after) => answer,
-        () = gateway.relay_changed(address) => Err("the store relay of this VM has changed".into()),
+    let answer = async {
+        tokio::select! {
+            answer = client.watch(tracked, after) => answer,
+            () = gateway.relay_changed(address) => {
+                Err("the store relay of this VM has changed".into())
+            }
+        }
     };
+    let (answer, call) = observe(&gateway.clock, answer).await;
     match answer {
         Ok(answer) => {
-            let answer = answer.received_at(gateway.now());
+            let answer = answer.received_at(call.pending_until());
             let batch = answer.content;
             let has_changes = !batch.changes.is_empty();
             // The relay receives responses from the store, so the store counts as reachable.
@@ -280,15 +286,16 @@
     ) -> Result<(), String> {
         let after = self.mirror_revision(tracked);
         let mut client = RelayClient::new(address);
+        let asked_at = self.now();
         let revision = match client.changes(tracked, after).await {
             Ok(answer) if after > 0 => {
-                let answer = answer.received_at(self.now());
+                let answer = answer.received_at(asked_at);
                 let ChangeBatch { changes, revision } = answer.content;
                 self.apply_changes(tracked, changes, revision, &answer.target_times);
                 revision
             }
             _ => {
-                let answer = client.listing(tracked).await?.received_at(self.now());
+                let answer = client.listing(tracked).await?.received_at(asked_at);
                 let revision = answer.content.revision;
                 self.apply_listing(tracked, answer.content, &answer.target_times);
                 revision
@@ -304,10 +311,9 @@
     }
 
     async fn list(&self, tracked: TrackedKind) -> Result<bool, StoreCallFailure> {
+        let call = PendingCall::start(self.now());
         let listing = self.platform.store.list(tracked).await?;
-        let now = self.now();
-        let confirmed_at = self.record_source_answer(tracked, now);
-        let set_at = earliest_change(Duration::ZERO, confirmed_at, self.target_age_max(), now);
+        let set_at = self.record_store_answer(tracked, &call);
         self.apply_listing(tracked, listing, &TargetTimes::all_at(set_at));
         Ok(true)
     }
@@ -318,14 +324,12 @@
         revision: ObjectVersion,
         is_probe: bool,
     ) -> Result<bool, StoreCallFailure> {
-        let started = self.now();
         let wait = self.watch_wait(is_probe);
-        let batch = self.platform.store.watch(tracked, revision, wait).await?;
+        let watch = self.platform.store.watch(tracked, revision, wait);
+        let (batch, call) = observe(&self.clock, watch).await;
+        let batch = batch?;
         let has_changes = !batch.changes.is_empty();
-        let now = self.now();
-        let confirmed_at = self.record_source_answer(tracked, now);
-        let waited = now.saturating_sub(started);
-        let set_at = earliest_change(waited, confirmed_at, self.target_age_max(), now);
+        let set_at = self.record_store_answer(tracked, &call);
         let target_times = TargetTimes::all_at(set_at);
         self.apply_changes(tracked, batch.changes, batch.revision, &target_times);
         Ok(has_changes)
@@ -351,6 +355,13 @@
         older_weights_cutoff(bounds.weights_timeout).saturating_sub(bounds.contact_timeout / 2)
     }
 
+    /// Records a response of the store; returns the earliest time at which a change in it may have
+    /// been made.
+    fn record_store_answer(&self, tracked: TrackedKind, call: &PendingCall) -> Instant {
+        let confirmed_at = self.record_source_answer(tracked, call.pending_until());
+        earliest_change(call, confirmed_at, self.target_age_max(), self.now())
+    }
+
     /// Records that the store responded, directly or to the relay at `confirmed_at`; returns the
     /// previous such time.
     fn record_source_answer(&self, tracked: TrackedKind, confirmed_at: Instant) -> Option<Instant> {
--- a/src/gateway/watch_schedule.rs
+++ b/src/gateway/watch_schedule.rs
@@ -6,6 +6,7 @@
 
 use std::time::Duration;
 
+use super::pending_call::PendingCall;
 use crate::clock::Instant;
 
 /// Part of the contact timeout that is left to repeat a watch and to inform the other VMs.
@@ -52,18 +53,19 @@
 
 /// Returns the earliest time at which a change may have been made that a call returned at `now`.
 ///
-/// A call that waited returns a change when it is made. Otherwise the change is newer than
-/// `confirmed_at`, the time of the last response without it. A change that may be older than
-/// `age_max` counts as that old.
+/// A call that waited returns a change when it is made, thus not before the time until which the
+/// call was pending. Otherwise the change is newer than `confirmed_at`, the time of the last
+/// response without it. A change that may be older than `age_max` counts as that old.
 pub fn earliest_change(
-    waited: Duration,
+    call: &PendingCall,
     confirmed_at: Option<Instant>,
     age_max: Duration,
     now: Instant,
 ) -> Instant {
+    let oldest = now.saturating_sub(age_max);
     match confirmed_at {
-        Some(_) if waited >= PROMPT_WAIT_MIN => now,
-        Some(at) => at.max(now.saturating_sub(age_max)),
-        None => now.saturating_sub(age_max),
+        Some(_) if call.waited() >= PROMPT_WAIT_MIN => call.pending_until().max(oldest),
+        Some(at) => at.max(oldest),
+        None => oldest,
     }
 }
--- a/tests/gateway_pure/main.rs
+++ b/tests/gateway_pure/main.rs
@@ -24,7 +24,7 @@
 use celerylever::gateway::{
     Allowance, AllowanceSettings, Allowances, CacheRetention, CachedPrefix, Candidate, CostUnit,
     EngineView, EventSplitter, Heartbeat, HeartbeatScope, Listing, LoadedModel, ObjectChange,
-    ObjectMirror, ObjectRecord, Peers, PeersSettings, Placement, PlacementSettings,
+    ObjectMirror, ObjectRecord, Peers, PeersSettings, PendingCall, Placement, PlacementSettings,
     PrefixCacheIndex, QueueSettings, QueuedRequest, RequestQueue, ResourceDemand,
     RetryBudgetBounds, RetryBudgets, RolloutAction, RolloutSchedule, RolloutSettings, Route,
     RouteKind, RoutingConfig, RoutingTable, ShutdownPlan, SilentStream, StallSettings,
--- a/tests/gateway_pure/watching.rs
+++ b/tests/gateway_pure/watching.rs
@@ -53,19 +53,45 @@
     }
 }
 
+/// Returns a call with a check every 100 ms, except from `paused_at` to `continued_at`.
+fn watch(started_ms: u64, paused_ms: u64, continued_ms: u64, ended_ms: u64) -> PendingCall {
+    let mut call = PendingCall::start(MS(started_ms));
+    let checks = (started_ms + 100..=ended_ms).step_by(100);
+    for at in checks.filter(|at| *at <= paused_ms || *at >= continued_ms) {
+        call.record_check(MS(at));
+    }
+    call
+}
+
 #[test]
 fn a_watch_that_waited_returns_a_change_when_it_is_made() {
-    let at = earliest_change(MS(1_500), Some(MS(10_000)), MS(3_000), MS(11_500));
-    assert_eq!(at, MS(11_500));
+    let call = watch(10_000, 0, 0, 11_500);
+    let at = earliest_change(&call, Some(MS(10_000)), MS(3_000), MS(11_550));
+    assert_eq!(at, MS(11_400));
+}
+
+/// Guards against a VM that noticed new weights only after a pause and counted from then.
+#[rstest]
+#[case::at_once(13_500, 11_400)]
+#[case::at_the_first_check(13_600, 13_500)]
+fn a_change_noticed_after_a_pause_may_be_as_old_as_the_pause(
+    #[case] last_check_ms: u64,
+    #[case] expected_ms: u64,
+) {
+    let call = watch(10_000, 11_500, 13_500, last_check_ms);
+    let now = MS(last_check_ms + 10);
+    let at = earliest_change(&call, Some(MS(10_000)), MS(3_000), now);
+    assert_eq!(at, MS(expected_ms));
 }
 
 #[test]
 fn a_change_found_at_once_may_be_as_old_as_the_last_response() {
-    let at = earliest_change(MS(5), Some(MS(9_000)), MS(3_000), MS(10_000));
+    let call = PendingCall::start(MS(9_995));
+    let at = earliest_change(&call, Some(MS(9_000)), MS(3_000), MS(10_000));
     assert_eq!(at, MS(9_000));
-    let long_ago = earliest_change(MS(5), Some(MS(2_000)), MS(3_000), MS(10_000));
+    let long_ago = earliest_change(&call, Some(MS(2_000)), MS(3_000), MS(10_000));
     assert_eq!(long_ago, MS(7_000));
-    let unknown = earliest_change(MS(5), None, MS(3_000), MS(10_000));
+    let unknown = earliest_change(&call, None, MS(3_000), MS(10_000));
     assert_eq!(unknown, MS(7_000));
 }
 
@@ -78,7 +104,8 @@
     let started = MS(100_000);
     let mut history = WeightHistory::default();
     let age_max = cutoff - CONTACT;
-    history.record(2, earliest_change(MS(4), None, age_max, started));
+    let call = PendingCall::start(started - MS(4));
+    history.record(2, earliest_change(&call, None, age_max, started));
     let behind_since = history.behind_since(1).unwrap();
     assert!(behind_since + cutoff <= started + CONTACT);
 }
