--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -17,7 +17,7 @@
 use super::settings::GatewaySettings;
 use super::shutdown::ShutdownPlan;
 use super::state::Gateway;
-use super::{gossip, lease_task, membership, rollout_task, server, store_watch};
+use super::{catch_up, gossip, lease_task, membership, rollout_task, server, store_watch};
 use crate::clock::SystemClock;
 use crate::daemon::{SharedListener, run_until_stopped, wait_for_stop_signal};
 use crate::entry::stop_listening;
@@ -117,7 +117,7 @@
     let supervisor = watch(supervisor, "weights", TrackedKind::Weights);
     let gateway = gateway.clone();
     supervisor.child("catch_up", ChildSettings::default(), move |stop| {
-        run_until_stopped(store_watch::catch_up(gateway.clone()), stop)
+        run_until_stopped(catch_up::catch_up(gateway.clone()), stop)
     })
 }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod buffered;
 mod cache_retention;
 mod candidates;
+mod catch_up;
 mod charge;
 mod connection_headers;
 mod daemon;
