fix(gateway): try engines that were given up after the others

While several engines executed another order for long, the others received new weights too late, and requests for the model had no engine that might run them. An engine that has not loaded within 2.5 s is given up so that it does not delay the others, but it has few requests by then, and the next engine is the one with the fewest: it was chosen again at once.

Engines that were given up and are still behind come last, as unreachable ones do. The list holds no more than the engines of the model.

--- a/src/gateway/rollout_schedule.rs
+++ b/src/gateway/rollout_schedule.rs
@@ -86,6 +86,8 @@
 pub struct RolloutSchedule {
     settings: RolloutSettings,
     phases: BTreeMap<UpstreamId, (UpstreamInstance, Phase)>,
+    /// Engines that exceeded the timeout and are still behind; the others come first.
+    given_up: Vec<UpstreamInstance>,
 }
 
 impl RolloutSchedule {
@@ -172,6 +174,11 @@
     /// Removes engines that have left or restarted, have the weights, or exceed the timeout.
     fn remove_finished(&mut self, target: WeightNumber, engines: &[EngineView], now: Instant) {
         let give_up_timeout = self.settings.give_up_timeout;
+        let given_up = &mut self.given_up;
+        given_up.retain(|instance| {
+            let mut views = engines.iter();
+            views.any(|view| view.instance == *instance && is_behind(view, target))
+        });
         self.phases.retain(|id, (instance, phase)| {
             let view = engines.iter().find(|view| view.instance.id == *id);
             let is_same = view.is_some_and(|view| view.instance == *instance);
@@ -182,6 +189,9 @@
                 }
                 Phase::Draining(_) | Phase::CallPending(_) => false,
             };
+            if is_same && is_behind && is_given_up && !given_up.contains(instance) {
+                given_up.push(instance.clone());
+            }
             is_same && is_behind && !is_given_up
         });
     }
@@ -206,7 +216,7 @@
     }
 
     /// Stops new requests to the next engines: those furthest behind, and of these the least
-    /// loaded.
+    /// loaded. Engines that are unreachable or were given up come last.
     fn start_draining(
         &mut self,
         target: WeightNumber,
@@ -221,7 +231,9 @@
         behind.retain(|view| !self.phases.contains_key(&view.instance.id));
         behind.sort_by_key(|view| {
             let id = view.instance.id.clone();
-            (view.is_unreachable, view.weights, view.requests, id)
+            let is_given_up = self.given_up.contains(&view.instance);
+            let is_last = view.is_unreachable || is_given_up;
+            (is_last, view.weights, view.requests, id)
         });
         let concurrency_max = self.concurrency_max(engines, time_left, target);
         let free = concurrency_max.saturating_sub(self.phases.len());
--- a/tests/gateway_pure/rolling_out.rs
+++ b/tests/gateway_pure/rolling_out.rs
@@ -131,3 +131,44 @@
     let actions = rollout.next_actions(2, &views, DISTANT_DEADLINE, MS(200));
     assert_eq!(actions, [RolloutAction::Order(views[0].instance.clone())]);
 }
+
+/// Runs a rollout of nine engines, of which the first ones stay busy with another order; returns
+/// the time at which the last of the others has the weights.
+fn run_with_busy_engines(busy: usize, due: Duration) -> Option<Duration> {
+    const LOAD_TIME: Duration = Duration::from_millis(800);
+    let mut views = engines(&[1; 9]);
+    let mut rollout = RolloutSchedule::new(RolloutSettings::default());
+    let mut ordered: Vec<(UpstreamInstance, Duration)> = Vec::new();
+    for now in (0..20_000).step_by(40).map(MS) {
+        for action in rollout.next_actions(2, &views, due, now) {
+            let (RolloutAction::Order(instance) | RolloutAction::Check(instance)) = action;
+            let is_busy = views[..busy].iter().any(|view| view.instance == instance);
+            match ordered.iter().find(|(known, _)| *known == instance) {
+                Some((_, at)) if now >= *at + LOAD_TIME => {
+                    let loaded = views.iter_mut().filter(|view| view.instance == instance);
+                    loaded.for_each(|view| view.weights = Some(2));
+                    rollout.finish(&instance);
+                }
+                Some(_) => rollout.record_still_loading(&instance, now),
+                None if is_busy => rollout.record_still_loading(&instance, now),
+                None => {
+                    ordered.push((instance.clone(), now));
+                    rollout.record_order(&instance, now);
+                }
+            }
+        }
+        if views[busy..].iter().all(|view| view.weights == Some(2)) {
+            return Some(now);
+        }
+    }
+    None
+}
+
+/// Guards against engines that stay busy and, each time they are given up, take the places of
+/// engines that could load the weights.
+#[rstest]
+fn engines_that_stay_busy_hold_the_others_up_only_once(#[values(0, 1, 3)] busy: usize) {
+    let due = MS(5_100);
+    let done_at = run_with_busy_engines(busy, due);
+    assert!(done_at.is_some_and(|at| at <= due), "{done_at:?}");
+}
