--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -82,7 +82,8 @@
             .pool
             .send(connection, instance, address, request);
         let sent = tokio::time::timeout(left, send);
-        let (response, connection) = match self.unless_withdrawn(dispatched, sent).await? {
+        let sent = self.unless_withdrawn(dispatched, sent).await?;
+        let (response, connection) = match sent {
             Ok(Ok(received)) => received,
             Ok(Err(SendFailure::NotSent(reason))) => return Err(AttemptFailure::NotSent(reason)),
             Ok(Err(SendFailure::Broken(reason))) => {
