fix(gateway): refuse waiting requests when a stop refuses new ones

A request that was taken before a stop refuses new ones could wait for an engine, be sent to it later and be aborted in the middle of its stream: the caller got a 200 that broke off. New requests are refused at that time because they might have to be aborted; the same holds for a request that is sent then.

Requests that no engine may have run are now refused with 503 and a short `Retry-After` when new ones begin to be refused, so that the caller sends them to another VM. Requests for which an engine has room, and those that an engine may have run, go on.

--- a/src/entry/drain.rs
+++ b/src/entry/drain.rs
@@ -16,6 +16,7 @@
 struct Inner {
     is_started: AtomicBool,
     is_closing_idle: AtomicBool,
+    is_refusing: watch::Sender<bool>,
     request_count: AtomicUsize,
     connection_count: AtomicUsize,
     idle_notify: Notify,
@@ -55,6 +56,23 @@
         self.inner.is_closing_idle.load(Ordering::SeqCst)
     }
 
+    /// Makes new requests be refused from now on, and those that no upstream has received yet.
+    pub fn refuse_requests(&self) {
+        self.inner.is_refusing.send_replace(true);
+    }
+
+    /// Returns whether new requests are refused.
+    pub(crate) fn is_refusing(&self) -> bool {
+        *self.inner.is_refusing.borrow()
+    }
+
+    /// Waits until new requests are refused.
+    pub(crate) async fn wait_until_refusing(&self) {
+        let mut is_refusing = self.inner.is_refusing.subscribe();
+        // Cannot fail: `self` owns the sender.
+        let _ = is_refusing.wait_for(|is_refusing| *is_refusing).await;
+    }
+
     /// Aborts the requests still in flight; streams end with an error event.
     pub fn abort_requests(&self) {
         self.inner.is_aborting.send_replace(true);
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -333,9 +333,7 @@
     });
     tokio::time::sleep(plan.close_idle_after).await;
     gateway.drain.close_idle_connections();
-    tokio::time::sleep(
-        plan.stop_listening_after
-            .saturating_sub(plan.close_idle_after),
-    )
-    .await;
+    tokio::time::sleep(plan.refuse_after.saturating_sub(plan.close_idle_after)).await;
+    gateway.drain.refuse_requests();
+    tokio::time::sleep(plan.stop_listening_after.saturating_sub(plan.refuse_after)).await;
 }
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -15,7 +15,7 @@
 use super::platform_api::RequestHead;
 use super::queued_placement::PlacementError;
 use super::request_queue::QueuedRequest;
-use super::response::retryable_refusal;
+use super::response::{draining_refusal, retryable_refusal};
 use super::state::{Gateway, PlacementRequest};
 use super::stream;
 use crate::clock::Instant;
@@ -117,7 +117,14 @@
             ));
         }
         let gateway = self.gateway.clone();
-        let placed = self.place().await;
+        let may_refuse_as_draining = !self.progress.may_have_run;
+        let placed = tokio::select! {
+            biased;
+            placed = self.place() => placed,
+            () = gateway.drain.wait_until_refusing(), if may_refuse_as_draining => {
+                return Err(draining_refusal());
+            }
+        };
         gateway
             .metrics
             .record_queue_time(gateway.now().saturating_sub(now));
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -9,6 +9,9 @@
 
 use crate::error::{Code, Refusal};
 
+/// Retry delay returned during shutdown, when the retry should reach another VM.
+const DRAINING_RETRY_AFTER: Duration = Duration::from_millis(20);
+
 /// Returns the JSON response of a refusal.
 ///
 /// `Retry-After` has a fractional part, as capacity often becomes free in less than a second.
@@ -52,6 +55,12 @@
     Refusal::new(code, message).with_retry_after(after)
 }
 
+/// Returns the refusal of a request that another VM should serve, as this one is shutting down.
+pub(super) fn draining_refusal() -> Refusal {
+    let message = "the VM is shutting down";
+    retryable_refusal(Code::Draining, message, DRAINING_RETRY_AFTER)
+}
+
 fn format_seconds(time: Duration) -> String {
     format!("{:.3}", time.as_secs_f64())
 }
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -26,8 +26,6 @@
 const REQUESTS_MAX: usize = 1_800;
 /// Retry delay returned when too many requests are in flight.
 const OVERLOADED_RETRY_AFTER: Duration = Duration::from_millis(300);
-/// Retry delay returned during shutdown, when the retry should reach another VM.
-const DRAINING_RETRY_AFTER: Duration = Duration::from_millis(20);
 /// Idle time of a caller's connection before the first TCP keep-alive probe.
 const KEEPALIVE_IDLE_TIME: Duration = Duration::from_secs(5);
 /// Time after which unacknowledged data closes a caller's connection (`TCP_USER_TIMEOUT`).
@@ -104,12 +102,8 @@
         .dialect
         .read_request_head(&received.headers);
     let id = head.id.clone().unwrap_or_default();
-    if gateway.refuses_new_requests() {
-        let refusal = response::retryable_refusal(
-            Code::Draining,
-            "the VM is shutting down",
-            DRAINING_RETRY_AFTER,
-        );
+    if gateway.drain.is_refusing() {
+        let refusal = response::draining_refusal();
         return with_connection_close(refuse(&gateway, &id, &refusal));
     }
     let responding = request::respond(gateway.clone(), received, head, request_guard);
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -27,7 +27,6 @@
 use super::queued_placement::ServiceQueue;
 use super::retry_budgets::{RetryBudgetBounds, RetryBudgets};
 use super::settings::GatewaySettings;
-use super::shutdown::ShutdownPlan;
 use super::table::RoutingTable;
 use super::upstream_registry::{
     Upstream, UpstreamLoad, UpstreamRegistry, UpstreamRegistrySettings,
@@ -232,13 +231,6 @@
             .log_request(id, &LogEvent::Aborted { stage, stopping_ms });
     }
 
-    /// Returns whether new requests are refused because of the shutdown.
-    pub(super) fn refuses_new_requests(&self) -> bool {
-        let plan = ShutdownPlan::within(self.settings.bounds.shutdown_timeout);
-        self.time_since_stop()
-            .is_some_and(|time| time >= plan.refuse_after)
-    }
-
     /// Returns the active configuration, or `None` before the first one was received.
     pub(super) fn table(&self) -> Option<Arc<RoutingTable>> {
         self.table.load_full()
