fix(gateway): end a stop in time while the store is silent

A stop that aborts requests at the end of the shutdown timeout then waited for the store: releasing the lease and removing the VM's entry have timeouts of their own, 0.8 s and 1.5 s. The process was still running when the platform kills it, so that peers got no announcement that it leaves and the last lines of the log could be lost.

Tasks that have not stopped 200 ms before the end of the shutdown timeout are now aborted, whatever they wait for; requests have been aborted 300 ms before.

--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -100,7 +100,12 @@
     let supervisor = with_operator_listeners(supervisor, &gateway, ready, metrics);
     let supervisor = with_settings_reload(supervisor, &gateway, settings_path.to_path_buf());
     let supervisor = with_callers(supervisor, &gateway, callers, traffic);
-    supervisor.run(drain_requested(gateway.clone())).await?;
+    tokio::select! {
+        result = supervisor.run(drain_requested(gateway.clone())) => result?,
+        () = stop_timed_out(&gateway) => {
+            slog::warn!(log, "tasks did not stop within the shutdown timeout; aborted");
+        }
+    }
     gossip::announce_leaving(&gateway, &socket);
     Ok(())
 }
@@ -314,6 +319,14 @@
     });
 }
 
+/// Completes when the tasks have to end, whatever they wait for: the process would be killed soon.
+async fn stop_timed_out(gateway: &Gateway) {
+    gateway.drain.wait_until_refusing().await;
+    let plan = ShutdownPlan::within(gateway.settings.bounds.shutdown_timeout);
+    let time_since_stop = gateway.time_since_stop().unwrap_or_default();
+    tokio::time::sleep(plan.end_after.saturating_sub(time_since_stop)).await;
+}
+
 /// Completes once the process was requested to stop and the load balancer had time to stop sending
 /// requests.
 async fn drain_requested(gateway: Arc<Gateway>) {
--- a/src/gateway/shutdown.rs
+++ b/src/gateway/shutdown.rs
@@ -16,6 +16,8 @@
 const STOP_LISTENING_AFTER: Duration = Duration::from_millis(3_300);
 /// Time reserved for aborting requests that exceed the shutdown timeout.
 const ABORT_MARGIN: Duration = Duration::from_millis(500);
+/// Time reserved for the end of the process after its last calls to the store.
+const END_MARGIN: Duration = Duration::from_millis(200);
 
 /// Times of the stages of a shutdown, counted from the stop signal.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -28,6 +30,8 @@
     pub stop_listening_after: Duration,
     /// Time until requests still in flight are aborted.
     pub abort_after: Duration,
+    /// Time until tasks that have not stopped are given up.
+    pub end_after: Duration,
 }
 
 impl ShutdownPlan {
@@ -40,6 +44,7 @@
             refuse_after: limit(REFUSE_AFTER),
             stop_listening_after: limit(STOP_LISTENING_AFTER),
             abort_after,
+            end_after: shutdown_timeout.saturating_sub(END_MARGIN),
         }
     }
 }
--- a/tests/gateway_pure/shutdown.rs
+++ b/tests/gateway_pure/shutdown.rs
@@ -19,3 +19,13 @@
     let plan = ShutdownPlan::within(MS(1_500));
     assert!(plan.stop_listening_after < plan.abort_after && plan.abort_after < MS(1_500));
 }
+
+/// Aborted requests and the last lines of the log need time before the process is killed.
+#[rstest]
+#[case::usual(MS(8_000))]
+#[case::short(MS(1_000))]
+fn the_end_is_between_the_abort_and_the_kill(#[case] shutdown_timeout: Duration) {
+    let plan = ShutdownPlan::within(shutdown_timeout);
+    assert!(plan.end_after >= plan.abort_after + MS(250));
+    assert!(plan.end_after <= shutdown_timeout - MS(150));
+}
