fix(gateway): read the body of a refused request

A caller that still sent its body when its request was refused got a reset connection and could lose the refusal with its `Retry-After`: the gateway answered without reading the body, and a connection that is closed with unread bytes is reset. This happens to requests with a body around a stop, and with any refusal of a request's head.

The rest of the body is now read and discarded after the refusal, up to 1 MiB and 1 s, while the connection counts as busy.

`a_caller_that_still_sends_its_body_reads_the_refusal_of_a_stop` failed before:

panicked at platform/tests/end_of_stop.rs:113:40: called `Result::unwrap()` on an `Err` value: Os { code: 32, kind: BrokenPipe, message: "Broken pipe" }

With this change it passes.

--- a/src/entry/backpressure.rs
+++ b/src/entry/backpressure.rs
@@ -1,6 +1,7 @@
 //! Response body that applies backpressure for slow callers.
 
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll};
 
 use gotham::helpers::http::Body;
@@ -11,14 +12,14 @@
 
 struct BackpressureBody {
     body: Body,
-    request: Option<ConnectionRequestGuard>,
+    request: Option<Arc<ConnectionRequestGuard>>,
 }
 
 /// Wraps a response body so that `request` counts as in flight until the body is dropped.
 ///
 /// The body yields no data while a write to the caller is blocked, which bounds the memory that a
 /// slow caller uses.
-pub(crate) fn apply_backpressure(body: Body, request: Option<ConnectionRequestGuard>) -> Body {
+pub(crate) fn apply_backpressure(body: Body, request: Option<Arc<ConnectionRequestGuard>>) -> Body {
     BackpressureBody { body, request }.boxed_unsync()
 }
 
--- a/src/entry/body.rs
+++ b/src/entry/body.rs
@@ -1,14 +1,23 @@
 //! Reads request bodies within limits on size and time.
 
+use std::sync::Arc;
+use std::time::Duration;
+
 use bytes::{Bytes, BytesMut};
 use gotham::helpers::http::Body;
 use http::HeaderMap;
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http_body_util::BodyExt;
 
+use super::connections::ConnectionRequestGuard;
 use crate::error::{Code, Refusal};
 use crate::settings::LimitSettings;
 
+/// Maximum size of the part of a refused request's body that is read.
+const DISCARD_MAX_BYTES: usize = 1024 * 1024;
+/// Maximum time for which the body of a refused request is read.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Rejects a `Transfer-Encoding` header that two HTTP parsers could interpret differently.
 ///
 /// # Errors
@@ -41,7 +50,8 @@
     limits: &LimitSettings,
 ) -> Result<Bytes, Refusal> {
     check_declared_length(headers, limits.body_max_bytes)?;
-    let read = collect_body(body, limits.body_max_bytes);
+    let mut body = body;
+    let read = collect_body(&mut body, limits.body_max_bytes);
     match tokio::time::timeout(limits.body_timeout, read).await {
         Ok(result) => result,
         Err(_) => {
@@ -52,13 +62,31 @@
     }
 }
 
+/// Reads and discards the rest of a body, up to limits on size and time.
+///
+/// Closing a connection with unread bytes resets it, and the caller may then fail to read the
+/// response. The request counts as in flight meanwhile.
+pub(crate) async fn discard_body(mut body: Body, request: Option<Arc<ConnectionRequestGuard>>) {
+    let discard = async {
+        let mut discarded_bytes = 0;
+        while let Some(Ok(frame)) = body.frame().await {
+            discarded_bytes += frame.data_ref().map_or(0, Bytes::len);
+            if discarded_bytes > DISCARD_MAX_BYTES {
+                return;
+            }
+        }
+    };
+    let _ = tokio::time::timeout(DISCARD_TIMEOUT, discard).await;
+    drop(request);
+}
+
 /// Reads a whole body of at most `max_bytes` bytes.
 ///
 /// # Errors
 ///
 /// Returns [`Code::BodyTooLarge`] if the body is larger, and [`Code::BodyMalformed`] if reading it
 /// fails before its end.
-pub(crate) async fn collect_body(mut body: Body, max_bytes: usize) -> Result<Bytes, Refusal> {
+pub(crate) async fn collect_body(body: &mut Body, max_bytes: usize) -> Result<Bytes, Refusal> {
     let mut collected = BytesMut::new();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|error| {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -26,7 +26,7 @@
 
 pub use app::App;
 pub(crate) use backpressure::apply_backpressure;
-pub(crate) use body::collect_body;
+pub(crate) use body::{collect_body, discard_body};
 pub(crate) use caller_stream::CallerStream;
 pub use connection_phase::{ConnectionAction, ConnectionPhase, ConnectionTimeouts};
 pub(crate) use connections::Connections;
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -63,6 +63,7 @@
 ) -> std::pin::Pin<Box<dyn Future<Output = HandlerResult> + Send>> {
     let peer = client_addr(&state);
     let request = peer.and_then(|peer| app.connections.start_request(peer));
+    let request = request.map(Arc::new);
     Box::pin(async move {
         let mut state = state;
         let (parts, body) = handle(app, &mut state).await.into_parts();
--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -21,12 +21,14 @@
 
 /// Checks a request against the configuration and its customer's allowance.
 ///
+/// The body is read only if the checks of the head succeed.
+///
 /// # Errors
 ///
 /// Returns the refusal for the caller.
 pub(super) async fn admit(
     gateway: &Arc<Gateway>,
-    received: ReceivedRequest,
+    received: &mut ReceivedRequest,
     head: RequestHead,
 ) -> Result<AdmittedRequest, Refusal> {
     let arrived_at = gateway.now();
@@ -56,7 +58,7 @@
         .min(route.timeout);
     let deadline = arrived_at + timeout;
     let left = deadline.saturating_sub(gateway.now());
-    let body = tokio::time::timeout(left, collect_body(received.body, table.body_max_bytes))
+    let body = tokio::time::timeout(left, collect_body(&mut received.body, table.body_max_bytes))
         .await
         .map_err(|_| {
             Refusal::new(
@@ -95,7 +97,7 @@
         service,
         tried_upstreams: Vec::new(),
     };
-    let mut headers = received.headers;
+    let mut headers = std::mem::take(&mut received.headers);
     strip_hop_by_hop(&mut headers);
     Ok(AdmittedRequest {
         gateway: gateway.clone(),
@@ -107,8 +109,8 @@
         deadline,
         placement_request,
         progress: AttemptProgress::default(),
-        method: received.method,
-        uri: received.uri,
+        method: received.method.clone(),
+        uri: received.uri.clone(),
         headers,
         body,
     })
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -84,7 +84,7 @@
 /// Returns the refusal for the caller.
 pub(super) async fn respond(
     gateway: Arc<Gateway>,
-    received: ReceivedRequest,
+    received: &mut ReceivedRequest,
     head: RequestHead,
     request_guard: RequestGuard,
 ) -> Result<Response<Body>, Refusal> {
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -10,6 +10,7 @@
 use gotham::state::{FromState, State, client_addr};
 use http::header::CONNECTION;
 use http::{HeaderMap, HeaderValue, Method, Response, Uri};
+use hyper::body::Body as _;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -18,7 +19,7 @@
 use super::response;
 use super::state::Gateway;
 use super::store_relay;
-use crate::entry::{CallerStream, apply_backpressure};
+use crate::entry::{CallerStream, apply_backpressure, discard_body};
 use crate::error::{Code, Refusal};
 use crate::ids::RequestId;
 
@@ -71,15 +72,20 @@
 ) -> std::pin::Pin<Box<dyn Future<Output = HandlerResult> + Send>> {
     let peer = client_addr(&state);
     let request = peer.and_then(|peer| gateway.connections.start_request(peer));
+    let request = request.map(Arc::new);
     async move {
         let mut state = state;
-        let received = ReceivedRequest {
+        let mut received = ReceivedRequest {
             method: Method::take_from(&mut state),
             uri: Uri::take_from(&mut state),
             headers: HeaderMap::take_from(&mut state),
             body: Body::take_from(&mut state),
         };
-        let (parts, body) = handle_request(gateway, received).await.into_parts();
+        let response = handle_request(gateway, &mut received).await;
+        if !received.body.is_end_stream() {
+            tokio::spawn(discard_body(received.body, request.clone()));
+        }
+        let (parts, body) = response.into_parts();
         Ok((
             state,
             Response::from_parts(parts, apply_backpressure(body, request)),
@@ -88,7 +94,7 @@
     .boxed()
 }
 
-async fn handle_request(gateway: Arc<Gateway>, received: ReceivedRequest) -> Response<Body> {
+async fn handle_request(gateway: Arc<Gateway>, received: &mut ReceivedRequest) -> Response<Body> {
     let Some(request_guard) = gateway.drain.count_request(REQUESTS_MAX) else {
         let refusal = response::retryable_refusal(
             Code::Overloaded,
