--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -10,6 +10,7 @@
 use gotham::state::{FromState, State, client_addr};
 use http::header::CONNECTION;
 use http::{HeaderMap, HeaderValue, Method, Response, Uri};
+use hyper::body::Body as _;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -18,7 +19,7 @@
 use super::response;
 use super::state::Gateway;
 use super::store_relay;
-use crate::entry::{CallerStream, apply_backpressure};
+use crate::entry::{CallerStream, apply_backpressure, discard_body};
 use crate::error::{Code, Refusal};
 use crate::ids::RequestId;
 
@@ -26,8 +27,6 @@
 const REQUESTS_MAX: usize = 1_800;
 /// Retry delay returned when too many requests are in flight.
 const OVERLOADED_RETRY_AFTER: Duration = Duration::from_millis(300);
-/// Retry delay returned during shutdown, when the retry should reach another VM.
-const DRAINING_RETRY_AFTER: Duration = Duration::from_millis(20);
 /// Idle time of a caller's connection before the first TCP keep-alive probe.
 const KEEPALIVE_IDLE_TIME: Duration = Duration::from_secs(5);
 /// Time after which unacknowledged data closes a caller's connection (`TCP_USER_TIMEOUT`).
@@ -73,15 +72,20 @@
 ) -> std::pin::Pin<Box<dyn Future<Output = HandlerResult> + Send>> {
     let peer = client_addr(&state);
     let request = peer.and_then(|peer| gateway.connections.start_request(peer));
+    let request = request.map(Arc::new);
     async move {
         let mut state = state;
-        let received = ReceivedRequest {
+        let mut received = ReceivedRequest {
             method: Method::take_from(&mut state),
             uri: Uri::take_from(&mut state),
             headers: HeaderMap::take_from(&mut state),
             body: Body::take_from(&mut state),
         };
-        let (parts, body) = handle_request(gateway, received).await.into_parts();
+        let response = handle_request(gateway, &mut received).await;
+        if !received.body.is_end_stream() {
+            tokio::spawn(discard_body(received.body, request.clone()));
+        }
+        let (parts, body) = response.into_parts();
         Ok((
             state,
             Response::from_parts(parts, apply_backpressure(body, request)),
@@ -90,7 +94,7 @@
     .boxed()
 }
 
-async fn handle_request(gateway: Arc<Gateway>, received: ReceivedRequest) -> Response<Body> {
+async fn handle_request(gateway: Arc<Gateway>, received: &mut ReceivedRequest) -> Response<Body> {
     let Some(request_guard) = gateway.drain.count_request(REQUESTS_MAX) else {
         let refusal = response::retryable_refusal(
             Code::Overloaded,
@@ -104,12 +108,8 @@
         .dialect
         .read_request_head(&received.headers);
     let id = head.id.clone().unwrap_or_default();
-    if gateway.refuses_new_requests() {
-        let refusal = response::retryable_refusal(
-            Code::Draining,
-            "the VM is shutting down",
-            DRAINING_RETRY_AFTER,
-        );
+    if gateway.drain.is_refusing() {
+        let refusal = response::draining_refusal();
         return with_connection_close(refuse(&gateway, &id, &refusal));
     }
     let responding = request::respond(gateway.clone(), received, head, request_guard);
