fix(gateway): survive a SIGHUP while starting

SIGHUP tells the gateway that its settings file has changed. Its handler was installed by one of the last tasks to start, so that a SIGHUP during the start ended the process by the signal's default action.

The handler is now installed before the settings are read, and signals from before the task's start are handled by it.

`a_hangup_while_starting_does_not_end_the_process` failed before:

assertion `left == right` failed: signal: 1 (SIGHUP) left: None right: Some(3)

With this change it passes.

--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -7,9 +7,9 @@
 
 use slog::Logger;
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::runtime::{Builder, Handle};
-use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::watch;
+use tokio::runtime::{Builder, Handle, Runtime};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::{Mutex, watch};
 use tokio::task::JoinSet;
 
 use super::event_log::{EventLog, LogEvent};
@@ -43,36 +43,66 @@
     Supervisor(#[from] SupervisorError),
 }
 
-/// Runs a gateway until the process is requested to stop.
-///
-/// # Errors
-///
-/// Returns the reason why the gateway could not start or continue.
-pub fn run_gateway(
-    settings: GatewaySettings,
-    settings_path: &Path,
-    platform: Platform,
-    log: &Logger,
-) -> Result<(), GatewayError> {
-    let traffic = Builder::new_multi_thread()
-        .worker_threads(1)
-        .thread_name("traffic")
-        .enable_all()
-        .build()?;
-    let control = Builder::new_current_thread().enable_all().build()?;
-    let clock = SystemClock::shared();
-    let event_log = EventLog::new(log.clone(), clock.clone());
-    let incarnation = new_incarnation();
-    let telemetry = Telemetry::new();
-    let gateway = Gateway::new(settings, platform, clock, event_log, telemetry, incarnation);
-    let result = control.block_on(run(Arc::new(gateway), settings_path, traffic.handle(), log));
-    traffic.shutdown_background();
-    result
+/// Process that is prepared to run a gateway.
+#[derive(Debug)]
+pub struct GatewayProcess {
+    control: Runtime,
+    hangups: Hangups,
+}
+
+/// SIGHUPs since the start of the process.
+type Hangups = Arc<Mutex<Signal>>;
+
+impl GatewayProcess {
+    /// Handles SIGHUP from now on, which would end the process otherwise.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a resource of the system is not available.
+    pub fn new() -> Result<Self, GatewayError> {
+        let control = Builder::new_current_thread().enable_all().build()?;
+        let entered = control.enter();
+        let hangups = Arc::new(Mutex::new(signal(SignalKind::hangup())?));
+        drop(entered);
+        Ok(Self { control, hangups })
+    }
+
+    /// Runs a gateway until the process is requested to stop.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason why the gateway could not start or continue.
+    pub fn run_gateway(
+        self,
+        settings: GatewaySettings,
+        settings_path: &Path,
+        platform: Platform,
+        log: &Logger,
+    ) -> Result<(), GatewayError> {
+        let Self { control, hangups } = self;
+        let traffic = Builder::new_multi_thread()
+            .worker_threads(1)
+            .thread_name("traffic")
+            .enable_all()
+            .build()?;
+        let clock = SystemClock::shared();
+        let event_log = EventLog::new(log.clone(), clock.clone());
+        let incarnation = new_incarnation();
+        let telemetry = Telemetry::new();
+        let gateway = Gateway::new(settings, platform, clock, event_log, telemetry, incarnation);
+        let reload = SettingsReload {
+            path: settings_path.to_path_buf(),
+            hangups,
+        };
+        let result = control.block_on(run(Arc::new(gateway), reload, traffic.handle(), log));
+        traffic.shutdown_background();
+        result
+    }
 }
 
 async fn run(
     gateway: Arc<Gateway>,
-    settings_path: &Path,
+    reload: SettingsReload,
     traffic: &Handle,
     log: &Logger,
 ) -> Result<(), GatewayError> {
@@ -98,7 +128,7 @@
     let supervisor = with_peers(supervisor, &gateway, &socket, peers);
     let supervisor = with_lease_and_rollout(supervisor, &gateway);
     let supervisor = with_operator_listeners(supervisor, &gateway, ready, metrics);
-    let supervisor = with_settings_reload(supervisor, &gateway, settings_path.to_path_buf());
+    let supervisor = with_settings_reload(supervisor, &gateway, reload);
     let supervisor = with_callers(supervisor, &gateway, callers, traffic);
     tokio::select! {
         result = supervisor.run(drain_requested(gateway.clone())) => result?,
@@ -223,24 +253,29 @@
     run_until_stopped(server::serve_fleet(listener, gateway), stop).await
 }
 
+/// Settings file that is checked again on SIGHUP.
+#[derive(Debug, Clone)]
+struct SettingsReload {
+    path: PathBuf,
+    hangups: Hangups,
+}
+
 /// Adds a task that checks the settings file again on SIGHUP.
 fn with_settings_reload(
     supervisor: Supervisor,
     gateway: &Arc<Gateway>,
-    path: PathBuf,
+    reload: SettingsReload,
 ) -> Supervisor {
     let gateway = gateway.clone();
     supervisor.child("settings", ChildSettings::default(), move |stop| {
-        let (gateway, path) = (gateway.clone(), path.clone());
-        async move {
-            let mut hangup = signal(SignalKind::hangup())?;
-            let reload = async {
-                while hangup.recv().await.is_some() {
-                    check_settings(&gateway, &path);
-                }
-            };
-            run_until_stopped(reload, stop).await
-        }
+        let (gateway, reload) = (gateway.clone(), reload.clone());
+        let reload = async move {
+            let mut hangups = reload.hangups.lock().await;
+            while hangups.recv().await.is_some() {
+                check_settings(&gateway, &reload.path);
+            }
+        };
+        run_until_stopped(reload, stop)
     })
 }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -69,7 +69,7 @@
 pub use account_groups::AccountGroups;
 pub use allowance::{AllowanceExceeded, AllowanceSettings, Allowances, VmGroup};
 pub use cache_retention::{CacheRetention, is_store_likelier};
-pub use daemon::{GatewayError, run_gateway};
+pub use daemon::{GatewayError, GatewayProcess};
 pub use event_log::EventLog;
 pub use event_splitter::{EventSplitter, SplitError};
 pub use heartbeat::{CompactLoad, Heartbeat, HeartbeatScope, HeldLease, StoreRevisions};
