fix(gateway): refuse a request whose body ends after a stop refuses new ones

A request whose head had arrived before a stop refuses new requests was sent to an engine whenever its body ended, and could be aborted in the middle of its response: the caller got a 200 that broke off. The check is now repeated after the body was read, and the caller gets 503 with a short `Retry-After`.

`a_request_whose_body_arrives_too_late_may_be_sent_to_another_vm` failed before:

panicked at platform/tests/end_of_stop.rs:136:5: HTTP/1.1 200 OK

With this change it passes.

--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -8,7 +8,7 @@
 use super::model::{CostUnit, Customer, Route};
 use super::platform_api::RequestHead;
 use super::request::{AdmittedRequest, AttemptProgress, ReceivedRequest};
-use super::response::retryable_refusal;
+use super::response::{draining_refusal, retryable_refusal};
 use super::state::{Gateway, PlacementRequest};
 use super::table::RoutingTable;
 use crate::entry::{collect_body, strip_hop_by_hop};
@@ -66,6 +66,10 @@
                 "the request body did not arrive before the deadline",
             )
         })??;
+    // The head may have arrived long before the end of the body.
+    if gateway.drain.is_refusing() {
+        return Err(draining_refusal());
+    }
     let prompt = head.prompt.clone().map(Arc::new);
     let cost = match &customer {
         Some(customer) => charge(gateway, customer, &head).await?,
