fix(gateway): give engines that respond slowly more time for control calls

An engine whose report took longer than 500 ms never received an order: each call ended at the same timeout, and the engine kept old weights for as long as it, the path to it or the holder of the lease was slow. Requests had no engine of that service that might run them, or too few.

Class: a timeout that is the same for every retry of a call that can only be slow.

The timeout of an engine's next call doubles with each one that was lost, up to 2 s, until the engine has the weights or leaves. The first call keeps its 500 ms, so that an engine that is down holds the others up no longer than before. As a call may now outlast much of the lease's term, the order checks the current term instead of the one of the start of the call.

--- a/src/gateway/engine_client.rs
+++ b/src/gateway/engine_client.rs
@@ -11,8 +11,6 @@
 use super::state::Gateway;
 use super::upstream_registry::UpstreamInstance;
 
-/// Timeout of one call.
-const CALL_TIMEOUT: Duration = Duration::from_millis(500);
 /// Maximum size of a report.
 const REPORT_MAX_BYTES: usize = 1024 * 1024;
 
@@ -42,9 +40,10 @@
 pub(super) async fn fetch_report(
     gateway: &Gateway,
     instance: &UpstreamInstance,
+    timeout: Duration,
 ) -> Result<EngineReport, CallFailure> {
     let request = gateway.platform.dialect.report_request(&instance.id);
-    let (status, body) = exchange(gateway, instance, request).await?;
+    let (status, body) = exchange(gateway, instance, request, timeout).await?;
     match status {
         200 => gateway
             .platform
@@ -67,9 +66,10 @@
     gateway: &Gateway,
     instance: &UpstreamInstance,
     order: &Order,
+    timeout: Duration,
 ) -> Result<OrderReply, CallFailure> {
     let request = gateway.platform.dialect.order_request(order);
-    let (status, _) = exchange(gateway, instance, request).await?;
+    let (status, _) = exchange(gateway, instance, request, timeout).await?;
     let reply = gateway.platform.dialect.parse_order_reply(status);
     reply.ok_or_else(|| CallFailure::NoResponse(format!("unexpected status {status}")))
 }
@@ -78,6 +78,7 @@
     gateway: &Gateway,
     instance: &UpstreamInstance,
     request: Request<Full<Bytes>>,
+    timeout: Duration,
 ) -> Result<(u16, Bytes), CallFailure> {
     let engine = gateway
         .state()
@@ -103,7 +104,7 @@
         let body = body.map_err(|error| no_response(&error))?;
         Ok((status, body.to_bytes()))
     };
-    match tokio::time::timeout(CALL_TIMEOUT, call).await {
+    match tokio::time::timeout(timeout, call).await {
         Ok(result) => result,
         Err(_) => Err(CallFailure::NoResponse(
             "no response within the timeout".into(),
--- a/src/gateway/rollout_schedule.rs
+++ b/src/gateway/rollout_schedule.rs
@@ -28,6 +28,10 @@
     pub load_time_estimate: Duration,
     /// Time from an order after which an engine that has not loaded no longer delays the others.
     pub give_up_timeout: Duration,
+    /// Timeout of the first call to an engine; doubles with each call without a response.
+    pub call_timeout: Duration,
+    /// Maximum timeout of a call.
+    pub call_timeout_max: Duration,
 }
 
 impl Default for RolloutSettings {
@@ -42,6 +46,8 @@
             // Requests of about 50 output tokens complete, and loading takes a third of a second.
             load_time_estimate: Duration::from_millis(800),
             give_up_timeout: Duration::from_millis(2_500),
+            call_timeout: Duration::from_millis(500),
+            call_timeout_max: Duration::from_millis(2_000),
         }
     }
 }
@@ -81,13 +87,23 @@
     },
 }
 
+/// What has gone wrong with an engine that is behind.
+#[derive(Debug)]
+struct EngineFailures {
+    instance: UpstreamInstance,
+    /// Whether it has exceeded the timeout of an order.
+    is_given_up: bool,
+    /// Number of calls without a response.
+    lost_calls: u32,
+}
+
 /// Rollout of one model's weights, as run by the lease holder.
 #[derive(Debug, Default)]
 pub struct RolloutSchedule {
     settings: RolloutSettings,
     phases: BTreeMap<UpstreamId, (UpstreamInstance, Phase)>,
-    /// Engines that exceeded the timeout and are still behind; the others come first.
-    given_up: Vec<UpstreamInstance>,
+    /// Engines that are behind and with which something has gone wrong.
+    failures: BTreeMap<UpstreamId, EngineFailures>,
 }
 
 impl RolloutSchedule {
@@ -147,6 +163,22 @@
         self.record_order(instance, now);
     }
 
+    /// Removes an engine that did not respond to a call in time, and allows its next call more
+    /// time.
+    pub fn record_lost_call(&mut self, instance: &UpstreamInstance) {
+        self.failures_of(instance).lost_calls += 1;
+        self.finish(instance);
+    }
+
+    /// Returns the timeout of the next call to an engine.
+    pub fn call_timeout(&self, instance: &UpstreamInstance) -> Duration {
+        let failures = self.failures.get(&instance.id);
+        let failures = failures.filter(|failures| failures.instance == *instance);
+        let lost_calls = failures.map_or(0, |failures| failures.lost_calls);
+        let timeout = self.settings.call_timeout * 2_u32.saturating_pow(lost_calls);
+        timeout.min(self.settings.call_timeout_max)
+    }
+
     /// Removes an engine that has the weights or accepts no orders.
     pub fn finish(&mut self, instance: &UpstreamInstance) {
         self.phases.retain(|_, (known, _)| known != instance);
@@ -171,14 +203,27 @@
         }
     }
 
+    fn failures_of(&mut self, instance: &UpstreamInstance) -> &mut EngineFailures {
+        let new = || EngineFailures {
+            instance: instance.clone(),
+            is_given_up: false,
+            lost_calls: 0,
+        };
+        let failures = self.failures.entry(instance.id.clone()).or_insert_with(new);
+        if failures.instance != *instance {
+            *failures = new();
+        }
+        failures
+    }
+
     /// Removes engines that have left or restarted, have the weights, or exceed the timeout.
     fn remove_finished(&mut self, target: WeightNumber, engines: &[EngineView], now: Instant) {
         let give_up_timeout = self.settings.give_up_timeout;
-        let given_up = &mut self.given_up;
-        given_up.retain(|instance| {
+        self.failures.retain(|_, failures| {
             let mut views = engines.iter();
-            views.any(|view| view.instance == *instance && is_behind(view, target))
+            views.any(|view| view.instance == failures.instance && is_behind(view, target))
         });
+        let mut given_up = Vec::new();
         self.phases.retain(|id, (instance, phase)| {
             let view = engines.iter().find(|view| view.instance.id == *id);
             let is_same = view.is_some_and(|view| view.instance == *instance);
@@ -189,11 +234,14 @@
                 }
                 Phase::Draining(_) | Phase::CallPending(_) => false,
             };
-            if is_same && is_behind && is_given_up && !given_up.contains(instance) {
+            if is_same && is_behind && is_given_up {
                 given_up.push(instance.clone());
             }
             is_same && is_behind && !is_given_up
         });
+        for instance in given_up {
+            self.failures_of(&instance).is_given_up = true;
+        }
     }
 
     /// Returns how many engines may be in the rollout at the same time: a fixed fraction of them,
@@ -231,7 +279,8 @@
         behind.retain(|view| !self.phases.contains_key(&view.instance.id));
         behind.sort_by_key(|view| {
             let id = view.instance.id.clone();
-            let is_given_up = self.given_up.contains(&view.instance);
+            let failures = self.failures.get(&id);
+            let is_given_up = failures.is_some_and(|failures| failures.is_given_up);
             let is_last = view.is_unreachable || is_given_up;
             (is_last, view.weights, view.requests, id)
         });
--- a/src/gateway/rollout_task.rs
+++ b/src/gateway/rollout_task.rs
@@ -26,6 +26,18 @@
 /// allows for lost orders.
 const ROLLOUT_DEADLINE_FRACTION: f64 = 0.85;
 
+/// Calls that update one engine.
+struct UpdateCall {
+    instance: UpstreamInstance,
+    model: ModelId,
+    target: WeightNumber,
+    /// Timeout of each call.
+    timeout: Duration,
+    /// Number of the term under which the calls were started.
+    fencing: FencingNumber,
+    held: watch::Receiver<Option<HeldTerm>>,
+}
+
 /// Result of the calls that update one engine.
 struct UpdateResult {
     model: ModelId,
@@ -38,6 +50,8 @@
     Ordered,
     Busy,
     Unreachable,
+    /// The call may have arrived, but no usable response was received in time.
+    LostCall,
     Fenced(FencingNumber),
     Rejected,
 }
@@ -77,7 +91,7 @@
                 &gateway,
                 &mut rollouts,
                 &mut updated_engines,
-                held_lease,
+                (held_lease.fencing_number, &held),
                 &result_sender,
                 now,
             );
@@ -115,7 +129,7 @@
     gateway: &Arc<Gateway>,
     rollouts: &mut HashMap<ModelId, RolloutSchedule>,
     updated_engines: &mut HashMap<UpstreamInstance, WeightNumber>,
-    held: HeldTerm,
+    (fencing, held): (FencingNumber, &watch::Receiver<Option<HeldTerm>>),
     result_sender: &mpsc::UnboundedSender<UpdateResult>,
     now: Instant,
 ) -> bool {
@@ -142,14 +156,21 @@
             let instance = match step {
                 RolloutAction::Order(instance) | RolloutAction::Check(instance) => instance,
             };
-            let (gateway, result_sender, model) =
-                (gateway.clone(), result_sender.clone(), model.clone());
+            let call = UpdateCall {
+                timeout: rollout.call_timeout(&instance),
+                instance,
+                model: model.clone(),
+                target,
+                fencing,
+                held: held.clone(),
+            };
+            let (gateway, result_sender) = (gateway.clone(), result_sender.clone());
             tokio::spawn(async move {
-                let outcome = update_engine(&gateway, &instance, &model, target, held).await;
+                let outcome = update_engine(&gateway, &call).await;
                 // Sending fails only during shutdown, when the receiver has been dropped.
                 let _ = result_sender.send(UpdateResult {
-                    model,
-                    instance,
+                    model: call.model,
+                    instance: call.instance,
                     outcome,
                 });
             });
@@ -228,14 +249,9 @@
 
 /// Reads an engine's report, and orders it to load the target weights if it lacks them and executes
 /// no other order.
-async fn update_engine(
-    gateway: &Gateway,
-    instance: &UpstreamInstance,
-    model: &ModelId,
-    target: WeightNumber,
-    held: HeldTerm,
-) -> UpdateOutcome {
-    let report = match engine_client::fetch_report(gateway, instance).await {
+async fn update_engine(gateway: &Gateway, call: &UpdateCall) -> UpdateOutcome {
+    let (instance, target) = (&call.instance, call.target);
+    let report = match engine_client::fetch_report(gateway, instance, call.timeout).await {
         Ok(report) => report,
         Err(failure) => {
             let reason = failure.to_string();
@@ -243,13 +259,16 @@
                 upstream: &instance.id,
                 reason,
             });
-            return UpdateOutcome::Unreachable;
+            return match failure {
+                CallFailure::NotSent(_) => UpdateOutcome::Unreachable,
+                CallFailure::NoResponse(_) => UpdateOutcome::LostCall,
+            };
         }
     };
     let current = report
         .weights
         .iter()
-        .find(|(name, _)| name == model)
+        .find(|(name, _)| *name == call.model)
         .map(|(_, number)| *number);
     if let Some(current) = current.filter(|current| *current >= target) {
         return UpdateOutcome::UpToDate(current);
@@ -258,25 +277,26 @@
         return UpdateOutcome::Busy;
     }
     // The lease may have expired during the previous call, or while the process was paused.
-    if !order_window(gateway).has_time_left(held, gateway.now()) {
+    let held = *call.held.borrow();
+    let held = held.filter(|held| held.fencing_number == call.fencing);
+    if !held.is_some_and(|held| order_window(gateway).has_time_left(held, gateway.now())) {
         return UpdateOutcome::Busy;
     }
-    let fencing = held.fencing_number;
     let order = Order {
         engine: instance.id.clone(),
-        model: model.clone(),
+        model: call.model.clone(),
         weights: target,
         holder: gateway.settings.vm.clone(),
-        fencing,
+        fencing: call.fencing,
         expected_orders: report.orders,
     };
-    let reply = engine_client::send_order(gateway, instance, &order).await;
+    let reply = engine_client::send_order(gateway, instance, &order, call.timeout).await;
     log_order(gateway, &order, &reply);
     match reply {
         Ok(OrderReply::Accepted) => UpdateOutcome::Ordered,
         Ok(OrderReply::AlreadyLoaded) => UpdateOutcome::UpToDate(target),
         Ok(OrderReply::Busy) => UpdateOutcome::Busy,
-        Ok(OrderReply::Fenced) => UpdateOutcome::Fenced(fencing),
+        Ok(OrderReply::Fenced) => UpdateOutcome::Fenced(call.fencing),
         Ok(OrderReply::WrongEngine | OrderReply::Invalid) => UpdateOutcome::Rejected,
         Err(CallFailure::NotSent(_)) => UpdateOutcome::Unreachable,
         Err(CallFailure::NoResponse(_)) => UpdateOutcome::Ordered,
@@ -331,18 +351,25 @@
         }
         UpdateOutcome::Ordered => rollout.record_order(instance, now),
         UpdateOutcome::Busy => rollout.record_still_loading(instance, now),
+        // The engine is considered again once it is reachable, and does not block others until then.
         UpdateOutcome::Unreachable => {
-            // The engine is considered again once it is reachable, and does not block others until
-            // then.
             rollout.finish(instance);
-            if let Some(engine) = gateway.state().upstreams.instance_mut(instance) {
-                engine.record_unreachable(now);
-            }
+            record_unreachable(gateway, instance, now);
+        }
+        UpdateOutcome::LostCall => {
+            rollout.record_lost_call(instance);
+            record_unreachable(gateway, instance, now);
         }
         UpdateOutcome::Fenced(_) | UpdateOutcome::Rejected => rollout.finish(instance),
     }
 }
 
+fn record_unreachable(gateway: &Gateway, instance: &UpstreamInstance, now: Instant) {
+    if let Some(engine) = gateway.state().upstreams.instance_mut(instance) {
+        engine.record_unreachable(now);
+    }
+}
+
 fn publish_engines_in_rollout(gateway: &Gateway, rollouts: &HashMap<ModelId, RolloutSchedule>) {
     let engines_in_rollout: Vec<_> = rollouts
         .values()
--- a/tests/gateway_pure/rolling_out.rs
+++ b/tests/gateway_pure/rolling_out.rs
@@ -172,3 +172,26 @@
     let done_at = run_with_busy_engines(busy, due);
     assert!(done_at.is_some_and(|at| at <= due), "{done_at:?}");
 }
+
+/// Guards against an engine that responds more slowly than the timeout and is never ordered.
+#[test]
+fn a_call_without_a_response_allows_the_next_one_more_time() {
+    let mut views = engines(&[1]);
+    let mut rollout = RolloutSchedule::new(RolloutSettings::default());
+    rollout.next_actions(2, &views, DISTANT_DEADLINE, MS(0));
+    let e0 = instance("e0");
+    let mut timeouts = Vec::new();
+    for _ in 0..4 {
+        timeouts.push(rollout.call_timeout(&e0));
+        rollout.record_lost_call(&e0);
+    }
+    assert_eq!(timeouts, [MS(500), MS(1_000), MS(2_000), MS(2_000)]);
+    let born_again = UpstreamInstance {
+        born_ms: 2,
+        ..e0.clone()
+    };
+    assert_eq!(rollout.call_timeout(&born_again), MS(500));
+    views[0].weights = Some(2);
+    rollout.next_actions(2, &views, DISTANT_DEADLINE, MS(100));
+    assert_eq!(rollout.call_timeout(&e0), MS(500));
+}
