fix(gateway): release the lease as soon as the VM is asked to stop

While VMs were stopped one after the other, each holder kept the lease for 0.3 to 0.5 s after its stop signal, and engines got their weights that much later. The task that keeps the lease looked at the shutdown only when its next renewal, a third of the lease away, was due.

The shutdown state can now be awaited, and the task waits for it beside its other events. A call that is under way still completes first, as its outcome decides what is to be released.

--- a/src/entry/drain.rs
+++ b/src/entry/drain.rs
@@ -14,7 +14,7 @@
 
 #[derive(Debug, Default)]
 struct Inner {
-    is_started: AtomicBool,
+    is_started: watch::Sender<bool>,
     is_closing_idle: AtomicBool,
     request_count: AtomicUsize,
     connection_count: AtomicUsize,
@@ -37,12 +37,19 @@
 impl Drain {
     /// Starts the shutdown: the readiness check fails and responses close their connections.
     pub fn start(&self) {
-        self.inner.is_started.store(true, Ordering::SeqCst);
+        self.inner.is_started.send_replace(true);
     }
 
     /// Returns whether the shutdown has started.
     pub fn is_started(&self) -> bool {
-        self.inner.is_started.load(Ordering::SeqCst)
+        *self.inner.is_started.borrow()
+    }
+
+    /// Waits until the shutdown has started.
+    pub(crate) async fn wait_for_start(&self) {
+        let mut is_started = self.inner.is_started.subscribe();
+        // Cannot fail: `self` owns the sender.
+        let _ = is_started.wait_for(|is_started| *is_started).await;
     }
 
     /// Makes idle connections close from now on.
--- a/src/gateway/lease_task.rs
+++ b/src/gateway/lease_task.rs
@@ -52,6 +52,7 @@
             publish_lease(&gateway, &core, &held);
             tokio::select! {
                 () = tokio::time::sleep(lease_ttl / CANDIDATE_CHECK_DIVISOR) => {}
+                () = gateway.drain.wait_for_start() => {}
                 () = stop.clone().raised() => {}
             }
             continue;
@@ -71,6 +72,7 @@
                 tokio::select! {
                     () = tokio::time::sleep(wait) => {}
                     () = gateway.lease_received.notified() => {}
+                    () = gateway.drain.wait_for_start() => {}
                     () = stop.clone().raised() => {}
                 }
             }
