fix(gateway): send no order after the lease was released

A VM that stopped could send an order up to half a second after it had released the lease, beside the orders of the next holder. Each update of an engine first reads the engine's report, and checked the lease afterwards on the copy of the term that it had started with, which a release does not end.

Updates now check the published term just before they send the order. The steward's rollout already reads the current lease there.

--- a/src/gateway/rollout_task.rs
+++ b/src/gateway/rollout_task.rs
@@ -76,6 +76,7 @@
                 &gateway,
                 &mut rollouts,
                 &mut updated_engines,
+                &held,
                 held_lease,
                 &result_sender,
                 now,
@@ -113,6 +114,7 @@
     gateway: &Arc<Gateway>,
     rollouts: &mut HashMap<ModelId, RolloutSchedule>,
     updated_engines: &mut HashMap<UpstreamInstance, WeightNumber>,
+    lease: &watch::Receiver<Option<HeldTerm>>,
     held: HeldTerm,
     result_sender: &mpsc::UnboundedSender<UpdateResult>,
     now: Instant,
@@ -142,8 +144,10 @@
             };
             let (gateway, result_sender, model) =
                 (gateway.clone(), result_sender.clone(), model.clone());
+            let (lease, term) = (lease.clone(), held.fencing_number);
             tokio::spawn(async move {
-                let outcome = update_engine(&gateway, &instance, &model, target, held).await;
+                let outcome =
+                    update_engine(&gateway, &instance, &model, target, &lease, term).await;
                 // Sending fails only during shutdown, when the receiver has been dropped.
                 let _ = result_sender.send(UpdateResult {
                     model,
@@ -231,7 +235,8 @@
     instance: &UpstreamInstance,
     model: &ModelId,
     target: WeightNumber,
-    held: HeldTerm,
+    lease: &watch::Receiver<Option<HeldTerm>>,
+    term: FencingNumber,
 ) -> UpdateOutcome {
     let report = match engine_client::fetch_report(gateway, instance).await {
         Ok(report) => report,
@@ -255,17 +260,18 @@
     if report.is_busy {
         return UpdateOutcome::Busy;
     }
-    // The lease may have expired during the previous call, or while the process was paused.
-    if !order_window(gateway).has_time_left(held, gateway.now()) {
+    // The lease may have been released or have expired during the previous call, or while the
+    // process was paused.
+    let held = lease.borrow().filter(|held| held.fencing_number == term);
+    if !held.is_some_and(|held| order_window(gateway).has_time_left(held, gateway.now())) {
         return UpdateOutcome::Busy;
     }
-    let fencing = held.fencing_number;
     let order = Order {
         engine: instance.id.clone(),
         model: model.clone(),
         weights: target,
         holder: gateway.settings.vm.clone(),
-        fencing,
+        fencing: term,
         expected_orders: report.orders,
     };
     let reply = engine_client::send_order(gateway, instance, &order).await;
@@ -274,7 +280,7 @@
         Ok(OrderReply::Accepted) => UpdateOutcome::Ordered,
         Ok(OrderReply::AlreadyLoaded) => UpdateOutcome::UpToDate(target),
         Ok(OrderReply::Busy) => UpdateOutcome::Busy,
-        Ok(OrderReply::Fenced) => UpdateOutcome::Fenced(fencing),
+        Ok(OrderReply::Fenced) => UpdateOutcome::Fenced(term),
         Ok(OrderReply::WrongEngine | OrderReply::Invalid) => UpdateOutcome::Rejected,
         Err(CallFailure::NotSent(_)) => UpdateOutcome::Unreachable,
         Err(CallFailure::NoResponse(_)) => UpdateOutcome::Ordered,
