fix(gateway): pass the roles of a VM on while it shuts down

While VMs were stopped in turn, for 2.9 s no VM held the lease although two had started and were ready, so engines kept their old weights. Only the two VMs of a zone that rank first compete for the lease. A VM that shuts down does not compete, but kept its rank until its process ended, up to the whole shutdown timeout later, and so kept the VMs behind it from competing.

A VM that shuts down now announces no processor time, and so ranks after all others in the views of all VMs, including those of earlier builds: the layout of heartbeats is as before. The relay of the store and the representative pass on in the same way, at the start of a shutdown instead of its end. The zone is told at once, with the heartbeats that a starting VM sends to all.

--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -322,9 +322,12 @@
         return std::future::pending().await;
     }
     let plan = ShutdownPlan::within(gateway.settings.bounds.shutdown_timeout);
+    let now = gateway.now();
     // Set only once; a second signal has no effect.
-    let _ = gateway.stop_requested_at.set(gateway.now());
+    let _ = gateway.stop_requested_at.set(now);
     gateway.drain.start();
+    gateway.state().peers.record_stop(now);
+    gateway.heartbeat_due.notify_one();
     let requests = gateway.drain.request_count();
     let connections = gateway.drain.connection_count();
     gateway.event_log.log(&LogEvent::Stopping {
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -255,7 +255,7 @@
     Heartbeat {
         incarnation: gateway.incarnation,
         sequence,
-        cpu_percent: settings.cpu_percent(),
+        cpu_percent: state.peers.own_cpu_percent(),
         next_in_ms: HEARTBEAT_INTERVAL.as_millis() as u16,
         is_leaving,
         watches_store: state.watches_store() && !is_leaving,
--- a/src/gateway/heartbeat.rs
+++ b/src/gateway/heartbeat.rs
@@ -124,7 +124,8 @@
     pub address: SocketAddr,
     /// Availability zone of the sender.
     pub availability_zone: AvailabilityZoneId,
-    /// Share of a core that the sender provides, in percent; VMs with more serve as relays.
+    /// Share of a core that the sender provides, in percent; VMs with more serve as relays. Zero
+    /// while the sender shuts down.
     pub cpu_percent: u8,
     /// Time until the sender's next heartbeat to the same receiver.
     pub next_in_ms: u16,
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -83,6 +83,8 @@
     zone_sum: Option<Peer>,
     /// Time until which this VM may not know all VMs of its zone.
     incomplete_until: Instant,
+    /// Time at which this VM began to shut down.
+    stopping_since: Option<Instant>,
     addresses: HashMap<SocketAddr, KnownAddress>,
 }
 
@@ -108,6 +110,19 @@
         self.incomplete_until = now + self.settings.start_timeout;
     }
 
+    /// Records that this VM shuts down, so that it ranks after all others from now on.
+    pub fn record_stop(&mut self, now: Instant) {
+        self.stopping_since = Some(now);
+    }
+
+    /// Returns the share of a core that this VM offers for roles in its zone, in percent.
+    pub fn own_cpu_percent(&self) -> u8 {
+        match self.stopping_since {
+            Some(_) => 0,
+            None => self.settings.own_cpu_percent,
+        }
+    }
+
     /// Records a heartbeat; returns whether it is newer than the recorded one.
     pub fn record_heartbeat(&mut self, heartbeat: Heartbeat, now: Instant) -> bool {
         if heartbeat.vm == self.own_vm {
@@ -191,6 +206,12 @@
         known.is_some_and(|peer| peer.heartbeat.incarnation == incarnation)
     }
 
+    /// Returns whether this VM began to shut down so recently that its zone may not know.
+    pub(super) fn has_just_stopped(&self, now: Instant) -> bool {
+        self.stopping_since
+            .is_some_and(|since| now < since + self.settings.start_timeout)
+    }
+
     /// Returns whether this VM has run for long enough to know its zone.
     pub fn is_complete(&self, now: Instant) -> bool {
         now >= self.incomplete_until
@@ -359,35 +380,8 @@
         1 + self.vms.len() + zones + self.unheard_vms()
     }
 
-    /// Returns whether this VM is the representative of its zone.
-    pub fn is_zone_representative(&self, now: Instant) -> bool {
-        let mut fresh = self.fresh_in_zone(now).peekable();
-        if fresh.peek().is_some() && now < self.incomplete_until {
-            return false;
-        }
-        let own_rank = self.own_role_rank();
-        fresh.all(|peer| own_rank < peer.role_rank())
-    }
-
-    /// Returns the representative of this zone; `None` if it is this VM.
-    pub fn representative(&self, now: Instant) -> Option<&Peer> {
-        let first = self
-            .fresh_in_zone(now)
-            .min_by_key(|peer| peer.role_rank())?;
-        (first.role_rank() < self.own_role_rank()).then_some(first)
-    }
-
     pub(super) fn own_role_rank(&self) -> RoleRank {
-        role_rank(&self.own_vm, self.settings.own_cpu_percent)
-    }
-
-    /// Returns the VM of this zone through which this VM watches the store; `None` if it watches
-    /// the store directly.
-    pub fn store_relay(&self, now: Instant) -> Option<&Peer> {
-        let watching = self.fresh_in_zone(now);
-        let watching = watching.filter(|peer| peer.heartbeat.watches_store);
-        let first = watching.min_by_key(|peer| peer.role_rank())?;
-        (first.role_rank() < self.own_role_rank()).then_some(first)
+        role_rank(&self.own_vm, self.own_cpu_percent())
     }
 
     /// Returns the VM of this zone that keeps a customer's account; `None` if it is this VM.
--- a/src/gateway/zone_roles.rs
+++ b/src/gateway/zone_roles.rs
@@ -4,6 +4,8 @@
 //! of a VM would grow with the zone. Instead the two hubs, the VMs that rank first, receive every
 //! heartbeat, and the others receive one in several rounds. The first hub, the representative,
 //! sends the sums of the zone to all its VMs in each round.
+//!
+//! A VM that shuts down ranks after all others, so that its roles pass on while it still runs.
 
 use std::cmp::Reverse;
 use std::net::SocketAddr;
@@ -11,7 +13,7 @@
 
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use super::peers::Peers;
+use super::peers::{Peer, Peers};
 use super::watch_schedule::WatchPurpose;
 use crate::clock::Instant;
 
@@ -19,7 +21,8 @@
 pub(super) const HUBS: usize = 2;
 /// Number of other VMs that receive one heartbeat.
 const OTHERS_PER_ROUND: usize = 10;
-/// Number of first heartbeats of a process that all VMs of its zone receive.
+/// Number of first heartbeats of a process that all VMs of its zone receive, as they do after its
+/// rank has changed.
 const ROUNDS_TO_ALL: u64 = 3;
 
 /// Rank of a VM for a role that needs more capacity than others: more processor time first.
@@ -36,7 +39,7 @@
     pub rounds: u32,
 }
 
-/// Returns the rank of a VM for a role, in an order on which all VMs agree.
+/// Returns the rank of a VM for a role, which is last without any processor time, in an order on which all VMs agree.
 pub(super) fn role_rank(vm: &str, cpu_percent: u8) -> RoleRank {
     (Reverse(cpu_percent), hash_rank(vm, ""))
 }
@@ -65,7 +68,7 @@
         let hubs = self.hub_addresses(now);
         others.retain(|address| !hubs.contains(address));
         let rounds = others.len().div_ceil(OTHERS_PER_ROUND);
-        if round >= ROUNDS_TO_ALL {
+        if round >= ROUNDS_TO_ALL && !self.has_just_stopped(now) {
             // Each VM starts with another group, so that no VM receives all heartbeats at once.
             let offset = hash_rank(&own_address.to_string(), "") as usize % rounds;
             let group = (offset + round as usize) % rounds;
@@ -79,6 +82,33 @@
         }
     }
 
+    /// Returns whether this VM is the representative of its zone.
+    pub fn is_zone_representative(&self, now: Instant) -> bool {
+        let mut fresh = self.fresh_in_zone(now).peekable();
+        if fresh.peek().is_some() && !self.is_complete(now) {
+            return false;
+        }
+        let own_rank = self.own_role_rank();
+        fresh.all(|peer| own_rank < peer.role_rank())
+    }
+
+    /// Returns the representative of this zone; `None` if it is this VM.
+    pub fn representative(&self, now: Instant) -> Option<&Peer> {
+        let first = self
+            .fresh_in_zone(now)
+            .min_by_key(|peer| peer.role_rank())?;
+        (first.role_rank() < self.own_role_rank()).then_some(first)
+    }
+
+    /// Returns the VM of this zone through which this VM watches the store; `None` if it watches
+    /// the store directly.
+    pub fn store_relay(&self, now: Instant) -> Option<&Peer> {
+        let watching = self.fresh_in_zone(now);
+        let watching = watching.filter(|peer| peer.heartbeat.watches_store);
+        let first = watching.min_by_key(|peer| peer.role_rank())?;
+        (first.role_rank() < self.own_role_rank()).then_some(first)
+    }
+
     /// Returns the purpose of this VM's watches: the first zone by name, among those with fresh
     /// heartbeats, notices interruptions for the fleet.
     pub fn watch_purpose(&self, now: Instant) -> WatchPurpose {
--- a/tests/gateway_zone.rs
+++ b/tests/gateway_zone.rs
@@ -61,7 +61,7 @@
         Heartbeat {
             incarnation: self.incarnation,
             sequence: round,
-            cpu_percent: cpu_percent(number),
+            cpu_percent: self.peers.own_cpu_percent(),
             next_in_ms,
             watches_store: true,
             ..Heartbeat::new(format!("vm-{number}"), "a".into(), address(number))
@@ -223,6 +223,32 @@
     assert_ne!(successors[0], representative);
 }
 
+/// The hubs that shut down have two successors that all VMs agree on while they still run.
+#[rstest]
+#[case(8)]
+#[case(60)]
+fn hubs_that_shut_down_are_succeeded_while_they_run(#[case] vms: usize) {
+    let mut zone = Zone::start(vms);
+    zone.run(20);
+    let now = zone.now();
+    let hubs = |zone: &Zone| -> Vec<usize> {
+        let is_hub = |number: &usize| zone.vms[*number].peers.is_hub(zone.now());
+        (0..vms).filter(is_hub).collect()
+    };
+    let stopping = hubs(&zone);
+    assert_eq!(stopping.len(), 2);
+    for number in &stopping {
+        zone.vms[*number].peers.record_stop(now);
+    }
+    zone.run(2);
+    let successors = hubs(&zone);
+    assert_eq!(successors.len(), 2, "{successors:?} after {stopping:?}");
+    assert!(successors.iter().all(|number| !stopping.contains(number)));
+    let representatives = zone.representatives();
+    assert_eq!(representatives.len(), 1, "{representatives:?}");
+    assert!(successors.contains(&representatives[0]));
+}
+
 /// VMs that hear each other rarely do not take each other for dead.
 #[test]
 fn no_vm_of_a_large_zone_counts_as_silent() {
