fix(gateway): name the request in a refusal for too many requests

A caller whose request was refused because too many were in flight got an answer with an empty request id. The limit was checked before the head of the request was read; the head is now read first.

`a_refusal_for_too_many_requests_bears_the_id_of_its_request` failed before:

panicked at platform/tests/request_path.rs:307:9: assertion failed: !is_refused || answer.header("request-id") == Some("r1")

With this change it passed three times in a row.

--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -95,19 +95,19 @@
 }
 
 async fn handle_request(gateway: Arc<Gateway>, received: &mut ReceivedRequest) -> Response<Body> {
+    let head = gateway
+        .platform
+        .dialect
+        .read_request_head(&received.headers);
+    let id = head.id.clone().unwrap_or_default();
     let Some(request_guard) = gateway.drain.count_request(REQUESTS_MAX) else {
         let refusal = response::retryable_refusal(
             Code::Overloaded,
             "too many requests in flight",
             OVERLOADED_RETRY_AFTER,
         );
-        return refuse(&gateway, &RequestId::new(), &refusal);
+        return refuse(&gateway, &id, &refusal);
     };
-    let head = gateway
-        .platform
-        .dialect
-        .read_request_head(&received.headers);
-    let id = head.id.clone().unwrap_or_default();
     if gateway.drain.is_refusing() {
         let refusal = response::draining_refusal();
         return with_connection_close(refuse(&gateway, &id, &refusal));
