fix(gateway): load weights in time at engines that respond late

In a burst of requests new weights reached the engines of a model one after the other, later than requests may begin on the old ones, so that requests found no engine, or waited at one until they began too late. An engine whose responses are overdue counts as unreachable, and unreachable engines were left out when the number of engines that may load at the same time was calculated: if most respond late, that number was one.

Class: a signal of load is taken for a failure.

With eight or nine of nine engines overdue, before:

engines_that_respond_late_load_in_time::avoided_3_9: Some(8.96s)

of 5.1 s after which all are to have them. Such engines now have places of their own, as many as the time left requires, up to half of them; they serve few requests meanwhile. They take no place of the others, and those that do not respond at all hold nobody up: the calls to them end by their timeout. Whether an entry has such a place is decided when it is chosen.

--- a/src/gateway/rollout_schedule.rs
+++ b/src/gateway/rollout_schedule.rs
@@ -87,6 +87,15 @@
     },
 }
 
+/// Engine that drains or loads.
+#[derive(Debug)]
+struct RolloutEntry {
+    instance: UpstreamInstance,
+    phase: Phase,
+    /// Whether it counted as unreachable when it was chosen.
+    was_unreachable: bool,
+}
+
 /// What has gone wrong with an engine that is behind.
 #[derive(Debug)]
 struct EngineFailures {
@@ -101,7 +110,7 @@
 #[derive(Debug, Default)]
 pub struct RolloutSchedule {
     settings: RolloutSettings,
-    phases: BTreeMap<UpstreamId, (UpstreamInstance, Phase)>,
+    entries: BTreeMap<UpstreamId, RolloutEntry>,
     /// Engines that are behind and with which something has gone wrong.
     failures: BTreeMap<UpstreamId, EngineFailures>,
 }
@@ -127,7 +136,8 @@
         let time_left = due.saturating_sub(now);
         self.start_draining(target, engines, time_left, now);
         let mut actions = Vec::new();
-        for (instance, phase) in self.phases.values_mut() {
+        for entry in self.entries.values_mut() {
+            let (instance, phase) = (&entry.instance, &mut entry.phase);
             match *phase {
                 Phase::Draining(since) if now.saturating_sub(since) >= self.settings.drain_time => {
                     *phase = Phase::CallPending(None);
@@ -181,26 +191,25 @@
 
     /// Removes an engine that has the weights or accepts no orders.
     pub fn finish(&mut self, instance: &UpstreamInstance) {
-        self.phases.retain(|_, (known, _)| known != instance);
+        self.entries.retain(|_, entry| entry.instance != *instance);
     }
 
     /// Returns the engines that drain or load.
     pub fn engines_in_rollout(&self) -> impl Iterator<Item = &UpstreamId> {
-        self.phases.keys()
+        self.entries.keys()
     }
 
     fn set_phase(&mut self, instance: &UpstreamInstance, phase: impl Fn(Option<Instant>) -> Phase) {
-        let Some((known, current)) = self.phases.get_mut(&instance.id) else {
+        let entry = self.entries.get_mut(&instance.id);
+        let Some(entry) = entry.filter(|entry| entry.instance == *instance) else {
             return;
         };
-        if known == instance {
-            let earlier = match *current {
-                Phase::CallPending(earlier) => earlier,
-                Phase::Loading { ordered_at, .. } => Some(ordered_at),
-                Phase::Draining(_) => None,
-            };
-            *current = phase(earlier);
-        }
+        let earlier = match entry.phase {
+            Phase::CallPending(earlier) => earlier,
+            Phase::Loading { ordered_at, .. } => Some(ordered_at),
+            Phase::Draining(_) => None,
+        };
+        entry.phase = phase(earlier);
     }
 
     fn failures_of(&mut self, instance: &UpstreamInstance) -> &mut EngineFailures {
@@ -224,11 +233,12 @@
             views.any(|view| view.instance == failures.instance && is_behind(view, target))
         });
         let mut given_up = Vec::new();
-        self.phases.retain(|id, (instance, phase)| {
+        self.entries.retain(|id, entry| {
+            let instance = &entry.instance;
             let view = engines.iter().find(|view| view.instance.id == *id);
             let is_same = view.is_some_and(|view| view.instance == *instance);
             let is_behind = view.is_some_and(|view| is_behind(view, target));
-            let is_given_up = match *phase {
+            let is_given_up = match entry.phase {
                 Phase::Loading { ordered_at, .. } => {
                     now.saturating_sub(ordered_at) > give_up_timeout
                 }
@@ -244,17 +254,17 @@
         }
     }
 
-    /// Returns how many engines may be in the rollout at the same time: a fixed fraction of them,
-    /// or as many as needed to complete it in the time left, up to half of them.
-    fn concurrency_max(
+    /// Returns how many reachable engines may be in the rollout at the same time: a fixed fraction
+    /// of them, or as many as needed to complete it in the time left, up to half of them.
+    fn reachable_max(
         &self,
         engines: &[EngineView],
         time_left: Duration,
         target: WeightNumber,
     ) -> usize {
-        let live = engines.iter().filter(|view| !view.is_unreachable);
-        let count = live.clone().count().max(1);
-        let behind = live.filter(|view| is_behind(view, target)).count();
+        let reachable = engines.iter().filter(|view| !view.is_unreachable);
+        let count = reachable.clone().count().max(1);
+        let behind = reachable.filter(|view| is_behind(view, target)).count();
         let total_load_time = self.settings.load_time_estimate * behind as u32;
         let needed = total_load_time
             .as_millis()
@@ -263,6 +273,24 @@
         base.max(needed.min(count.div_ceil(2)))
     }
 
+    /// Returns how many engines that count as unreachable may be in the rollout besides: as many as
+    /// needed to complete it in the time left, up to half of them.
+    ///
+    /// They may only respond late, and serve few requests meanwhile.
+    fn unreachable_max(
+        &self,
+        engines: &[EngineView],
+        time_left: Duration,
+        target: WeightNumber,
+    ) -> usize {
+        let unreachable = engines.iter().filter(|view| view.is_unreachable);
+        let count = unreachable.clone().count();
+        let behind = unreachable.filter(|view| is_behind(view, target)).count();
+        let total_load_time = self.settings.load_time_estimate * behind as u32;
+        let needed = total_load_time.as_millis() / time_left.as_millis().max(1);
+        (needed as usize).min(count.div_ceil(2))
+    }
+
     /// Stops new requests to the next engines: those furthest behind, and of these the least
     /// loaded. Engines that are unreachable or were given up come last.
     fn start_draining(
@@ -276,20 +304,33 @@
             .iter()
             .filter(|view| is_behind(view, target))
             .collect();
-        behind.retain(|view| !self.phases.contains_key(&view.instance.id));
+        behind.retain(|view| !self.entries.contains_key(&view.instance.id));
         behind.sort_by_key(|view| {
             let id = view.instance.id.clone();
             let failures = self.failures.get(&id);
             let is_given_up = failures.is_some_and(|failures| failures.is_given_up);
-            let is_last = view.is_unreachable || is_given_up;
-            (is_last, view.weights, view.requests, id)
+            (is_given_up, view.weights, view.requests, id)
         });
-        let concurrency_max = self.concurrency_max(engines, time_left, target);
-        let free = concurrency_max.saturating_sub(self.phases.len());
-        for view in behind.into_iter().take(free) {
-            let instance = view.instance.clone();
-            let phase = Phase::Draining(now);
-            self.phases.insert(instance.id.clone(), (instance, phase));
+        let (unreachable, reachable): (Vec<_>, Vec<_>) =
+            behind.into_iter().partition(|view| view.is_unreachable);
+        let entries = self.entries.values();
+        let unreachable_count = entries.filter(|entry| entry.was_unreachable).count();
+        let reachable_free = self
+            .reachable_max(engines, time_left, target)
+            .saturating_sub(self.entries.len() - unreachable_count);
+        // Unreachable engines also take the places that the others leave.
+        let left_free = reachable_free.saturating_sub(reachable.len());
+        let unreachable_free = (self.unreachable_max(engines, time_left, target) + left_free)
+            .saturating_sub(unreachable_count);
+        let reachable = reachable.into_iter().take(reachable_free);
+        let unreachable = unreachable.into_iter().take(unreachable_free);
+        for view in reachable.chain(unreachable) {
+            let entry = RolloutEntry {
+                instance: view.instance.clone(),
+                phase: Phase::Draining(now),
+                was_unreachable: view.is_unreachable,
+            };
+            self.entries.insert(view.instance.id.clone(), entry);
         }
     }
 }
--- a/tests/gateway_pure/rolling_out.rs
+++ b/tests/gateway_pure/rolling_out.rs
@@ -132,11 +132,14 @@
     assert_eq!(actions, [RolloutAction::Order(views[0].instance.clone())]);
 }
 
-/// Runs a rollout of nine engines, of which the first ones stay busy with another order; returns
-/// the time at which the last of the others has the weights.
-fn run_with_busy_engines(busy: usize, due: Duration) -> Option<Duration> {
+/// Runs a rollout of engines, of which the first ones stay busy with another order; returns the
+/// time at which the last of the others has the weights.
+fn run_with_busy_engines(
+    mut views: Vec<EngineView>,
+    busy: usize,
+    due: Duration,
+) -> Option<Duration> {
     const LOAD_TIME: Duration = Duration::from_millis(800);
-    let mut views = engines(&[1; 9]);
     let mut rollout = RolloutSchedule::new(RolloutSettings::default());
     let mut ordered: Vec<(UpstreamInstance, Duration)> = Vec::new();
     for now in (0..20_000).step_by(40).map(MS) {
@@ -169,10 +172,40 @@
 #[rstest]
 fn engines_that_stay_busy_hold_the_others_up_only_once(#[values(0, 1, 3)] busy: usize) {
     let due = MS(5_100);
-    let done_at = run_with_busy_engines(busy, due);
+    let done_at = run_with_busy_engines(engines(&[1; 9]), busy, due);
+    assert!(done_at.is_some_and(|at| at <= due), "{done_at:?}");
+}
+
+/// Guards against engines that respond late under load, count as unreachable and are therefore
+/// loaded one by one.
+#[rstest]
+fn engines_that_respond_late_load_in_time(#[values(5, 8, 9)] avoided: usize) {
+    let due = MS(5_100);
+    let mut views = engines(&[1; 9]);
+    views[..avoided]
+        .iter_mut()
+        .for_each(|view| view.is_unreachable = true);
+    let done_at = run_with_busy_engines(views, 0, due);
     assert!(done_at.is_some_and(|at| at <= due), "{done_at:?}");
 }
 
+/// Guards against unreachable engines that take places of engines that could load the weights.
+#[test]
+fn engines_that_cannot_be_reached_take_no_place_of_the_others() {
+    let mut views = engines(&[1; 9]);
+    views[..3]
+        .iter_mut()
+        .for_each(|view| view.is_unreachable = true);
+    let mut rollout = RolloutSchedule::new(RolloutSettings::default());
+    for at in [0, 2_000, 4_000] {
+        rollout.next_actions(2, &views, MS(5_100), MS(at));
+        let reachable = ["e3", "e4", "e5", "e6", "e7", "e8"];
+        let in_rollout = rollout.engines_in_rollout();
+        let reachable = in_rollout.filter(|id| reachable.contains(&id.as_str()));
+        assert!((2..=3).contains(&reachable.count()), "at {at} ms");
+    }
+}
+
 /// Guards against an engine that responds more slowly than the timeout and is never ordered.
 #[test]
 fn a_call_without_a_response_allows_the_next_one_more_time() {
