fix(gateway): let retry budgets follow the size of the fleet

Engines received more retries than all VMs together may send: in a soak of 120 VMs up to 402 retries of 673 requests in 10 s, where 0.2 of the requests and 50 are allowed. Single VMs sent 25 to 41 retries for 15 to 38 requests.

The budget of a service was sized when its first request arrived, by the VMs known at that time, and kept that size. A VM that knew no other one yet took the slack of the whole fleet for itself, after each start.

The settings now follow the number of VMs at each use, and what was saved beyond the new maximum is lost. What a VM sends before it knows the others is still limited by the whole slack only. The test failed before:

thread 'budgets::a_budget_follows_the_size_of_the_fleet' panicked at tests/gateway_pure/budgets.rs:53:5: 30 retries of one VM in 120

--- a/src/gateway/retry_budgets.rs
+++ b/src/gateway/retry_budgets.rs
@@ -65,9 +65,12 @@
     }
 
     fn budget(&mut self, service: &str, vms: usize, now: Instant) -> &mut RetryBudget {
-        let bounds = self.bounds;
+        let settings = budget_settings(self.bounds, vms);
         let budget = self.budgets.entry(service.to_owned());
-        budget.or_insert_with(|| RetryBudget::new(budget_settings(bounds, vms), now))
+        let budget = budget.or_insert_with(|| RetryBudget::new(settings.clone(), now));
+        // The first request may arrive before the other VMs are known.
+        budget.set_settings(settings);
+        budget
     }
 }
 
--- a/src/retry/budget.rs
+++ b/src/retry/budget.rs
@@ -54,6 +54,15 @@
         }
     }
 
+    /// Replaces the settings; retries beyond the new maximum are lost.
+    pub fn set_settings(&mut self, settings: RetryBudgetSettings) {
+        let retries_max = settings.saved_retries_max.max(settings.floor_retries_max);
+        self.level_units = self
+            .level_units
+            .min(i64::from(retries_max) * UNITS_PER_RETRY);
+        self.settings = settings;
+    }
+
     /// Adds the fraction of a retry that one request earns.
     pub fn record_request(&mut self) {
         let earned = i64::from(self.settings.retry_percent) * UNITS_PER_PERCENT;
--- a/tests/gateway_pure/budgets.rs
+++ b/tests/gateway_pure/budgets.rs
@@ -38,3 +38,17 @@
     while budgets.try_take("notes", 1, MS(0)) {}
     assert!(budgets.try_take("slots", 1, MS(0)));
 }
+
+#[test]
+fn a_budget_follows_the_size_of_the_fleet() {
+    let bounds = RetryBudgetBounds {
+        ratio: 0.2,
+        slack: 50,
+    };
+    let mut budgets = RetryBudgets::new(bounds);
+    // The first request arrives before any other VM is known.
+    budgets.record_request("notes", 1, MS(0));
+    let grants = (0..100).filter(|step| budgets.try_take("notes", 120, MS(1 + step)));
+    let grants = grants.count();
+    assert!(grants <= 1, "{grants} retries of one VM in 120");
+}
