fix(gateway): close a silent engine only with another attempt in hand

Callers still lost a resumable stream once in a while: its silent engine was closed 250 ms after the request had been sent to another one, as two engines may not work on it for longer. The other engine, which loaded weights, rejected the request after that, and the retry budget was exhausted.

Class: something alive is given up before its replacement is certain.

At the end of that time a further retry is reserved. If there is none, the engine that has not answered is closed, without a mark of failure, and the silent one is read on. An unused reservation returns to the budget.

--- a/src/gateway/attempt_failure.rs
+++ b/src/gateway/attempt_failure.rs
@@ -30,6 +30,8 @@
     Connection,
     /// The upstream sent no event in time; its run was given up.
     Stalled,
+    /// The upstream had not answered when its run was given up for that of a silent one.
+    Unanswered,
     /// The request had not begun when the engine's weights were replaced for too long.
     Withdrawn,
     /// The response does not belong to the request or cannot be forwarded.
@@ -46,6 +48,7 @@
             Self::Rejected => "rejected",
             Self::Connection => "connection",
             Self::Stalled => "stalled",
+            Self::Unanswered => "unanswered",
             Self::Withdrawn => "withdrawn",
             Self::UnusableResponse => "unusable_response",
             Self::Deadline => "deadline",
@@ -69,6 +72,14 @@
         Self::Unknown(FailureCause::Stalled, "no event in time".into())
     }
 
+    /// Returns the failure of an engine whose run is given up before it could have answered.
+    pub(super) fn unanswered() -> Self {
+        Self::Unknown(
+            FailureCause::Unanswered,
+            "no answer in the time that two engines may have the request".into(),
+        )
+    }
+
     /// Returns the label of the outcome: whether the request was sent and may have run.
     pub(super) fn outcome(&self) -> &'static str {
         match self {
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -74,6 +74,8 @@
     /// Whether an upstream may have run the request, so that a refusal must not state that it did
     /// not run.
     pub(super) may_have_run: bool,
+    /// Whether a retry for the next attempt has been deducted from the budget already.
+    pub(super) has_reserved_retry: bool,
     unreachable_upstreams: u32,
 }
 
@@ -130,7 +132,8 @@
             .record_queue_time(gateway.now().saturating_sub(now));
         let mut dispatched = placed.map_err(|error| self.refuse_unplaced(error))?;
         let is_retry = self.progress.sends > 0;
-        if is_retry && !gateway.take_retry(&self.placement_request.service) {
+        let is_reserved = std::mem::take(&mut self.progress.has_reserved_retry);
+        if is_retry && !is_reserved && !gateway.take_retry(&self.placement_request.service) {
             return Err(self.refuse(
                 Code::RetryBudget,
                 "the retry budget of the service is exhausted",
@@ -229,6 +232,8 @@
                 return Ok(());
             }
             AttemptFailure::Unknown(FailureCause::Withdrawn, _) => self.allow_again(dispatched),
+            // The time was too short to tell anything about the upstream.
+            AttemptFailure::Unknown(FailureCause::Unanswered, _) => {}
             AttemptFailure::Unknown(..) | AttemptFailure::Timeout => {
                 dispatched.record_failure(1.0);
                 self.gateway.pool.close_idle(&dispatched.instance);
--- a/src/gateway/retry_budgets.rs
+++ b/src/gateway/retry_budgets.rs
@@ -59,6 +59,11 @@
         self.budget(service, vms, now).try_take(now)
     }
 
+    /// Returns a retry that was taken and not made to a service's budget.
+    pub fn give_back(&mut self, service: &str, vms: usize, now: Instant) {
+        self.budget(service, vms, now).give_back();
+    }
+
     /// Returns whether a service's budget has a retry left.
     pub fn has_retry(&mut self, service: &str, vms: usize, now: Instant) -> bool {
         self.budget(service, vms, now).has_retry(now)
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -291,6 +291,14 @@
         state.retry_budgets.has_retry(service, fleet_size, now)
     }
 
+    /// Returns a retry that was deducted and not made to a service's retry budget.
+    pub(super) fn give_back_retry(&self, service: &str) {
+        let now = self.now();
+        let mut state = self.state();
+        let fleet_size = state.fleet_size();
+        state.retry_budgets.give_back(service, fleet_size, now);
+    }
+
     /// Deducts one retry from a service's retry budget; returns whether the budget allows it.
     pub(super) fn take_retry(&self, service: &str) -> bool {
         let now = self.now();
--- a/src/gateway/takeover.rs
+++ b/src/gateway/takeover.rs
@@ -138,16 +138,32 @@
                 &mut self.splitter,
             )
             .await;
-        let Some(sent) = sent else {
-            self.admitted.progress.runs += 1;
-            self.pending_events = non_empty(silent.withheld);
-            if let Some(stream) = silent.stream {
-                finish_stream(&self.admitted, *stream, self.status);
+        self.admitted.progress.has_reserved_retry = silent.has_reserved_retry;
+        let sent = match sent {
+            OverlapEnd::Answered(sent) => sent,
+            OverlapEnd::Completed => {
+                self.admitted.progress.runs += 1;
+                self.pending_events = non_empty(silent.withheld);
+                if let Some(stream) = silent.stream {
+                    finish_stream(&self.admitted, *stream, self.status);
+                }
+                return Ok(());
+            }
+            OverlapEnd::GivenUp => {
+                // The exchange was dropped, which closes its connection.
+                let _ = self
+                    .admitted
+                    .record_failure(&dispatched, AttemptFailure::unanswered());
+                self.source = silent
+                    .stream
+                    .map_or(StreamSource::Ended, StreamSource::Engine);
+                self.pending_events = non_empty(silent.withheld);
+                return Ok(());
             }
-            return Ok(());
         };
         match (self.check_resumed(sent), silent.stream) {
             (Ok(received), stream) => {
+                self.give_back_reserved_retry();
                 let closed =
                     stream.map(|stream| (close_stream(*stream), AttemptFailure::stalled()));
                 self.record_replaced(closed.or(silent.closed));
@@ -170,6 +186,13 @@
         }
     }
 
+    fn give_back_reserved_retry(&mut self) {
+        if std::mem::take(&mut self.admitted.progress.has_reserved_retry) {
+            let service = &self.admitted.placement_request.service;
+            self.admitted.gateway.give_back_retry(service);
+        }
+    }
+
     /// Records the attempt at an engine that another one replaces, whether or not a further
     /// attempt may follow.
     fn record_replaced(&mut self, closed: Option<(DispatchedRequest, AttemptFailure)>) {
@@ -186,6 +209,18 @@
     closed: Option<(DispatchedRequest, AttemptFailure)>,
     /// Events that the other engine may have begun to repeat.
     withheld: BytesMut,
+    /// Whether a retry is reserved in case that the other engine rejects the request late.
+    has_reserved_retry: bool,
+}
+
+/// End of the time in which two engines have the request.
+enum OverlapEnd {
+    /// The other engine has answered.
+    Answered(ExchangeResult),
+    /// The silent engine has completed the stream before.
+    Completed,
+    /// The other engine has not answered, and none could follow if it rejected the request.
+    GivenUp,
 }
 
 impl SilentEngine {
@@ -194,37 +229,45 @@
             stream: Some(stream),
             closed: None,
             withheld: BytesMut::new(),
+            has_reserved_retry: false,
         }
     }
 
-    /// Reads the engine until the exchange with the other one ends, and closes it after the
-    /// maximum overlap.
+    /// Reads the engine until the exchange with the other one ends.
     ///
-    /// Returns the result of the exchange, or `None` if the engine has completed the stream before.
+    /// After the maximum overlap one of the two engines is closed: the silent one if a further
+    /// attempt can follow in case that the other one rejects the request, else the other one.
     async fn read_during(
         &mut self,
         exchange: impl Future<Output = ExchangeResult>,
         admitted: &AdmittedRequest,
         splitter: &mut EventSplitter,
-    ) -> Option<ExchangeResult> {
+    ) -> OverlapEnd {
         let mut exchange = pin!(exchange);
         let mut overlap_end = pin!(tokio::time::sleep(StallSettings::default().overlap_max));
         loop {
             let Some(stream) = &mut self.stream else {
-                return Some(exchange.await);
+                return OverlapEnd::Answered(exchange.await);
             };
             let failure = tokio::select! {
                 biased;
-                sent = &mut exchange => return Some(sent),
+                sent = &mut exchange => return OverlapEnd::Answered(sent),
                 read = read_events(admitted, stream, splitter) => match read {
                     Ok(ReadOutcome::Events(events)) => {
                         self.withheld.extend_from_slice(&events);
                         continue;
                     }
-                    Ok(ReadOutcome::End) => return None,
+                    Ok(ReadOutcome::End) => return OverlapEnd::Completed,
                     Err(failure) => failure,
                 },
-                () = &mut overlap_end => AttemptFailure::stalled(),
+                () = &mut overlap_end => {
+                    let service = &admitted.placement_request.service;
+                    if !(admitted.may_send() && admitted.gateway.take_retry(service)) {
+                        return OverlapEnd::GivenUp;
+                    }
+                    self.has_reserved_retry = true;
+                    AttemptFailure::stalled()
+                }
             };
             let stream = self.stream.take();
             self.closed = stream.map(|stream| (close_stream(*stream), failure));
