fix(gateway): let a holder order at once if those before it sent no order

Engines that do not check fencing numbers kept their old weights for 12 s and longer while VMs were stopped one after the other. Each holder of the lease waited for one lease duration from its own acquisition before its first order, also if the holder before it had sent none, and was stopped within that time. With enough stops nobody ever ordered.

The record of the lease now states for how long no holder can have sent an order. A holder clears that by a write, and sends its first order once the write is confirmed. A holder that releases or loses the lease without the write passes the time on: its own so far, plus the time since the successor first saw that version of the record. The successor's write is conditional on that version, so it cannot apply beside the write that clears the time. After a holder that may have ordered the successor counts from its own acquisition, as before, and so it does after a record of an earlier build, which lacks the field. Heartbeats keep their layout and do not carry it.

The simulation has three processes now, with orders that arrive late, and checks that two of them never order within one lease duration while some inherit the time.

--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -175,21 +175,22 @@
 
 fn with_lease_and_rollout(supervisor: Supervisor, gateway: &Arc<Gateway>) -> Supervisor {
     let held = Arc::new(watch::Sender::new(None));
-    let (lease_gateway, rollout_gateway, rollout_held) =
-        (gateway.clone(), gateway.clone(), held.clone());
+    let ordering = Arc::new(watch::Sender::new(None));
+    let (lease_gateway, rollout_gateway) = (gateway.clone(), gateway.clone());
+    let (lease_held, lease_ordering) = (held.clone(), ordering.clone());
     supervisor
         .child("lease", ChildSettings::default(), move |stop| {
-            let work = lease_task::maintain_lease(lease_gateway.clone(), held.clone(), stop);
+            let (gateway, held) = (lease_gateway.clone(), lease_held.clone());
+            let work = lease_task::maintain_lease(gateway, held, lease_ordering.subscribe(), stop);
             async move {
                 work.await;
                 Ok(())
             }
         })
         .child("rollout", ChildSettings::default(), move |stop| {
-            run_until_stopped(
-                rollout_task::run_rollouts(rollout_gateway.clone(), rollout_held.subscribe()),
-                stop,
-            )
+            let (gateway, ordering) = (rollout_gateway.clone(), ordering.clone());
+            let work = rollout_task::run_rollouts(gateway, held.subscribe(), ordering);
+            run_until_stopped(work, stop)
         })
 }
 
--- a/src/gateway/heartbeat.rs
+++ b/src/gateway/heartbeat.rs
@@ -11,8 +11,8 @@
 use super::name_hash::{NameHash, hash_name};
 use super::prefix_cache_index::CachedPrefix;
 use super::upstream_registry::UpstreamLoad;
-use crate::ids::{AvailabilityZoneId, Incarnation, ObjectVersion, VmId};
-use crate::steward::LeaseRecord;
+use crate::ids::{AvailabilityZoneId, FencingNumber, Incarnation, ObjectVersion, VmId};
+use crate::steward::{LeaseHolder, LeaseObject, LeaseRecord};
 
 /// Number of tokens in one load unit.
 const LOAD_UNIT_TOKENS: u64 = 64;
@@ -89,8 +89,41 @@
 pub struct HeldLease {
     /// Revision of the lease's object.
     pub version: ObjectVersion,
-    /// Content of the lease's object.
-    pub record: LeaseRecord,
+    /// Holder of the lease.
+    pub holder: Option<LeaseHolder>,
+    /// Fencing number of the term.
+    pub fencing_number: FencingNumber,
+    /// Number of renewals within the term.
+    pub renewal_count: u64,
+}
+
+impl HeldLease {
+    /// Creates the announcement of a lease's record with a revision.
+    pub fn new(version: ObjectVersion, record: LeaseRecord) -> Self {
+        Self {
+            version,
+            holder: record.holder,
+            fencing_number: record.fencing_number,
+            renewal_count: record.renewal_count,
+        }
+    }
+
+    /// Returns the lease's object without its idle time.
+    ///
+    /// The encoding of heartbeats has no optional fields, so VMs of other builds could not decode
+    /// one more. A successor that has read no more than this counts the holder as one that acts.
+    pub fn into_object(self) -> LeaseObject {
+        LeaseObject {
+            version: self.version,
+            record: Some(LeaseRecord {
+                holder: self.holder,
+                fencing_number: self.fencing_number,
+                renewal_count: self.renewal_count,
+                idle_ms: None,
+            }),
+            ..LeaseObject::default()
+        }
+    }
 }
 
 /// Set of VMs whose state a heartbeat contains.
--- a/src/gateway/lease_task.rs
+++ b/src/gateway/lease_task.rs
@@ -9,9 +9,9 @@
 use super::heartbeat::HeldLease;
 use super::platform_api::WriteResult;
 use super::state::Gateway;
+use crate::ids::FencingNumber;
 use crate::steward::{
-    HeldTerm, LeaseAction, LeaseCore, LeaseHolder, LeaseObject, LeaseRecord, LeaseSettings,
-    LeaseWriteOutcome,
+    HeldTerm, LeaseAction, LeaseCore, LeaseHolder, LeaseObject, LeaseSettings, LeaseWriteOutcome,
 };
 use crate::supervisor::StopSignal;
 
@@ -22,15 +22,19 @@
 
 /// Acquires and renews the lease until the shutdown begins, then releases it.
 ///
-/// Publishes the lease through `held` while this VM holds it.
+/// Publishes the lease through `held` while this VM holds it. `ordering` names the term in which
+/// this VM is to send orders.
 pub(super) async fn maintain_lease(
     gateway: Arc<Gateway>,
     held: Arc<watch::Sender<Option<HeldTerm>>>,
+    mut ordering: watch::Receiver<Option<FencingNumber>>,
     stop: StopSignal,
 ) {
     let lease_ttl = gateway.settings.bounds.lease_ttl;
     let settings = LeaseSettings {
         poll_interval: lease_ttl / 2,
+        // Other engines need no pause between two holders.
+        tracks_idle_time: !gateway.settings.bounds.engines_check_fencing,
         ..LeaseSettings::from_lease_ttl(lease_ttl)
     };
     let holder = LeaseHolder {
@@ -42,6 +46,10 @@
     while !stop.is_raised() && !gateway.drain.is_started() {
         apply_peer_leases(&gateway, &mut core);
         let now = gateway.now();
+        let ordering_term = *ordering.borrow_and_update();
+        if let Some(term) = ordering_term {
+            core.begin_acting(term, now);
+        }
         // Only the hubs of the zones compete for the lease, so that the calls to the store do not
         // grow with the fleet.
         let is_candidate = core.held(now).is_some() || {
@@ -73,6 +81,8 @@
                     () = tokio::time::sleep(wait) => {}
                     () = gateway.lease_received.notified() => {}
                     () = gateway.drain.wait_for_start() => {}
+                    // An error means that the rollout has ended, as it does at the same stop.
+                    Ok(()) = ordering.changed() => {}
                     () = stop.clone().raised() => {}
                 }
             }
@@ -112,12 +122,7 @@
             .collect()
     };
     for lease in leases {
-        let object = LeaseObject {
-            version: lease.version,
-            record: Some(lease.record),
-            ..LeaseObject::default()
-        };
-        core.apply_relayed_object(now, object);
+        core.apply_relayed_object(now, lease.into_object());
     }
 }
 
@@ -202,13 +207,7 @@
     }
     held.send_replace(current);
     let own = current.and_then(|_| core.last_object());
-    let own = own.and_then(|object| {
-        let record: LeaseRecord = object.record?;
-        Some(HeldLease {
-            version: object.version,
-            record,
-        })
-    });
+    let own = own.and_then(|object| Some(HeldLease::new(object.version, object.record?)));
     let mut state = gateway.state();
     let is_changed = state.lease != own;
     state.lease = own;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -44,6 +44,7 @@
 mod retry_budgets;
 mod rollout_schedule;
 mod rollout_task;
+mod rollout_view;
 mod server;
 mod settings;
 mod shutdown;
--- a/src/gateway/order_window.rs
+++ b/src/gateway/order_window.rs
@@ -1,8 +1,9 @@
 //! Time in which the holder of the lease may send orders to engines.
 //!
-//! Load pattern: the holder is paused, cut off or killed while weights are set, and another VM takes
-//! over. Engines that check fencing numbers refuse the orders of the earlier holder. Engines that do
-//! not check them may still receive one, so the next holder waits until none can be on its way.
+//! Load pattern: the holder is paused, cut off, stopped or killed while weights are set, and another
+//! VM takes over. Engines that check fencing numbers refuse the orders of the earlier holder.
+//! Engines that do not check them may still receive one, so the next holder waits until none can be
+//! on its way. Holders that are stopped in turn before their first order do not prolong that wait.
 
 use std::time::Duration;
 
@@ -23,11 +24,26 @@
 }
 
 impl OrderWindow {
-    /// Returns whether the holder of a term that was acquired at `acquired_at` may send an order.
-    pub fn is_open(&self, held: HeldTerm, acquired_at: Instant, now: Instant) -> bool {
-        let is_previous_term_over =
-            self.engines_check_fencing || now >= acquired_at + self.lease_ttl;
-        self.has_time_left(held, now) && is_previous_term_over
+    /// Returns whether the holder of a term may send an order.
+    pub fn is_open(&self, held: HeldTerm, now: Instant) -> bool {
+        let is_acting = self.engines_check_fencing || held.idle.is_none();
+        self.has_time_left(held, now) && is_acting
+    }
+
+    /// Returns whether the holder may open its window: no earlier holder has sent an order within
+    /// the lease duration.
+    pub fn can_open(&self, held: HeldTerm, now: Instant) -> bool {
+        self.time_until_open(held, now).is_zero() && self.has_time_left(held, now)
+    }
+
+    /// Returns the time until an order of an earlier holder is long enough ago.
+    pub fn time_until_open(&self, held: HeldTerm, now: Instant) -> Duration {
+        match held.idle {
+            Some(idle) if !self.engines_check_fencing => {
+                self.lease_ttl.saturating_sub(idle.at(now))
+            }
+            _ => Duration::ZERO,
+        }
     }
 
     /// Returns whether enough of the term is left to send an order that was prepared before.
--- a/src/gateway/rollout_task.rs
+++ b/src/gateway/rollout_task.rs
@@ -11,10 +11,10 @@
 use super::model::WeightNumber;
 use super::order_window::OrderWindow;
 use super::platform_api::{Order, OrderReply};
-use super::rollout_schedule::{EngineView, RolloutAction, RolloutSchedule, RolloutSettings};
+use super::rollout_schedule::{RolloutAction, RolloutSchedule, RolloutSettings};
+use super::rollout_view::{ModelView, model_views, rollout_deadline};
 use super::state::Gateway;
 use super::upstream_registry::UpstreamInstance;
-use crate::clock::Instant;
 use crate::ids::{FencingNumber, ModelId};
 use crate::steward::HeldTerm;
 
@@ -22,9 +22,6 @@
 const ROLLOUT_INTERVAL: Duration = Duration::from_millis(40);
 /// Interval between two passes while all engines have the target weights or no order may be sent.
 const IDLE_INTERVAL: Duration = Duration::from_millis(500);
-/// Fraction of the time limit for new weights within which all engines should have them; the rest
-/// allows for lost orders.
-const ROLLOUT_DEADLINE_FRACTION: f64 = 0.85;
 
 /// Result of the calls that update one engine.
 struct UpdateResult {
@@ -43,14 +40,16 @@
 }
 
 /// Rolls out the target weights whenever the lease is held, until dropped.
+///
+/// Names the term in which orders are due through `ordering`.
 pub(super) async fn run_rollouts(
     gateway: Arc<Gateway>,
     mut held: watch::Receiver<Option<HeldTerm>>,
+    ordering: Arc<watch::Sender<Option<FencingNumber>>>,
 ) {
     let mut rollouts: HashMap<ModelId, RolloutSchedule> = HashMap::new();
     let (result_sender, mut result_receiver) = mpsc::unbounded_channel::<UpdateResult>();
     let mut term = 0;
-    let mut acquired_at = Instant::ZERO;
     let mut highest_fenced_term = 0;
     let mut updated_engines = HashMap::new();
     loop {
@@ -66,26 +65,37 @@
         };
         if held_lease.fencing_number != term {
             term = held_lease.fencing_number;
-            acquired_at = now;
             rollouts.clear();
         }
-        let may_send_orders = order_window(&gateway).is_open(held_lease, acquired_at, now)
-            && term > highest_fenced_term;
-        let is_behind = may_send_orders
-            && start_calls(
+        let window = order_window(&gateway);
+        let is_fenced = term <= highest_fenced_term;
+        let models = match window.can_open(held_lease, now) {
+            true if !is_fenced => model_views(&gateway, &mut updated_engines, now),
+            _ => Vec::new(),
+        };
+        let is_behind = models.iter().any(ModelView::is_behind);
+        match window.is_open(held_lease, now) {
+            true => start_calls(
                 &gateway,
                 &mut rollouts,
-                &mut updated_engines,
                 &held,
-                held_lease,
+                term,
+                &models,
                 &result_sender,
-                now,
-            );
+            ),
+            false if is_behind => {
+                ordering.send_replace(Some(term));
+            }
+            false => {}
+        }
         publish_engines_in_rollout(&gateway, &rollouts);
         let interval = if is_behind {
             ROLLOUT_INTERVAL
         } else {
-            IDLE_INTERVAL
+            match window.time_until_open(held_lease, now) {
+                Duration::ZERO => IDLE_INTERVAL,
+                until_open => until_open.min(IDLE_INTERVAL),
+            }
         };
         tokio::select! {
             () = tokio::time::sleep(interval) => {}
@@ -109,42 +119,29 @@
     }
 }
 
-/// Starts the calls that are due; returns whether some engine lacks its target weights.
+/// Starts the calls that are due.
 fn start_calls(
     gateway: &Arc<Gateway>,
     rollouts: &mut HashMap<ModelId, RolloutSchedule>,
-    updated_engines: &mut HashMap<UpstreamInstance, WeightNumber>,
     lease: &watch::Receiver<Option<HeldTerm>>,
-    held: HeldTerm,
+    term: FencingNumber,
+    models: &[ModelView],
     result_sender: &mpsc::UnboundedSender<UpdateResult>,
-    now: Instant,
-) -> bool {
-    let targets: Vec<(ModelId, WeightNumber)> = {
-        let state = gateway.state();
-        state
-            .weight_histories
-            .iter()
-            .map(|(model, history)| (model.clone(), history.newest()))
-            .collect()
-    };
-    let mut is_behind = false;
-    for (model, target) in targets {
-        let engine_views = engine_views(gateway, &model, now);
-        log_updated_engines(gateway, updated_engines, &model, target, &engine_views, now);
-        is_behind |= engine_views
-            .iter()
-            .any(|view| view.weights.is_none_or(|current| current < target));
+) {
+    let now = gateway.now();
+    for view in models {
+        let target = view.target;
         let rollout = rollouts
-            .entry(model.clone())
+            .entry(view.model.clone())
             .or_insert_with(|| RolloutSchedule::new(RolloutSettings::default()));
-        let deadline = rollout_deadline(gateway, &model, &engine_views, now);
-        for step in rollout.next_actions(target, &engine_views, deadline, now) {
+        let deadline = rollout_deadline(gateway, &view.model, &view.engines, now);
+        for step in rollout.next_actions(target, &view.engines, deadline, now) {
             let instance = match step {
                 RolloutAction::Order(instance) | RolloutAction::Check(instance) => instance,
             };
             let (gateway, result_sender, model) =
-                (gateway.clone(), result_sender.clone(), model.clone());
-            let (lease, term) = (lease.clone(), held.fencing_number);
+                (gateway.clone(), result_sender.clone(), view.model.clone());
+            let lease = lease.clone();
             tokio::spawn(async move {
                 let outcome =
                     update_engine(&gateway, &instance, &model, target, &lease, term).await;
@@ -157,75 +154,6 @@
             });
         }
     }
-    is_behind
-}
-
-/// Returns the time by which all engines should have the target weights.
-fn rollout_deadline(
-    gateway: &Gateway,
-    model: &ModelId,
-    engine_views: &[EngineView],
-    now: Instant,
-) -> Instant {
-    let state = gateway.state();
-    let current = engine_views
-        .iter()
-        .map(|view| view.weights.unwrap_or_default());
-    let first = state
-        .weight_histories
-        .get(model)
-        .and_then(|history| history.earliest_behind_since(current));
-    first.unwrap_or(now)
-        + gateway
-            .settings
-            .bounds
-            .weights_timeout
-            .mul_f64(ROLLOUT_DEADLINE_FRACTION)
-}
-
-/// Logs and counts engines that have reached the target weights since the previous pass.
-fn log_updated_engines(
-    gateway: &Gateway,
-    updated_engines: &mut HashMap<UpstreamInstance, WeightNumber>,
-    model: &ModelId,
-    target: WeightNumber,
-    engine_views: &[EngineView],
-    now: Instant,
-) {
-    let target_set_at = gateway
-        .state()
-        .weight_histories
-        .get(model)
-        .and_then(|history| history.newest_at());
-    let after = target_set_at.map_or(Duration::ZERO, |at| now.saturating_sub(at));
-    for view in engine_views
-        .iter()
-        .filter(|view| view.weights == Some(target))
-    {
-        if updated_engines.insert(view.instance.clone(), target) != Some(target) {
-            gateway.metrics.record_weights_in_place(after);
-            let event = LogEvent::WeightsInPlace {
-                upstream: &view.instance.id,
-                model,
-                weights: target,
-                after_ms: after.as_millis() as u64,
-            };
-            gateway.event_log.log(&event);
-        }
-    }
-}
-
-fn engine_views(gateway: &Gateway, model: &str, now: Instant) -> Vec<EngineView> {
-    let state = gateway.state();
-    let engines = state.upstreams.iter().filter(|engine| engine.is_ready());
-    let with_model = engines.filter(|engine| engine.weights(model).is_some());
-    let engine_views = with_model.map(|engine| EngineView {
-        instance: engine.instance.clone(),
-        weights: engine.weights(model),
-        requests: state.total_load(engine).requests,
-        is_unreachable: engine.is_avoided(now),
-    });
-    engine_views.collect()
 }
 
 /// Reads an engine's report, and orders it to load the target weights if it lacks them and executes
@@ -263,7 +191,7 @@
     // The lease may have been released or have expired during the previous call, or while the
     // process was paused.
     let held = lease.borrow().filter(|held| held.fencing_number == term);
-    if !held.is_some_and(|held| order_window(gateway).has_time_left(held, gateway.now())) {
+    if !held.is_some_and(|held| order_window(gateway).is_open(held, gateway.now())) {
         return UpdateOutcome::Busy;
     }
     let order = Order {
--- a/src/steward/lease.rs
+++ b/src/steward/lease.rs
@@ -4,47 +4,17 @@
 //! candidate counts from the time at which it first read the object's current version, which is
 //! later, and adds a margin for clocks that run at different rates. Its write is conditional on
 //! that version, so it conflicts with a renewal made in between.
+//!
+//! Where the idle time is tracked, a holder writes to the record before it first acts in its term.
+//! A holder that releases or loses the lease without that write cannot have acted, so its successor
+//! inherits the idle time up to then.
 
 use std::time::Duration;
 
-use super::{LeaseHolder, LeaseObject, LeaseRecord};
+use super::{IdleTime, LeaseHolder, LeaseObject, LeaseRecord, LeaseSettings};
 use crate::clock::Instant;
 use crate::ids::{FencingNumber, ObjectVersion};
 
-/// Durations of the lease.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct LeaseSettings {
-    /// Validity of the lease, counted from the time before the write was sent.
-    pub lease_ttl: Duration,
-    /// Time that a candidate waits beyond `lease_ttl` before it takes over the lease.
-    pub takeover_margin: Duration,
-    /// Time between renewals.
-    pub renewal_interval: Duration,
-    /// Time between reads while another process holds the lease.
-    pub poll_interval: Duration,
-    /// Delay before the next call after a failed one.
-    pub retry_delay: Duration,
-}
-
-impl Default for LeaseSettings {
-    fn default() -> Self {
-        Self::from_lease_ttl(Duration::from_secs(9))
-    }
-}
-
-impl LeaseSettings {
-    /// Derives all durations from the validity of the lease.
-    pub fn from_lease_ttl(lease_ttl: Duration) -> Self {
-        Self {
-            lease_ttl,
-            takeover_margin: lease_ttl / 10,
-            renewal_interval: lease_ttl / 3,
-            poll_interval: lease_ttl / 2,
-            retry_delay: lease_ttl / 20,
-        }
-    }
-}
-
 /// Store call requested by [`LeaseCore`].
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum LeaseAction {
@@ -79,6 +49,9 @@
     pub fencing_number: FencingNumber,
     /// Time at which the lease expires and the process must have stopped acting under it.
     pub valid_until: Instant,
+    /// Time for which no holder can have acted; `None` if this one may act, see
+    /// [`LeaseCore::begin_acting`].
+    pub idle: Option<IdleTime>,
 }
 
 #[derive(Debug, Clone)]
@@ -93,6 +66,14 @@
     first_seen_at: Instant,
 }
 
+impl ObservedObject {
+    /// Returns the time for which no holder can have acted; `None` if one may have acted until now.
+    fn idle_ms(&self, now: Instant) -> Option<u64> {
+        let idle_ms = self.object.record.as_ref()?.idle_ms?;
+        Some(IdleTime::from_millis(idle_ms, self.first_seen_at).millis_at(now))
+    }
+}
+
 /// State machine of the lease in one process; performs no I/O.
 ///
 /// The caller makes each call that [`LeaseCore::next_action`] returns and reports its result. It
@@ -107,6 +88,7 @@
     pending_write: Option<PendingWrite>,
     unresolved_write: Option<PendingWrite>,
     held: Option<HeldTerm>,
+    acting_term: Option<FencingNumber>,
     fencing_number_max: FencingNumber,
     next_action_at: Instant,
     is_releasing: bool,
@@ -124,6 +106,7 @@
             pending_write: None,
             unresolved_write: None,
             held: None,
+            acting_term: None,
             fencing_number_max: 0,
             next_action_at: Instant::ZERO,
             is_releasing: false,
@@ -147,6 +130,18 @@
         self.next_action_at = now;
     }
 
+    /// Makes a write due after which the holder of a term may act: it clears the idle time, so that
+    /// a successor does not inherit it.
+    ///
+    /// Has no effect if another term is held or none.
+    pub fn begin_acting(&mut self, term: FencingNumber, now: Instant) {
+        let is_idle = |held: HeldTerm| held.fencing_number == term && held.idle.is_some();
+        if self.acting_term != Some(term) && self.held(now).is_some_and(is_idle) {
+            self.acting_term = Some(term);
+            self.next_action_at = now;
+        }
+    }
+
     /// Returns whether the lease is being released or has been released.
     pub(super) fn is_releasing(&self) -> bool {
         self.is_releasing
@@ -190,15 +185,18 @@
         match &object.record {
             Some(record) if self.is_own(record) && self.is_releasing => write(LeaseRecord {
                 holder: None,
+                idle_ms: observed.idle_ms(now),
                 ..record.clone()
             }),
             _ if self.is_releasing => None,
-            Some(record) if self.is_own(record) => write(self.renewed_record(record, now)),
+            Some(record) if self.is_own(record) => {
+                write(self.renewed_record(observed, record, now))
+            }
             Some(record) if record.holder.is_some() && now < self.takeover_at(observed) => {
                 Some(LeaseAction::Read)
             }
             None if object.version > 0 => Some(LeaseAction::Read),
-            _ => write(self.new_term_record()),
+            _ => write(self.new_term_record(observed, now)),
         }
     }
 
@@ -241,8 +239,10 @@
                 };
                 self.apply_object(now, object);
                 self.adopt_term(&pending_write);
-                self.next_action_at =
-                    (pending_write.sent_at + self.settings.renewal_interval).max(now);
+                self.next_action_at = match self.awaits_acting(&pending_write.record) {
+                    true => now,
+                    false => (pending_write.sent_at + self.settings.renewal_interval).max(now),
+                };
             }
             LeaseWriteOutcome::Conflict(object) => self.apply_object(now, object),
             LeaseWriteOutcome::NotApplied => self.schedule_retry(now),
@@ -297,6 +297,10 @@
         self.held = Some(HeldTerm {
             fencing_number: pending_write.record.fencing_number,
             valid_until: pending_write.sent_at + self.settings.lease_ttl,
+            idle: pending_write
+                .record
+                .idle_ms
+                .map(|idle_ms| IdleTime::from_millis(idle_ms, pending_write.sent_at)),
         });
     }
 
@@ -318,25 +322,42 @@
         observed.first_seen_at + self.settings.lease_ttl + self.settings.takeover_margin
     }
 
-    fn renewed_record(&self, record: &LeaseRecord, now: Instant) -> LeaseRecord {
+    fn renewed_record(
+        &self,
+        observed: &ObservedObject,
+        record: &LeaseRecord,
+        now: Instant,
+    ) -> LeaseRecord {
         let is_current = |held: HeldTerm| held.fencing_number == record.fencing_number;
         if !self.held(now).is_some_and(is_current) {
-            return self.new_term_record();
+            return self.new_term_record(observed, now);
         }
+        let is_idle = !self.awaits_acting(record);
         LeaseRecord {
             renewal_count: record.renewal_count + 1,
+            idle_ms: observed.idle_ms(now).filter(|_| is_idle),
             ..record.clone()
         }
     }
 
-    fn new_term_record(&self) -> LeaseRecord {
+    /// Returns the first record of a term, which inherits the idle time unless an earlier holder
+    /// may have acted until now.
+    fn new_term_record(&self, observed: &ObservedObject, now: Instant) -> LeaseRecord {
+        let idle_ms = observed.idle_ms(now).unwrap_or(0);
         LeaseRecord {
             holder: Some(self.holder.clone()),
             fencing_number: self.fencing_number_max + 1,
             renewal_count: 0,
+            idle_ms: self.settings.tracks_idle_time.then_some(idle_ms),
         }
     }
 
+    /// Returns whether this process is to act in the term of its record, which still states an idle
+    /// time.
+    fn awaits_acting(&self, record: &LeaseRecord) -> bool {
+        record.idle_ms.is_some() && self.acting_term == Some(record.fencing_number)
+    }
+
     fn is_own(&self, record: &LeaseRecord) -> bool {
         record.holder.as_ref() == Some(&self.holder)
     }
--- a/src/steward/mod.rs
+++ b/src/steward/mod.rs
@@ -4,7 +4,9 @@
 //! its state.
 
 mod daemon;
+mod idle_time;
 mod lease;
+mod lease_settings;
 mod lease_task;
 mod record;
 mod rollout;
@@ -12,7 +14,9 @@
 mod status;
 
 pub use daemon::run_steward;
-pub use lease::{HeldTerm, LeaseAction, LeaseCore, LeaseSettings, LeaseWriteOutcome};
+pub use idle_time::IdleTime;
+pub use lease::{HeldTerm, LeaseAction, LeaseCore, LeaseWriteOutcome};
+pub use lease_settings::LeaseSettings;
 pub use lease_task::{LeaseTask, LeaseView};
 pub use record::{LeaseHolder, LeaseObject, LeaseRecord};
 pub use rollout::{
--- a/src/steward/record.rs
+++ b/src/steward/record.rs
@@ -27,6 +27,9 @@
     pub fencing_number: FencingNumber,
     /// Number of renewals within the term.
     pub renewal_count: u64,
+    /// Time for which no holder can have acted, as of the write of this record; `None` from the
+    /// moment the holder may act, and in records that do not track it.
+    pub idle_ms: Option<u64>,
 }
 
 /// Lease object as read from the store.
--- a/tests/gateway_peers.rs
+++ b/tests/gateway_peers.rs
@@ -4,8 +4,9 @@
 use std::time::Duration;
 
 use celerylever::gateway::{
-    CompactLoad, Heartbeat, HeartbeatScope, PeerView, Peers, PeersSettings, UpstreamLoad,
+    CompactLoad, Heartbeat, HeartbeatScope, HeldLease, PeerView, Peers, PeersSettings, UpstreamLoad,
 };
+use celerylever::steward::{LeaseHolder, LeaseRecord};
 
 const MS: fn(u64) -> Duration = Duration::from_millis;
 
@@ -246,3 +247,30 @@
     assert_eq!((groups.own_vms, others), (1, 3));
     assert_eq!(unknown.map(|group| group.vms).sum::<usize>(), 1);
 }
+
+/// VMs of a build before and after a change read each other's heartbeats only if the layout of the
+/// lease remains.
+#[test]
+fn the_lease_in_a_heartbeat_has_no_idle_time() {
+    let record = LeaseRecord {
+        holder: Some(LeaseHolder {
+            vm: "vm".into(),
+            incarnation: 2,
+        }),
+        fencing_number: 3,
+        renewal_count: 4,
+        idle_ms: Some(5),
+    };
+    let lease = HeldLease::new(1, record.clone());
+    let bytes = postcard::to_stdvec(&lease).unwrap();
+    assert_eq!(bytes, [1, 1, 2, b'v', b'm', 2, 3, 4]);
+    let object = lease.into_object();
+    assert_eq!(object.version, 1);
+    assert_eq!(
+        object.record,
+        Some(LeaseRecord {
+            idle_ms: None,
+            ..record
+        })
+    );
+}
--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -1,4 +1,4 @@
-//! Lease decisions: two processes under faults, and single steps.
+//! Lease decisions: three processes under faults, and single steps.
 
 mod lease_simulation;
 
@@ -8,7 +8,7 @@
 use celerylever::steward::{
     LeaseAction, LeaseCore, LeaseObject, LeaseRecord, LeaseSettings, LeaseWriteOutcome,
 };
-use lease_simulation::{Simulation, holder, settings};
+use lease_simulation::{FirstOrder, Simulation, holder, settings};
 
 const SEEDS: u64 = 60;
 
@@ -23,7 +23,8 @@
 }
 
 /// Engines that ignore fencing numbers get no orders of two VMs within one lease duration, whoever
-/// is paused, restarted or cut off, although the clocks run at rates that differ by 8%.
+/// is paused, restarted or cut off, although the clocks run at rates that differ by 8% and orders
+/// arrive late. Many holders need not wait for that time after they have acquired the lease.
 #[test]
 fn two_holders_never_order_engines_within_one_lease_duration() {
     let settings = settings(Duration::from_millis(10));
@@ -37,9 +38,29 @@
             gap.is_some_and(|gap| gap >= shortest),
             "seed {seed}: {outcome:?}"
         );
+        let gap = outcome.arrival_gap_micros_min;
+        assert!(
+            gap.is_some_and(|gap| gap >= shortest - lease_micros / 4),
+            "seed {seed}: {outcome:?}"
+        );
+        assert!(outcome.inherited_terms > 0, "seed {seed}: {outcome:?}");
     }
 }
 
+/// Without the write before the first order, a successor inherits an idle time that has ended.
+#[test]
+fn holders_that_order_before_their_write_take_turns_sooner() {
+    let settings = settings(Duration::from_millis(10));
+    let gap = |seed| {
+        let simulation = Simulation::new(seed, settings);
+        let simulation = simulation.with_first_order(FirstOrder::WithoutWrite);
+        simulation.run().order_gap_micros_min
+    };
+    let lease_micros = settings.lease_ttl.as_micros() as u64;
+    let close = (0..SEEDS).filter(|seed| gap(*seed).is_some_and(|gap| gap < lease_micros / 2));
+    assert!(close.count() >= 5);
+}
+
 /// Without the wait after the acquisition the windows are closer, so the test above can fail.
 #[test]
 fn holders_that_rely_on_fencing_take_turns_sooner() {
@@ -74,6 +95,7 @@
             holder: Some(holder(0, 1)),
             fencing_number: 7,
             renewal_count: 4,
+            idle_ms: None,
         }),
         ..LeaseObject::default()
     };
@@ -92,6 +114,112 @@
     );
 }
 
+/// Store that applies the calls of one process at a time at once.
+#[derive(Default)]
+struct InstantStore {
+    object: LeaseObject,
+}
+
+impl InstantStore {
+    fn run(&mut self, core: &mut LeaseCore, now: Duration) {
+        while let Some(action) = core.next_action(now) {
+            match action {
+                LeaseAction::Read => core.read_completed(now, Some(self.object.clone())),
+                LeaseAction::Write { record, .. } => {
+                    let version = self.object.version + 1;
+                    self.object = LeaseObject {
+                        version,
+                        record: Some(record),
+                        ..LeaseObject::default()
+                    };
+                    core.write_completed(now, LeaseWriteOutcome::Applied(version));
+                }
+            }
+        }
+    }
+}
+
+const WINDOW: OrderWindow = OrderWindow {
+    lease_ttl: Duration::from_secs(9),
+    engines_check_fencing: false,
+};
+
+fn tracking_core(node: usize) -> LeaseCore {
+    let settings = LeaseSettings {
+        tracks_idle_time: true,
+        ..LeaseSettings::from_lease_ttl(WINDOW.lease_ttl)
+    };
+    LeaseCore::new(settings, holder(node, 1))
+}
+
+/// Guards against a wait that starts anew with each holder, so that VMs stopped in turn send no
+/// orders at all.
+#[test]
+fn holders_stopped_in_turn_before_an_order_do_not_prolong_the_wait() {
+    let mut store = InstantStore::default();
+    let mut now = Duration::from_secs(100);
+    for node in 0..4 {
+        let mut core = tracking_core(node);
+        store.run(&mut core, now);
+        now += Duration::from_secs(2);
+        assert!(!WINDOW.can_open(core.held(now).unwrap(), now));
+        core.release(now);
+        store.run(&mut core, now);
+        assert!(core.is_released());
+    }
+    let mut core = tracking_core(4);
+    store.run(&mut core, now);
+    let held = core.held(now).unwrap();
+    assert_eq!(WINDOW.time_until_open(held, now), Duration::from_secs(1));
+    now += Duration::from_secs(1);
+    assert!(WINDOW.can_open(core.held(now).unwrap(), now));
+}
+
+#[test]
+fn the_idle_time_starts_anew_after_a_holder_that_acted() {
+    let mut store = InstantStore::default();
+    let mut now = Duration::from_secs(100);
+    let mut core = tracking_core(0);
+    store.run(&mut core, now);
+    now += WINDOW.lease_ttl / 3;
+    store.run(&mut core, now);
+    let held = core.held(now).unwrap();
+    assert!(!WINDOW.is_open(held, now));
+    core.begin_acting(held.fencing_number, now);
+    assert!(!WINDOW.is_open(core.held(now).unwrap(), now));
+    store.run(&mut core, now);
+    assert!(WINDOW.is_open(core.held(now).unwrap(), now));
+    now += Duration::from_secs(1);
+    core.release(now);
+    store.run(&mut core, now);
+    assert_eq!(store.object.record.clone().unwrap().idle_ms, None);
+    now += Duration::from_secs(50);
+    let mut core = tracking_core(1);
+    store.run(&mut core, now);
+    let held = core.held(now).unwrap();
+    assert_eq!(WINDOW.time_until_open(held, now), WINDOW.lease_ttl);
+}
+
+/// A release of an earlier build does not tell whether its holder sent orders.
+#[test]
+fn a_record_without_an_idle_time_counts_as_that_of_a_holder_that_acted() {
+    let record: LeaseRecord =
+        serde_json::from_str(r#"{"holder":null,"fencing_number":7,"renewal_count":4}"#).unwrap();
+    assert_eq!(record.idle_ms, None);
+    let mut store = InstantStore {
+        object: LeaseObject {
+            version: 3,
+            record: Some(record),
+            ..LeaseObject::default()
+        },
+    };
+    let now = Duration::from_secs(100);
+    let mut core = tracking_core(0);
+    store.run(&mut core, now);
+    let held = core.held(now).unwrap();
+    assert_eq!(WINDOW.time_until_open(held, now), WINDOW.lease_ttl);
+}
+
 #[test]
 fn unknown_write_seen_later_counts_from_its_sending() {
     let settings = LeaseSettings::default();
--- a/tests/lease_simulation/mod.rs
+++ b/tests/lease_simulation/mod.rs
@@ -1,20 +1,24 @@
-//! Two processes that want the lease, simulated with faults, against the store's own record.
+//! Three processes that want the lease, simulated with faults, against the store's own record.
 //!
 //! The naive twin is the record that the store holds: whoever believes to hold the lease must be
 //! the one it names, under the fencing number it names.
 
+mod orders;
+
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::time::Duration;
 
 use celerylever::gateway::OrderWindow;
 use celerylever::steward::{
-    HeldTerm, LeaseAction, LeaseCore, LeaseHolder, LeaseObject, LeaseRecord, LeaseSettings,
-    LeaseWriteOutcome,
+    LeaseAction, LeaseCore, LeaseHolder, LeaseObject, LeaseRecord, LeaseSettings, LeaseWriteOutcome,
 };
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
+pub(crate) use orders::FirstOrder;
+
+const NODES: usize = 3;
 const RUN_MICROS: u64 = 20_000_000;
 const TICK_MICROS: u64 = 500;
 const TIMEOUT_MICROS: u64 = 25_000;
@@ -56,6 +60,10 @@
     pub(crate) order_ticks: u64,
     /// Shortest time between the windows of two holders for orders, in microseconds.
     pub(crate) order_gap_micros_min: Option<u64>,
+    /// Shortest time from the arrival of an order to an order of another holder, in microseconds.
+    pub(crate) arrival_gap_micros_min: Option<u64>,
+    /// Number of terms whose holder could send orders within the lease duration.
+    pub(crate) inherited_terms: usize,
 }
 
 pub(crate) struct Simulation {
@@ -69,10 +77,15 @@
     event_count: u64,
     outcome: Outcome,
     order_window: OrderWindow,
+    first_order: FirstOrder,
+    /// Whether some engine lacks the target weights.
+    has_due_orders: bool,
     /// Term of each node that holds the lease, and when the node acquired it by its own clock.
-    acquired: [Option<(u64, Duration)>; 2],
+    acquired: [Option<(u64, Duration)>; NODES],
     /// Node that could send orders last, and when.
     last_orders: Option<(usize, u64)>,
+    /// Node whose order arrived last, and when.
+    last_arrival: Option<(usize, u64)>,
 }
 
 pub(crate) fn settings(margin: Duration) -> LeaseSettings {
@@ -104,6 +117,10 @@
         settings: LeaseSettings,
         order_window: OrderWindow,
     ) -> Self {
+        let settings = LeaseSettings {
+            tracks_idle_time: !order_window.engines_check_fencing,
+            ..settings
+        };
         let node = |index: usize| Node {
             core: LeaseCore::new(settings, holder(index, 1)),
             incarnation: 1,
@@ -114,20 +131,30 @@
             random: StdRng::seed_from_u64(seed),
             settings,
             now: 0,
-            nodes: vec![node(0), node(1)],
+            nodes: (0..NODES).map(node).collect(),
             object: LeaseObject::default(),
             calls: Vec::new(),
             events: BinaryHeap::new(),
             event_count: 0,
             outcome: Outcome::default(),
             order_window,
-            acquired: [None, None],
+            first_order: FirstOrder::AfterWrite,
+            has_due_orders: false,
+            acquired: [None; NODES],
             last_orders: None,
+            last_arrival: None,
         };
         simulation.schedule(0, Event::Tick);
         simulation
     }
 
+    pub(crate) fn with_first_order(self, first_order: FirstOrder) -> Self {
+        Self {
+            first_order,
+            ..self
+        }
+    }
+
     fn schedule(&mut self, after: u64, event: Event) {
         self.event_count += 1;
         let key = (self.now + after, self.event_count, event);
@@ -174,6 +201,11 @@
 
     fn tick(&mut self) {
         self.schedule(TICK_MICROS, Event::Tick);
+        // Orders are due for 100 ms of 500 ms on average.
+        self.has_due_orders = match self.has_due_orders {
+            true => !self.random.random_bool(1.0 / 200.0),
+            false => self.random.random_bool(1.0 / 800.0),
+        };
         for node in 0..self.nodes.len() {
             self.disturb(node);
             if self.now >= self.nodes[node].paused_until {
@@ -297,26 +329,6 @@
         }
     }
 
-    /// Records the time between the windows in which two nodes may send orders.
-    fn check_orders(&mut self, node: usize, held: HeldTerm) {
-        let local = self.local(node);
-        if self.acquired[node].is_none_or(|(term, _)| term != held.fencing_number) {
-            self.acquired[node] = Some((held.fencing_number, local));
-        }
-        let is_paused = self.now < self.nodes[node].paused_until;
-        let (_, acquired_at) = self.acquired[node].unwrap();
-        if is_paused || !self.order_window.is_open(held, acquired_at, local) {
-            return;
-        }
-        self.outcome.order_ticks += 1;
-        if let Some((_, at)) = self.last_orders.filter(|(last, _)| *last != node) {
-            let gap = self.now - at;
-            let shortest = self.outcome.order_gap_micros_min.unwrap_or(gap);
-            self.outcome.order_gap_micros_min = Some(shortest.min(gap));
-        }
-        self.last_orders = Some((node, self.now));
-    }
-
     fn check(&mut self) {
         for index in 0..self.nodes.len() {
             let node = &self.nodes[index];
--- a/tests/steward_orders.rs
+++ b/tests/steward_orders.rs
@@ -46,6 +46,7 @@
     let held = HeldTerm {
         fencing_number: 1,
         valid_until: Duration::from_secs(8),
+        idle: None,
     };
     let sends = |check, now_ms| settings.may_send(check, held, Duration::from_millis(now_ms));
     assert!(sends(FencingCheck::Ignores, 4_000));
--- a/tests/support/order_simulation.rs
+++ b/tests/support/order_simulation.rs
@@ -181,6 +181,7 @@
         let held = HeldTerm {
             fencing_number: self.term,
             valid_until: self.now + LEASE,
+            idle: None,
         };
         while let Some(order) = self.core.next_order(self.now, held) {
             self.outcome.orders += 1;
