--- a/src/gateway/takeover.rs
+++ b/src/gateway/takeover.rs
@@ -140,7 +140,7 @@
             .await;
         self.admitted.progress.has_reserved_retry = silent.has_reserved_retry;
         let sent = match sent {
-            OverlapEnd::Answered(sent) => sent,
+            OverlapEnd::Answered(sent) => *sent,
             OverlapEnd::Completed => {
                 self.admitted.progress.runs += 1;
                 self.pending_events = non_empty(silent.withheld);
@@ -216,7 +216,7 @@
 /// End of the time in which two engines have the request.
 enum OverlapEnd {
     /// The other engine has answered.
-    Answered(ExchangeResult),
+    Answered(Box<ExchangeResult>),
     /// The silent engine has completed the stream before.
     Completed,
     /// The other engine has not answered, and none could follow if it rejected the request.
@@ -247,11 +247,11 @@
         let mut overlap_end = pin!(tokio::time::sleep(StallSettings::default().overlap_max));
         loop {
             let Some(stream) = &mut self.stream else {
-                return OverlapEnd::Answered(exchange.await);
+                return OverlapEnd::Answered(Box::new(exchange.await));
             };
             let failure = tokio::select! {
                 biased;
-                sent = &mut exchange => return OverlapEnd::Answered(sent),
+                sent = &mut exchange => return OverlapEnd::Answered(Box::new(sent)),
                 read = read_events(admitted, stream, splitter) => match read {
                     Ok(ReadOutcome::Events(events)) => {
                         self.withheld.extend_from_slice(&events);
