fix(gateway): keep an engine that goes on, and read what arrived in a pause

Review of the move of streams found three ways in which callers could still lose a stream, or engines get needless requests:

- an engine that went on while another one had the request was closed all the same at the end of the overlap; a failure of the other one then ended the stream.
The other one is now closed as soon as the silent one goes on.
- a pause of the gateway itself looked like silence of all its engines, so that healthy streams could move, or be withdrawn, although their events had arrived.
A timer that is noticed late starts the wait again, and a withdrawal waits until what has arrived is noticed.
- in a large fleet the budget rarely has the second retry that was reserved at the end of the overlap, so that streams stayed at engines that were down.
The silent engine is closed again at that time; if the other one rejects the request later, the next attempt is made at the cost of later retries, and the closed engine may have it again.

--- a/src/gateway/pending_call.rs
+++ b/src/gateway/pending_call.rs
@@ -53,6 +53,12 @@
     }
 }
 
+/// Returns whether the process was paused, or ran too slowly, when a timer was due: what has arrived
+/// meanwhile may not have been noticed yet.
+pub(super) fn was_paused_since(due: Instant, now: Instant) -> bool {
+    now.saturating_sub(due) >= PUNCTUAL_CHECK_MAX
+}
+
 /// Awaits a call and returns its result with the time for which it was pending.
 pub(super) async fn observe<T>(
     clock: &SharedClock,
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -74,8 +74,9 @@
     /// Whether an upstream may have run the request, so that a refusal must not state that it did
     /// not run.
     pub(super) may_have_run: bool,
-    /// Whether a retry for the next attempt has been deducted from the budget already.
-    pub(super) has_reserved_retry: bool,
+    /// Whether the next attempt must be made even if the retry budget is exhausted: this VM has
+    /// closed an engine that was alive.
+    pub(super) must_retry: bool,
     unreachable_upstreams: u32,
 }
 
@@ -132,12 +133,16 @@
             .record_queue_time(gateway.now().saturating_sub(now));
         let mut dispatched = placed.map_err(|error| self.refuse_unplaced(error))?;
         let is_retry = self.progress.sends > 0;
-        let is_reserved = std::mem::take(&mut self.progress.has_reserved_retry);
-        if is_retry && !is_reserved && !gateway.take_retry(&self.placement_request.service) {
-            return Err(self.refuse(
-                Code::RetryBudget,
-                "the retry budget of the service is exhausted",
-            ));
+        let service = &self.placement_request.service;
+        match std::mem::take(&mut self.progress.must_retry) {
+            true => gateway.force_retry(service),
+            false if is_retry && !gateway.take_retry(service) => {
+                return Err(self.refuse(
+                    Code::RetryBudget,
+                    "the retry budget of the service is exhausted",
+                ));
+            }
+            false => {}
         }
         if let Some(reason) = self.progress.last_failure.filter(|_| is_retry) {
             gateway.metrics.count_retry(reason);
--- a/src/gateway/retry_budgets.rs
+++ b/src/gateway/retry_budgets.rs
@@ -59,9 +59,9 @@
         self.budget(service, vms, now).try_take(now)
     }
 
-    /// Returns a retry that was taken and not made to a service's budget.
-    pub fn give_back(&mut self, service: &str, vms: usize, now: Instant) {
-        self.budget(service, vms, now).give_back();
+    /// Takes one retry that must be made from a service's budget, at the cost of later ones.
+    pub fn force_take(&mut self, service: &str, vms: usize, now: Instant) {
+        self.budget(service, vms, now).force_take(now);
     }
 
     /// Returns whether a service's budget has a retry left.
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -291,12 +291,12 @@
         state.retry_budgets.has_retry(service, fleet_size, now)
     }
 
-    /// Returns a retry that was deducted and not made to a service's retry budget.
-    pub(super) fn give_back_retry(&self, service: &str) {
+    /// Deducts one retry that must be made from a service's retry budget, at the cost of later ones.
+    pub(super) fn force_retry(&self, service: &str) {
         let now = self.now();
         let mut state = self.state();
         let fleet_size = state.fleet_size();
-        state.retry_budgets.give_back(service, fleet_size, now);
+        state.retry_budgets.force_take(service, fleet_size, now);
     }
 
     /// Deducts one retry from a service's retry budget; returns whether the budget allows it.
--- a/src/gateway/takeover.rs
+++ b/src/gateway/takeover.rs
@@ -5,13 +5,14 @@
 
 use std::pin::pin;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 
 use super::attempt_failure::{AttemptFailure, FailureCause};
 use super::dispatch::DispatchedRequest;
 use super::engine_stream::{EngineStream, ReadOutcome, close_stream, finish_stream, read_events};
 use super::event_splitter::EventSplitter;
 use super::exchange::UpstreamResponse;
+use super::pending_call::was_paused_since;
 use super::pool::Connection;
 use super::request::AdmittedRequest;
 use super::stall::{SilentStream, StallSettings};
@@ -68,6 +69,11 @@
         };
         tokio::time::sleep(search_at.saturating_sub(gateway.now())).await;
         let searched_since = gateway.now();
+        if was_paused_since(search_at, searched_since) {
+            // Events may have arrived meanwhile.
+            *silence = Silence::since(searched_since);
+            continue;
+        }
         let placed = match gateway.has_retry(service) {
             true => admitted.place().await.ok(),
             false => None,
@@ -138,12 +144,11 @@
                 &mut self.splitter,
             )
             .await;
-        self.admitted.progress.has_reserved_retry = silent.has_reserved_retry;
         let sent = match sent {
             OverlapEnd::Answered(sent) => *sent,
             OverlapEnd::Completed => {
                 self.admitted.progress.runs += 1;
-                self.pending_events = non_empty(silent.withheld);
+                self.pending_events = silent.withheld;
                 if let Some(stream) = silent.stream {
                     finish_stream(&self.admitted, *stream, self.status);
                 }
@@ -157,13 +162,12 @@
                 self.source = silent
                     .stream
                     .map_or(StreamSource::Ended, StreamSource::Engine);
-                self.pending_events = non_empty(silent.withheld);
+                self.pending_events = silent.withheld;
                 return Ok(());
             }
         };
         match (self.check_resumed(sent), silent.stream) {
             (Ok(received), stream) => {
-                self.give_back_reserved_retry();
                 let closed =
                     stream.map(|stream| (close_stream(*stream), AttemptFailure::stalled()));
                 self.record_replaced(closed.or(silent.closed));
@@ -172,11 +176,19 @@
             }
             (Err(failure), Some(stream)) => {
                 self.source = StreamSource::Engine(stream);
-                self.pending_events = non_empty(silent.withheld);
+                self.pending_events = silent.withheld;
                 let _ = self.admitted.record_failure(&dispatched, failure);
                 Ok(())
             }
             (Err(failure), None) => {
+                let closed = silent.closed.as_ref();
+                let was_alive =
+                    closed.filter(|(_, failure)| failure.cause() == FailureCause::Stalled);
+                if let Some((dispatched, _)) = was_alive {
+                    // Closed only because two engines may not have the request for longer.
+                    self.admitted.progress.must_retry = true;
+                    self.admitted.allow_again(dispatched);
+                }
                 self.record_replaced(silent.closed);
                 let result = self.admitted.record_failure(&dispatched, failure);
                 drop(dispatched);
@@ -186,13 +198,6 @@
         }
     }
 
-    fn give_back_reserved_retry(&mut self) {
-        if std::mem::take(&mut self.admitted.progress.has_reserved_retry) {
-            let service = &self.admitted.placement_request.service;
-            self.admitted.gateway.give_back_retry(service);
-        }
-    }
-
     /// Records the attempt at an engine that another one replaces, whether or not a further
     /// attempt may follow.
     fn record_replaced(&mut self, closed: Option<(DispatchedRequest, AttemptFailure)>) {
@@ -207,10 +212,8 @@
     /// Response of the engine until it is closed.
     stream: Option<Box<EngineStream>>,
     closed: Option<(DispatchedRequest, AttemptFailure)>,
-    /// Events that the other engine may have begun to repeat.
-    withheld: BytesMut,
-    /// Whether a retry is reserved in case that the other engine rejects the request late.
-    has_reserved_retry: bool,
+    /// Events with which the silent engine has gone on.
+    withheld: Option<Bytes>,
 }
 
 /// End of the time in which two engines have the request.
@@ -219,7 +222,7 @@
     Answered(Box<ExchangeResult>),
     /// The silent engine has completed the stream before.
     Completed,
-    /// The other engine has not answered, and none could follow if it rejected the request.
+    /// The silent engine has gone on before the other one has answered.
     GivenUp,
 }
 
@@ -228,15 +231,12 @@
         Self {
             stream: Some(stream),
             closed: None,
-            withheld: BytesMut::new(),
-            has_reserved_retry: false,
+            withheld: None,
         }
     }
 
-    /// Reads the engine until the exchange with the other one ends.
-    ///
-    /// After the maximum overlap one of the two engines is closed: the silent one if a further
-    /// attempt can follow in case that the other one rejects the request, else the other one.
+    /// Reads the engine until it goes on or the exchange with the other one ends, and closes it after
+    /// the maximum overlap.
     async fn read_during(
         &mut self,
         exchange: impl Future<Output = ExchangeResult>,
@@ -254,27 +254,16 @@
                 sent = &mut exchange => return OverlapEnd::Answered(Box::new(sent)),
                 read = read_events(admitted, stream, splitter) => match read {
                     Ok(ReadOutcome::Events(events)) => {
-                        self.withheld.extend_from_slice(&events);
-                        continue;
+                        self.withheld = Some(events);
+                        return OverlapEnd::GivenUp;
                     }
                     Ok(ReadOutcome::End) => return OverlapEnd::Completed,
                     Err(failure) => failure,
                 },
-                () = &mut overlap_end => {
-                    let service = &admitted.placement_request.service;
-                    if !(admitted.may_send() && admitted.gateway.take_retry(service)) {
-                        return OverlapEnd::GivenUp;
-                    }
-                    self.has_reserved_retry = true;
-                    AttemptFailure::stalled()
-                }
+                () = &mut overlap_end => AttemptFailure::stalled(),
             };
             let stream = self.stream.take();
             self.closed = stream.map(|stream| (close_stream(*stream), failure));
         }
     }
 }
-
-fn non_empty(events: BytesMut) -> Option<Bytes> {
-    (!events.is_empty()).then(|| events.freeze())
-}
--- a/src/gateway/withdrawal.rs
+++ b/src/gateway/withdrawal.rs
@@ -15,6 +15,9 @@
 /// withdrawn; the rest is for the close of its connection to reach the engine.
 const WITHDRAWAL_FRACTION: f64 = 0.9;
 
+/// Time in which an event that has arrived is noticed.
+const NOTICE_TIME: Duration = Duration::from_millis(20);
+
 impl AdmittedRequest {
     /// Waits for a response, or for the next part of one.
     ///
@@ -58,6 +61,8 @@
                 withdraw_at.saturating_sub(gateway.now())
             });
             if left == Some(Duration::ZERO) {
+                // After a pause of this process, the first event may have arrived already.
+                tokio::time::sleep(NOTICE_TIME).await;
                 return;
             }
             tokio::select! {
--- a/src/retry/budget.rs
+++ b/src/retry/budget.rs
@@ -85,13 +85,6 @@
         has_retry
     }
 
-    /// Returns a retry that was taken and not made.
-    pub fn give_back(&mut self) {
-        let max_units = i64::from(self.settings.saved_retries_max) * UNITS_PER_RETRY;
-        let level_units = self.level_units + UNITS_PER_RETRY;
-        self.level_units = level_units.min(max_units.max(self.level_units));
-    }
-
     /// Takes one retry that must be made, at the cost of later ones.
     pub fn force_take(&mut self, now: Instant) {
         self.refill(now);
