feat(gateway): follow a store that returns from a copy, and what engines announce

Every decision on state trusted that an acknowledged write stays and that revisions only rise. A store that returns from a copy some seconds old gives revisions out again: a VM missed the changes below the revision that it knew, its own entry stayed away, and a VM that started took a withdrawn key from the copy.

The store states its era in each response. Era and revision are one number, the position, that orders them; mirrors, relays, heartbeats and leases compare it and keep the layout of their messages.

An engine that states its leaving in a response gets no further request, as long as its process lives, whatever an older entry says. One that rejects a request with 503 and a delay gets nothing from this VM, calls of the rollout included, until the delay is over; callers are told at once when to return if all engines of a service ask for longer than they can wait. A delay of zero, a date or a malformed one has no effect; more than ten minutes count as ten minutes.

--- /dev/null
+++ b/src/gateway/announcements.rs
@@ -0,0 +1,80 @@
+//! What upstreams announce in their responses: that they leave, and when to return.
+
+use std::time::Duration;
+
+use http::StatusCode;
+use rand::Rng;
+
+use super::event_log::LogEvent;
+use super::platform_api::ResponseHead;
+use super::state::{Gateway, GatewayState, PlacementRequest};
+use super::upstream_registry::UpstreamInstance;
+use crate::clock::Instant;
+
+/// Maximum time added to the delay that callers are told while all upstreams of a service want no
+/// requests, so that the callers do not return together.
+const RETURN_SPREAD: Duration = Duration::from_millis(500);
+
+impl Gateway {
+    /// Records what a response says of its upstream beyond the request.
+    pub(super) fn record_announcements(
+        &self,
+        instance: &UpstreamInstance,
+        status: StatusCode,
+        head: &ResponseHead,
+    ) {
+        // Sent by whatever listens at the address instead of the upstream.
+        if status == StatusCode::MISDIRECTED_REQUEST {
+            return;
+        }
+        let now = self.now();
+        let mut state = self.state();
+        let Some(upstream) = state.upstreams.instance_mut(instance) else {
+            return;
+        };
+        let is_news = head.is_leaving && upstream.is_ready();
+        if is_news {
+            upstream.record_leaving();
+        }
+        let hold_off = head
+            .retry_after
+            .filter(|time| status == StatusCode::SERVICE_UNAVAILABLE && !time.is_zero());
+        if let Some(time) = hold_off {
+            upstream.record_hold_off(time, now);
+        }
+        drop(state);
+        let upstream = &instance.id;
+        if is_news {
+            self.event_log.log(&LogEvent::UpstreamLeaving { upstream });
+        }
+        if let Some(time) = hold_off {
+            let for_ms = time.as_millis() as u64;
+            self.event_log
+                .log(&LogEvent::UpstreamHeldOff { upstream, for_ms });
+        }
+    }
+}
+
+impl GatewayState {
+    /// Returns the time before which none of the upstreams of a request accepts it; `None` if one
+    /// may accept it now or there is none.
+    pub(super) fn earliest_return(
+        &self,
+        request: &PlacementRequest,
+        now: Instant,
+    ) -> Option<Instant> {
+        let untried = self
+            .upstreams
+            .ready(&request.service)
+            .filter(|upstream| !request.tried_upstreams.contains(&upstream.instance.id));
+        let returns: Option<Vec<Instant>> = untried
+            .map(|upstream| upstream.held_off_until(now))
+            .collect();
+        returns?.into_iter().min()
+    }
+}
+
+/// Returns the delay after which a caller is to return, if its upstreams accept requests from `at`.
+pub(super) fn spread_return(at: Instant, now: Instant) -> Duration {
+    at.saturating_sub(now) + rand::rng().random_range(Duration::ZERO..=RETURN_SPREAD)
+}
--- a/src/gateway/candidates.rs
+++ b/src/gateway/candidates.rs
@@ -203,6 +203,7 @@
         let cutoff = older_weights_cutoff(gateway.settings.bounds.weights_timeout);
         let recent_enough = upstreams
             .into_iter()
+            .filter(|upstream| upstream.held_off_until(now).is_none())
             .filter(|upstream| self.time_behind_target(upstream, prefixes, now) < cutoff);
         let seed = prefixes
             .and_then(PromptPrefixes::longest_shared_prefix)
--- a/src/gateway/catch_up.rs
+++ b/src/gateway/catch_up.rs
@@ -5,10 +5,10 @@
 use std::time::Duration;
 
 use super::event_log::LogEvent;
-use super::object_mirror::ObjectMirror;
 use super::platform_api::{ChangeBatch, TrackedKind};
 use super::state::Gateway;
 use super::store_relay::RelayClient;
+use crate::ids::ObjectVersion;
 
 /// Time in which a watch may return the changes that a peer has seen before they are read from the
 /// peer.
@@ -23,10 +23,12 @@
         for (tracked, earlier) in TrackedKind::ALL.into_iter().zip(revisions) {
             // A watch that returns changes is not stuck, even if peers are a little ahead.
             let is_stuck = gateway.mirror_revision(tracked) == earlier;
-            let Some((vm, address)) = gateway.newer_peer(tracked).filter(|_| is_stuck) else {
+            let newer = gateway.newer_peer(tracked).filter(|_| is_stuck);
+            let Some((vm, address, expected)) = newer else {
                 continue;
             };
-            if let Err(reason) = gateway.catch_up_from(tracked, &vm, address).await {
+            let caught_up = gateway.catch_up_from(tracked, &vm, address, expected).await;
+            if let Err(reason) = caught_up {
                 let event = LogEvent::PeerReadFailed {
                     tracked,
                     peer: &vm,
@@ -40,51 +42,71 @@
 
 impl Gateway {
     /// Reads from a peer the changes that this VM lacks, or all objects if the peer no longer keeps
-    /// the changes.
+    /// the changes or has announced more than these, up to `expected`.
     pub(super) async fn catch_up_from(
         &self,
         tracked: TrackedKind,
         vm: &str,
         address: SocketAddr,
+        expected: ObjectVersion,
     ) -> Result<(), String> {
         let after = self.mirror_revision(tracked);
         let mut client = RelayClient::new(address);
         let asked_at = self.now();
-        let revision = match client.changes(tracked, after).await {
-            Ok(answer) if after > 0 => {
-                let answer = answer.received_at(asked_at);
-                let ChangeBatch { changes, revision } = answer.content;
-                self.apply_changes(tracked, changes, revision, &answer.target_times);
-                revision
-            }
-            _ => {
-                let answer = client.listing(tracked).await?.received_at(asked_at);
-                let revision = answer.content.revision;
-                self.apply_listing(tracked, answer.content, &answer.target_times);
-                revision
-            }
+        let changes = match after {
+            0 => None,
+            after => client.changes(tracked, after).await?,
         };
-        let event = LogEvent::TakenFromPeer {
+        if let Some(answer) = changes {
+            let answer = answer.received_at(asked_at);
+            let ChangeBatch { changes, revision } = answer.content;
+            self.apply_changes(tracked, changes, revision, &answer.target_times);
+            // What a restored store has forgotten and the peer has kept is not among the changes.
+            if self.seen_revision(tracked) >= expected {
+                self.log_taken_from(tracked, vm, revision);
+                return Ok(());
+            }
+        }
+        self.list_from_peer(tracked, vm, &mut client).await
+    }
+
+    /// Reads all objects of a kind from a peer.
+    pub(super) async fn list_from_peer(
+        &self,
+        tracked: TrackedKind,
+        vm: &str,
+        client: &mut RelayClient,
+    ) -> Result<(), String> {
+        let asked_at = self.now();
+        let answer = client.listing(tracked).await?.received_at(asked_at);
+        let revision = answer.content.revision;
+        self.apply_listing(tracked, answer.content, &answer.target_times);
+        self.log_taken_from(tracked, vm, revision);
+        Ok(())
+    }
+
+    fn log_taken_from(&self, tracked: TrackedKind, peer: &str, revision: ObjectVersion) {
+        self.event_log.log(&LogEvent::TakenFromPeer {
             tracked,
-            peer: vm,
+            peer,
             revision,
-        };
-        self.event_log.log(&event);
-        Ok(())
+        });
     }
 
-    /// Returns the peer with the highest revision of a kind, if it is higher than this VM's.
-    fn newer_peer(&self, tracked: TrackedKind) -> Option<(String, SocketAddr)> {
+    /// Returns the version of the configuration in force, or the position of another mirror.
+    fn seen_revision(&self, tracked: TrackedKind) -> ObjectVersion {
+        match tracked {
+            TrackedKind::Config => self.table().map_or(0, |table| table.version),
+            TrackedKind::Upstreams | TrackedKind::Weights => self.mirror_revision(tracked),
+        }
+    }
+
+    /// Returns the peer with the highest revision of a kind and that revision, if it is higher than
+    /// this VM's.
+    fn newer_peer(&self, tracked: TrackedKind) -> Option<(String, SocketAddr, ObjectVersion)> {
         let now = self.now();
-        let config = self.table().map_or(0, |table| table.version);
+        let seen = self.seen_revision(tracked);
         let state = self.state();
-        let seen = match tracked {
-            TrackedKind::Config => config,
-            TrackedKind::Upstreams | TrackedKind::Weights => state
-                .mirrors
-                .get(&tracked)
-                .map_or(0, ObjectMirror::revision),
-        };
         let ahead = state.peers.fresh_peers(now).map(|peer| {
             let revisions = peer.heartbeat.revisions;
             let revision = match tracked {
@@ -100,6 +122,7 @@
             let is_own_zone = peer.heartbeat.availability_zone == *own_zone;
             (*revision > seen, is_own_zone, *revision)
         })?;
-        (revision > seen).then(|| (peer.heartbeat.vm.clone(), peer.heartbeat.address))
+        let heartbeat = &peer.heartbeat;
+        (revision > seen).then(|| (heartbeat.vm.clone(), heartbeat.address, revision))
     }
 }
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -5,8 +5,11 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use http::StatusCode;
+
 use super::model::WeightNumber;
 use super::placement::PlacementSettings;
+use super::platform_api::ResponseHead;
 use super::state::Gateway;
 use super::upstream_registry::{Upstream, UpstreamInstance, UpstreamLoad};
 use crate::clock::Instant;
@@ -154,6 +157,12 @@
         }
     }
 
+    /// Records what a response says of its upstream beyond the request.
+    pub(super) fn record_announcements(&self, status: StatusCode, head: &ResponseHead) {
+        self.gateway
+            .record_announcements(&self.instance, status, head);
+    }
+
     /// Records that the upstream rejected the request without running it.
     pub(super) fn record_rejection(&self) {
         let now = self.gateway.now();
--- a/src/gateway/engine_client.rs
+++ b/src/gateway/engine_client.rs
@@ -97,6 +97,11 @@
             .request(request)
             .await
             .map_err(|error| no_response(&error))?;
+        let head = gateway
+            .platform
+            .dialect
+            .read_response_head(response.headers());
+        gateway.record_announcements(instance, response.status(), &head);
         let status = response.status().as_u16();
         let body = Limited::new(response.into_body(), REPORT_MAX_BYTES)
             .collect()
--- a/src/gateway/event_log.rs
+++ b/src/gateway/event_log.rs
@@ -11,7 +11,8 @@
 use super::model::WeightNumber;
 use super::platform_api::TrackedKind;
 use crate::clock::{Instant, SharedClock};
-use crate::ids::{FencingNumber, ObjectVersion, Tokens};
+use crate::ids::{FencingNumber, ObjectVersion, StoreEra, Tokens};
+use crate::platform::serialize_position;
 
 /// Log lines per kind and second; enough for one decision on each request of a busy VM.
 const LINES_PER_KIND_PER_S: f64 = 150.0;
@@ -56,11 +57,13 @@
     },
     HistoryGone {
         tracked: TrackedKind,
+        #[serde(serialize_with = "serialize_position")]
         revision: ObjectVersion,
     },
     TakenFromPeer {
         tracked: TrackedKind,
         peer: &'a str,
+        #[serde(serialize_with = "serialize_position")]
         revision: ObjectVersion,
     },
     PeerReadFailed {
@@ -68,6 +71,11 @@
         peer: &'a str,
         reason: String,
     },
+    /// The store was restored from a copy.
+    StoreRestored {
+        era: StoreEra,
+        earlier: StoreEra,
+    },
     ConfigInForce {
         version: ObjectVersion,
         earlier: ObjectVersion,
@@ -81,15 +89,25 @@
         upstream: &'a str,
         service: &'a str,
         is_ready: bool,
+        #[serde(serialize_with = "serialize_position")]
         revision: ObjectVersion,
     },
     UpstreamGone {
         upstream: &'a str,
+        #[serde(serialize_with = "serialize_position")]
         revision: ObjectVersion,
     },
+    UpstreamLeaving {
+        upstream: &'a str,
+    },
+    UpstreamHeldOff {
+        upstream: &'a str,
+        for_ms: u64,
+    },
     WeightsNamed {
         model: &'a str,
         weights: WeightNumber,
+        #[serde(serialize_with = "serialize_position")]
         revision: ObjectVersion,
         age_ms: u64,
     },
@@ -245,9 +263,12 @@
             Self::StreamBroken { .. } | Self::Aborted { .. } => "broken",
             Self::OlderWeightsUsed { .. } => "older_weights_used",
             Self::CallerLeft { .. } => "caller_left",
-            Self::UpstreamListed { .. } | Self::UpstreamGone { .. } => "upstream",
+            Self::UpstreamListed { .. }
+            | Self::UpstreamGone { .. }
+            | Self::UpstreamLeaving { .. }
+            | Self::UpstreamHeldOff { .. } => "upstream",
             Self::ObjectUnusable { .. } => "object_unusable",
-            Self::StoreLost { .. } | Self::StoreBack { .. } => "store",
+            Self::StoreLost { .. } | Self::StoreBack { .. } | Self::StoreRestored { .. } => "store",
             _ => "state",
         }
     }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -97,6 +97,7 @@
             .dialect
             .read_response_head(response.headers());
         let status = response.status();
+        dispatched.record_announcements(status, &head);
         // An upstream may reject a request before it has read the request id.
         let is_rejection = head.is_not_run || status == StatusCode::MISDIRECTED_REQUEST;
         let is_same_request = match &head.request_id {
--- a/src/gateway/lease_task.rs
+++ b/src/gateway/lease_task.rs
@@ -44,8 +44,9 @@
     let mut core = LeaseCore::new(settings, holder);
     // The lease is released when the shutdown starts, so that another VM can acquire it at once.
     while !stop.is_raised() && !gateway.drain.is_started() {
-        apply_peer_leases(&gateway, &mut core);
         let now = gateway.now();
+        core.observe_era(gateway.observe_store_era(gateway.platform.store.era()), now);
+        apply_peer_leases(&gateway, &mut core);
         let ordering_term = *ordering.borrow_and_update();
         if let Some(term) = ordering_term {
             core.begin_acting(term, now);
--- a/src/gateway/membership.rs
+++ b/src/gateway/membership.rs
@@ -19,6 +19,10 @@
 /// Maximum delay before a failed membership call to the store is repeated.
 const STORE_RETRY_DELAY_MAX: Duration = Duration::from_millis(800);
 
+/// Maximum delay of the registration after the store was restored, so that the entries are back
+/// within two seconds.
+const RESTORED_REGISTRATION_DELAY_MAX: Duration = Duration::from_millis(1_000);
+
 /// Registers this VM in the store and reads the list of VMs at intervals, until dropped.
 pub(super) async fn maintain_membership(gateway: Arc<Gateway>) {
     let member = Member {
@@ -26,14 +30,7 @@
         peer_address: gateway.settings.peer_address,
         availability_zone: gateway.settings.availability_zone.clone(),
     };
-    while let Err(failure) = gateway.platform.store.register(member.clone()).await {
-        let reason = failure.to_string();
-        gateway.event_log.log(&LogEvent::MembershipCallFailed {
-            call: "register",
-            reason,
-        });
-        tokio::time::sleep(with_jitter(STORE_RETRY_DELAY_MAX)).await;
-    }
+    register(&gateway, &member).await;
     let mut interval = FIRST_MEMBER_LIST_INTERVAL;
     loop {
         let wait = match gateway.platform.store.members().await {
@@ -58,7 +55,26 @@
                 STORE_RETRY_DELAY_MAX
             }
         };
-        tokio::time::sleep(with_jitter(wait)).await;
+        tokio::select! {
+            () = tokio::time::sleep(with_jitter(wait)) => {}
+            () = gateway.store_restored.notified() => {
+                // The entry may be missing in the copy. All VMs write theirs, spread over a second.
+                tokio::time::sleep(with_jitter(RESTORED_REGISTRATION_DELAY_MAX)).await;
+                register(&gateway, &member).await;
+            }
+        }
+    }
+}
+
+/// Registers this VM, repeatedly until the store has accepted it.
+async fn register(gateway: &Gateway, member: &Member) {
+    while let Err(failure) = gateway.platform.store.register(member.clone()).await {
+        let reason = failure.to_string();
+        gateway.event_log.log(&LogEvent::MembershipCallFailed {
+            call: "register",
+            reason,
+        });
+        tokio::time::sleep(with_jitter(STORE_RETRY_DELAY_MAX)).await;
     }
 }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 mod account_groups;
 mod admit;
 mod allowance;
+mod announcements;
 mod attempt_failure;
 mod buffered;
 mod cache_retention;
@@ -55,6 +56,7 @@
 mod stall;
 mod state;
 mod status;
+mod store_era;
 mod store_relay;
 mod store_watch;
 mod stream;
--- a/src/gateway/object_mirror.rs
+++ b/src/gateway/object_mirror.rs
@@ -1,10 +1,14 @@
 //! Copy of the store's objects of one kind, with the latest changes for VMs that watch the store
 //! through this one.
+//!
+//! After the store was restored from an older copy, its listing replaces the objects of upstreams,
+//! which write them again, but not newer content of the operator, which was in force already.
 
 use std::collections::{BTreeMap, VecDeque};
 
 use super::platform_api::{ChangeBatch, Listing, ObjectChange, ObjectRecord};
 use crate::ids::ObjectVersion;
+use crate::platform::era_of;
 
 /// Changes kept for VMs that watch the store through this one.
 const CHANGES_MAX: usize = 256;
@@ -13,7 +17,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct ObjectMirror {
     objects: BTreeMap<String, ObjectRecord>,
-    /// Store revision of the copy; 0 before the first listing.
+    /// Position in the store's history of the copy; 0 before the first listing.
     revision: ObjectVersion,
     changes: VecDeque<(ObjectVersion, ObjectChange)>,
     /// Store revision after which `changes` is complete.
@@ -33,21 +37,42 @@
             .map_or(self.complete_after, |(revision, _)| *revision)
     }
 
-    /// Replaces all objects by a listing; returns the differences. A listing older than the copy is
-    /// ignored.
+    /// Replaces all objects by a listing; returns the differences.
+    ///
+    /// Of a listing older than the copy, only newer content of the operator is applied: its sender
+    /// may have seen what a restored store has forgotten.
     pub fn replace(&mut self, listing: Listing) -> Vec<ObjectChange> {
         if self.revision > listing.revision {
-            return Vec::new();
+            let mut newer = listing.objects;
+            newer.retain(|change| {
+                let known = self.objects.get(&change.name);
+                is_superseded(known, change.record.as_ref())
+            });
+            return self.apply(newer, self.revision);
         }
-        if self.revision == 0 {
+        let is_restored = self.revision > 0 && era_of(listing.revision) > era_of(self.revision);
+        if self.revision == 0 || is_restored {
+            // Changes of an earlier era lead to another state than the listing.
+            self.changes.clear();
             self.complete_after = listing.revision;
         }
         let is_listed = |name: &String| listing.objects.iter().any(|change| change.name == *name);
-        let removed = self.objects.keys().filter(|name| !is_listed(name)).cloned();
+        let removed = self
+            .objects
+            .iter()
+            .filter(|(name, record)| !(is_listed(name) || is_restored && is_from_operator(record)));
         let removed: Vec<ObjectChange> = removed
-            .map(|name| ObjectChange { name, record: None })
+            .map(|(name, _)| ObjectChange {
+                name: name.clone(),
+                record: None,
+            })
             .collect();
-        let changes = listing.objects.into_iter().chain(removed).collect();
+        let is_current = |change: &ObjectChange| {
+            let known = self.objects.get(&change.name);
+            !is_restored || !is_superseded(change.record.as_ref(), known)
+        };
+        let listed = listing.objects.into_iter().filter(is_current);
+        let changes = listed.chain(removed).collect();
         self.apply(changes, listing.revision)
     }
 
@@ -102,3 +127,24 @@
         })
     }
 }
+
+/// Returns whether the operator writes the object, with a version that only rises.
+fn is_from_operator(record: &ObjectRecord) -> bool {
+    match record {
+        ObjectRecord::Config(_) | ObjectRecord::Weights(_) => true,
+        ObjectRecord::Upstream(_) | ObjectRecord::Unusable(_) => false,
+    }
+}
+
+/// Returns whether `known` has a higher version of the operator than `listed`.
+fn is_superseded(listed: Option<&ObjectRecord>, known: Option<&ObjectRecord>) -> bool {
+    match (listed, known) {
+        (Some(ObjectRecord::Config(listed)), Some(ObjectRecord::Config(known))) => {
+            listed.version < known.version
+        }
+        (Some(ObjectRecord::Weights(listed)), Some(ObjectRecord::Weights(known))) => {
+            listed.weights < known.weights
+        }
+        _ => false,
+    }
+}
--- a/src/gateway/platform_api.rs
+++ b/src/gateway/platform_api.rs
@@ -13,7 +13,7 @@
 
 use super::model::{Member, RoutingConfig, TargetWeights, UpstreamEntry, WeightNumber};
 use super::prompt::Prompt;
-use crate::ids::{FencingNumber, ModelId, ObjectVersion, RequestId, UpstreamId, VmId};
+use crate::ids::{FencingNumber, ModelId, ObjectVersion, RequestId, StoreEra, UpstreamId, VmId};
 use crate::steward::{LeaseObject, LeaseRecord};
 
 /// Kind of objects in the store that the gateway watches.
@@ -97,8 +97,13 @@
 #[non_exhaustive]
 pub enum StoreCallFailure {
     /// The store no longer keeps all changes after the given revision.
+    ///
+    /// The revision may be of an earlier era.
     #[error("the store no longer keeps the changes after the given revision")]
     HistoryGone,
+    /// The store was restored from a copy during the call, or the response was sent before that.
+    #[error("the store was restored from a copy during the call")]
+    Restored,
     /// The store refused the call with this status and changed nothing.
     #[error("the store refused the call with status {0}")]
     Refused(u16),
@@ -145,6 +150,8 @@
     fn members(&self) -> BoxFuture<'_, Result<Vec<Result<Member, String>>, StoreCallFailure>>;
     /// Registers a VM, replacing an earlier record of the same name.
     fn register(&self, member: Member) -> BoxFuture<'_, Result<(), StoreCallFailure>>;
+    /// Returns the highest era in the responses of the store so far; 0 if it does not count them.
+    fn era(&self) -> StoreEra;
     /// Removes the record of a VM.
     fn unregister(&self, vm: VmId) -> BoxFuture<'_, Result<(), StoreCallFailure>>;
 }
@@ -175,6 +182,10 @@
     pub weights: Option<WeightNumber>,
     /// Whether the response carries the seal that upstreams set.
     pub is_sealed: bool,
+    /// Whether the upstream states that it is leaving.
+    pub is_leaving: bool,
+    /// Time for which an upstream that rejects the request wants no others of this VM.
+    pub retry_after: Option<Duration>,
 }
 
 /// Headers that the gateway sets on a request to an upstream.
--- a/src/gateway/queued_placement.rs
+++ b/src/gateway/queued_placement.rs
@@ -6,6 +6,7 @@
 
 use tokio::sync::oneshot;
 
+use super::announcements::spread_return;
 use super::dispatch::DispatchedRequest;
 use super::event_log::LogEvent;
 use super::placement::{Placement, first_event_time_max};
@@ -150,6 +151,12 @@
             ..queued_request
         };
         let tokens_per_s = self.tokens_per_s(&request.service);
+        if let Some(at) = self
+            .earliest_return(request, now)
+            .filter(|at| *at > queued_request.deadline)
+        {
+            return Err(PlacementError::WouldMissDeadline(spread_return(at, now)));
+        }
         let service = self
             .queues
             .entry(request.service.clone())
@@ -207,7 +214,17 @@
                         service.queue.remove(ticket);
                         service.waiters.remove(&ticket);
                     }
-                    Err(_) => {}
+                    Err(_) => {
+                        let returns_at = self.earliest_return(&waiter.request, now);
+                        let deadline = service.queue.deadline(ticket);
+                        if let Some(at) = returns_at.filter(|at| Some(*at) > deadline) {
+                            service.queue.remove(ticket);
+                            let waiter = service.waiters.remove(&ticket);
+                            let refused =
+                                Err(PlacementError::WouldMissDeadline(spread_return(at, now)));
+                            placed.extend(waiter.map(|waiter| (waiter.sender, refused)));
+                        }
+                    }
                 }
             }
             for (ticket, retry_after) in service.queue.remove_unservable(self.tokens_per_s(id), now)
--- a/src/gateway/request_queue.rs
+++ b/src/gateway/request_queue.rs
@@ -140,6 +140,11 @@
         Some(request)
     }
 
+    /// Returns the latest time of placement of a waiting request.
+    pub fn deadline(&self, ticket: Ticket) -> Option<Instant> {
+        self.waiting.get(&ticket).map(|request| request.deadline)
+    }
+
     /// Returns the waiting requests in placement order.
     pub fn placement_order(&self, now: Instant) -> Vec<Ticket> {
         let mut tickets: Vec<_> = self.waiting.iter().collect();
--- a/src/gateway/rollout_task.rs
+++ b/src/gateway/rollout_task.rs
@@ -180,6 +180,15 @@
 /// no other order.
 async fn update_engine(gateway: &Gateway, call: &UpdateCall) -> UpdateOutcome {
     let (instance, target) = (&call.instance, call.target);
+    let now = gateway.now();
+    let is_held_off = gateway
+        .state()
+        .upstreams
+        .get(&instance.id)
+        .is_some_and(|engine| engine.held_off_until(now).is_some());
+    if is_held_off {
+        return UpdateOutcome::Busy;
+    }
     let report = match engine_client::fetch_report(gateway, instance, call.timeout).await {
         Ok(report) => report,
         Err(failure) => {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -34,7 +34,8 @@
 use super::weight_history::WeightHistory;
 use crate::clock::{Instant, SharedClock};
 use crate::entry::{Connections, Drain};
-use crate::ids::{Incarnation, ModelId, UpstreamId};
+use crate::ids::{Incarnation, ModelId, StoreEra, UpstreamId};
+use crate::platform::era_of;
 use crate::settings::LimitSettings;
 use crate::telemetry::Telemetry;
 
@@ -60,6 +61,8 @@
     pub(super) mirror_changed: Notify,
     /// Signals that a heartbeat of the lease's holder was received.
     pub(super) lease_received: Notify,
+    /// Signals that the store was restored from a copy.
+    pub(super) store_restored: Notify,
     /// Signals that the operator set new target weights.
     pub(super) target_weights_changed: watch::Sender<()>,
     pub(super) pending_charges: PendingCharges,
@@ -89,6 +92,8 @@
     pub(super) confirmed_at: HashMap<TrackedKind, Instant>,
     /// Kinds that this VM watches at the store itself, with the last call successful.
     pub(super) directly_watched: HashSet<TrackedKind>,
+    /// Highest era of the store known from its responses or from peers.
+    pub(super) store_era: StoreEra,
     pub(super) lease: Option<HeldLease>,
     pub(super) engines_in_rollout: Vec<UpstreamId>,
     pub(super) queues: HashMap<ServiceId, ServiceQueue>,
@@ -173,6 +178,7 @@
             mirrors: HashMap::new(),
             confirmed_at: HashMap::new(),
             directly_watched: HashSet::new(),
+            store_era: 0,
             lease: None,
             engines_in_rollout: Vec::new(),
             queues: HashMap::new(),
@@ -193,6 +199,7 @@
             mirror_changed: Notify::new(),
             lease_received: Notify::new(),
             target_weights_changed: watch::Sender::new(()),
+            store_restored: Notify::new(),
             pending_charges: PendingCharges::default(),
             peer_socket: OnceLock::new(),
             stop_requested_at: OnceLock::new(),
@@ -309,9 +316,10 @@
 
     /// Applies a heartbeat of a peer.
     pub(super) fn apply_heartbeat(&self, heartbeat: Heartbeat) -> HeartbeatNews {
+        let revisions = heartbeat.revisions;
+        self.observe_store_era(era_of(revisions.upstreams.max(revisions.weights)));
         let own_revisions = self.revisions();
         let now = self.now();
-        let revisions = heartbeat.revisions;
         let mut state = self.state();
         if state.peers.is_urgent(&heartbeat) && state.peers.is_zone_representative(now) {
             self.heartbeat_due.notify_one();
--- a/src/gateway/store_relay.rs
+++ b/src/gateway/store_relay.rs
@@ -109,11 +109,14 @@
         tracked: TrackedKind,
     ) -> Result<PeerAnswer<Listing>, String> {
         let path = format!("{SEEN_PATH}{}", tracked.name());
-        self.get(path, RESPONSE_TIME_MARGIN).await
+        let answer = self.get(path, RESPONSE_TIME_MARGIN).await?;
+        answer.ok_or_else(|| "the peer has no listing yet".into())
     }
 
     /// Waits for changes of a kind after a revision.
     ///
+    /// Returns `None` if the peer does not keep all changes after the revision.
+    ///
     /// # Errors
     ///
     /// Returns why no complete response was received.
@@ -121,21 +124,23 @@
         &mut self,
         tracked: TrackedKind,
         after: ObjectVersion,
-    ) -> Result<PeerAnswer<ChangeBatch>, String> {
+    ) -> Result<Option<PeerAnswer<ChangeBatch>>, String> {
         let path = format!("{SEEN_PATH}{}?{WATCH_QUERY}{after}", tracked.name());
         self.get(path, WAIT_TIMEOUT + RESPONSE_TIME_MARGIN).await
     }
 
     /// Reads the changes of a kind after a revision, without waiting for any.
     ///
+    /// Returns `None` if the peer does not keep all of them.
+    ///
     /// # Errors
     ///
-    /// Returns why no complete response was received, or that the peer no longer keeps the changes.
+    /// Returns why no complete response was received.
     pub(super) async fn changes(
         &mut self,
         tracked: TrackedKind,
         after: ObjectVersion,
-    ) -> Result<PeerAnswer<ChangeBatch>, String> {
+    ) -> Result<Option<PeerAnswer<ChangeBatch>>, String> {
         let path = format!("{SEEN_PATH}{}?{CHANGES_QUERY}{after}", tracked.name());
         self.get(path, RESPONSE_TIME_MARGIN).await
     }
@@ -144,7 +149,7 @@
         &mut self,
         path: String,
         timeout: Duration,
-    ) -> Result<T, String> {
+    ) -> Result<Option<T>, String> {
         let exchange = async {
             let kept = self.connection.take().filter(Connection::is_open);
             let mut connection = match kept {
@@ -155,7 +160,8 @@
             };
             let body = exchange(&mut connection, self.address, path).await?;
             self.connection = Some(connection);
-            serde_json::from_slice(&body).map_err(|error| error.to_string())
+            let parsed = body.map(|body| serde_json::from_slice(&body));
+            parsed.transpose().map_err(|error| error.to_string())
         };
         let result = tokio::time::timeout(timeout, exchange).await;
         result.unwrap_or_else(|_| Err("no response in time".into()))
@@ -244,11 +250,12 @@
     value.map(|value| serde_json::to_string(&value)).transpose()
 }
 
+/// Makes a call to a peer; returns `None` if it responds that it does not keep what was asked for.
 async fn exchange(
     connection: &mut Connection,
     peer: SocketAddr,
     path: String,
-) -> Result<Bytes, String> {
+) -> Result<Option<Bytes>, String> {
     let request = Request::get(path)
         .header(http::header::HOST, peer.to_string())
         .body(Full::<Bytes>::default())
@@ -257,10 +264,11 @@
         .request(request)
         .await
         .map_err(|error| error.to_string())?;
-    if !response.status().is_success() {
-        return Err(format!("expected a 2xx status, got {}", response.status()));
+    let status = response.status();
+    if !status.is_success() && status.as_u16() != STATUS_GONE {
+        return Err(format!("expected a 2xx status, got {status}"));
     }
     let body = Limited::new(response.into_body(), RESPONSE_MAX_BYTES);
     let body = body.collect().await.map_err(|error| error.to_string())?;
-    Ok(body.to_bytes())
+    Ok(status.is_success().then(|| body.to_bytes()))
 }
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -46,7 +46,7 @@
     let mut relay_after = Instant::ZERO;
     let mut client: Option<RelayClient> = None;
     if let Some((vm, address)) = gateway.first_relay().await {
-        match gateway.catch_up_from(tracked, &vm, address).await {
+        match gateway.catch_up_from(tracked, &vm, address, 0).await {
             Ok(()) => watcher.is_listed = true,
             Err(reason) => gateway.event_log.log(&LogEvent::PeerReadFailed {
                 tracked,
@@ -101,7 +101,21 @@
     };
     let (answer, call) = observe(&gateway.clock, answer).await;
     match answer {
-        Ok(answer) => {
+        // The store was restored, or the relay has forgotten the changes. Its listing spares the
+        // store a call of each VM.
+        Ok(None) => {
+            let listed = gateway.list_from_peer(tracked, vm, client).await;
+            if let Err(reason) = &listed {
+                let reason = reason.clone();
+                gateway.event_log.log(&LogEvent::PeerReadFailed {
+                    tracked,
+                    peer: vm,
+                    reason,
+                });
+            }
+            listed.is_ok().then_some(true)
+        }
+        Ok(Some(answer)) => {
             let answer = answer.received_at(call.pending_until());
             let batch = answer.content;
             let has_changes = !batch.changes.is_empty();
@@ -141,6 +155,7 @@
             true => gateway.list(tracked).await,
             false => gateway.watch(tracked, revision, self.failures > 0).await,
         };
+        gateway.observe_store_era(gateway.platform.store.era());
         let time = gateway.now().saturating_sub(started);
         gateway
             .metrics
--- a/src/gateway/upstream_registry.rs
+++ b/src/gateway/upstream_registry.rs
@@ -96,6 +96,8 @@
     /// number.
     responses_due: BTreeMap<u64, Instant>,
     unlisted_at: Option<Instant>,
+    /// Time before which the upstream wants no requests of this VM.
+    held_off_until: Instant,
 }
 
 impl Upstream {
@@ -115,6 +117,7 @@
             rejecting_until: Instant::ZERO,
             responses_due: BTreeMap::new(),
             unlisted_at: None,
+            held_off_until: Instant::ZERO,
             entry,
         };
         upstream.record_listed_weights();
@@ -156,6 +159,22 @@
         self.avoided_until = self.avoided_until.max(now + time);
     }
 
+    /// Records that the upstream has announced that it leaves, which holds for its process lifetime.
+    pub fn record_leaving(&mut self) {
+        self.entry.stage = UpstreamStage::Draining;
+    }
+
+    /// Records that the upstream wants no requests of this VM for a time.
+    pub fn record_hold_off(&mut self, time: Duration, now: Instant) {
+        let time = time.min(HOLD_OFF_MAX);
+        self.held_off_until = self.held_off_until.max(now + time);
+    }
+
+    /// Returns the time before which the upstream wants no requests of this VM, if it is not over.
+    pub fn held_off_until(&self, now: Instant) -> Option<Instant> {
+        (now < self.held_off_until).then_some(self.held_off_until)
+    }
+
     /// Records that the upstream rejected a request without running it.
     ///
     /// It is likely to reject the next ones too: it is full or loading weights.
@@ -216,6 +235,11 @@
     }
 }
 
+/// Maximum time for which an upstream is left alone at its request; a process that asks for more is
+/// likely to be replaced before.
+const HOLD_OFF_MAX: Duration = Duration::from_secs(600);
+/// Time for which it is remembered that a process that is no longer listed was leaving.
+const LEFT_MEMORY: Duration = Duration::from_secs(60);
 /// Time for which an upstream is a last resort after it rejected a request.
 const REJECTION_BACKOFF: Duration = Duration::from_millis(200);
 /// Minimum time for which an upstream is avoided after it could not be reached.
@@ -227,6 +251,9 @@
     settings: UpstreamRegistrySettings,
     upstreams: HashMap<UpstreamId, Upstream>,
     ids_by_hash: HashMap<NameHash, UpstreamId>,
+    /// Processes that were leaving when their entry was removed, with that time. A store that was
+    /// restored from a copy may list them again.
+    left: HashMap<UpstreamInstance, Instant>,
     is_store_lost: bool,
     reregistration_ends_at: Instant,
 }
@@ -282,6 +309,8 @@
                 |at: Instant| is_reregistering && now.saturating_sub(at) < reregistration_window;
             upstream.unlisted_at.is_none_or(is_kept)
         });
+        self.left
+            .retain(|_, at| now.saturating_sub(*at) < LEFT_MEMORY);
         let upstreams = &self.upstreams;
         self.ids_by_hash.retain(|_, id| upstreams.contains_key(id));
     }
@@ -326,14 +355,22 @@
     fn insert(&mut self, id: &str, entry: UpstreamEntry) {
         match self.upstreams.get_mut(id) {
             Some(upstream) if upstream.instance.born_ms == entry.born_ms => {
-                upstream.entry = entry;
+                // A process that leaves does not come back; the entry is older.
+                let stage = match upstream.entry.stage {
+                    UpstreamStage::Draining => UpstreamStage::Draining,
+                    UpstreamStage::Ready => entry.stage,
+                };
+                upstream.entry = UpstreamEntry { stage, ..entry };
                 upstream.unlisted_at = None;
                 upstream.record_listed_weights();
             }
             // The entry belongs to an earlier process lifetime and arrived late.
             Some(upstream) if upstream.instance.born_ms > entry.born_ms => {}
             _ => {
-                let upstream = Upstream::new(id, entry);
+                let mut upstream = Upstream::new(id, entry);
+                if self.left.contains_key(&upstream.instance) {
+                    upstream.record_leaving();
+                }
                 self.ids_by_hash.insert(upstream.name_hash, id.to_owned());
                 self.upstreams.insert(id.to_owned(), upstream);
             }
@@ -341,6 +378,13 @@
     }
 
     fn unlist(&mut self, id: &str, now: Instant) {
+        let leaving = self
+            .upstreams
+            .get(id)
+            .filter(|upstream| !upstream.is_ready());
+        if let Some(upstream) = leaving {
+            self.left.insert(upstream.instance.clone(), now);
+        }
         if !self.is_reregistering(now) {
             self.upstreams.remove(id);
             return;
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -28,6 +28,11 @@
 /// Version of an object in the platform's store; it only increases.
 pub type ObjectVersion = u64;
 
+/// Number of times that the platform's store has been restored from a copy.
+///
+/// 0 if the store does not count them.
+pub type StoreEra = u64;
+
 /// Fencing number that a lease holder attaches to its orders.
 pub type FencingNumber = u64;
 
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -3,6 +3,7 @@
 mod client;
 mod error;
 mod object;
+mod position;
 mod transport;
 mod version_gate;
 mod write;
@@ -10,6 +11,8 @@
 pub use client::StoreClient;
 pub use error::StoreError;
 pub use object::{Kind, Listing, Object, VmListing, VmState};
+pub(crate) use position::serialize_position;
+pub use position::{era_of, revision_of, store_position};
 pub use transport::{StoreRequest, StoreResponse, Transport};
 pub use version_gate::VersionGate;
 pub use write::{DeleteOutcome, PutOutcome};
--- a/src/platform/transport.rs
+++ b/src/platform/transport.rs
@@ -5,7 +5,7 @@
 
 use arc_swap::ArcSwap;
 use bytes::Bytes;
-use http::{Method, Request, StatusCode};
+use http::{HeaderMap, Method, Request, StatusCode};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -45,6 +45,8 @@
 pub struct StoreResponse {
     /// HTTP status.
     pub status: StatusCode,
+    /// Response headers.
+    pub headers: HeaderMap,
     /// Response body.
     pub body: Bytes,
 }
@@ -106,6 +108,7 @@
             .to_bytes();
         Ok(StoreResponse {
             status: head.status,
+            headers: head.headers,
             body,
         })
     }
--- a/src/steward/lease.rs
+++ b/src/steward/lease.rs
@@ -9,11 +9,13 @@
 //! A holder that releases or loses the lease without that write cannot have acted, so its successor
 //! inherits the idle time up to then.
 
+mod era;
+
 use std::time::Duration;
 
 use super::{IdleTime, LeaseHolder, LeaseObject, LeaseRecord, LeaseSettings};
 use crate::clock::Instant;
-use crate::ids::{FencingNumber, ObjectVersion};
+use crate::ids::{FencingNumber, ObjectVersion, StoreEra};
 
 /// Store call requested by [`LeaseCore`].
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -92,6 +94,11 @@
     fencing_number_max: FencingNumber,
     next_action_at: Instant,
     is_releasing: bool,
+    /// Era of the store in which the lease is acquired and renewed.
+    era: StoreEra,
+    era_known_since: Instant,
+    /// Time until which a holder from before the store's last restore may act.
+    earlier_era_holds_until: Instant,
 }
 
 impl LeaseCore {
@@ -110,6 +117,9 @@
             fencing_number_max: 0,
             next_action_at: Instant::ZERO,
             is_releasing: false,
+            era: 0,
+            era_known_since: Instant::ZERO,
+            earlier_era_holds_until: Instant::ZERO,
         }
     }
 
@@ -196,6 +206,7 @@
                 Some(LeaseAction::Read)
             }
             None if object.version > 0 => Some(LeaseAction::Read),
+            _ if now < self.earlier_era_holds_until => Some(LeaseAction::Read),
             _ => write(self.new_term_record(observed, now)),
         }
     }
@@ -214,7 +225,8 @@
     /// It is ignored while a call is in flight, since that call's result may be older or newer.
     pub fn apply_relayed_object(&mut self, now: Instant, object: LeaseObject) {
         let seen = self.observed.as_ref().map_or(0, |seen| seen.object.version);
-        if !self.is_read_pending && self.pending_write.is_none() && object.version > seen {
+        let is_newer = object.version > seen && !self.is_of_earlier_era(object.version);
+        if is_newer && !self.is_read_pending && self.pending_write.is_none() {
             self.apply_object(now, object);
         }
     }
@@ -230,6 +242,10 @@
             return;
         };
         match outcome {
+            // The restored store may have forgotten the write.
+            LeaseWriteOutcome::Applied(version) if self.is_of_earlier_era(version) => {
+                self.schedule_retry(now);
+            }
             LeaseWriteOutcome::Applied(version) => {
                 let record = Some(pending_write.record.clone());
                 let object = LeaseObject {
@@ -259,6 +275,9 @@
     }
 
     fn apply_object(&mut self, now: Instant, object: LeaseObject) {
+        if self.is_of_earlier_era(object.version) {
+            return self.schedule_retry(now);
+        }
         let seen_version = self.observed.as_ref().map(|seen| seen.object.version);
         if seen_version.is_some_and(|seen| object.version < seen && object.version > 0) {
             return self.schedule_retry(now);
@@ -314,6 +333,9 @@
                 poll_at.min(self.takeover_at(observed)).max(now)
             }
             None if observed.object.version > 0 => now + self.settings.poll_interval,
+            _ if now < self.earlier_era_holds_until => self
+                .earlier_era_holds_until
+                .min(now + self.settings.poll_interval),
             _ => now,
         }
     }
@@ -335,7 +357,7 @@
         let is_idle = !self.awaits_acting(record);
         LeaseRecord {
             renewal_count: record.renewal_count + 1,
-            idle_ms: observed.idle_ms(now).filter(|_| is_idle),
+            idle_ms: self.trusted_idle_ms(observed, now).filter(|_| is_idle),
             ..record.clone()
         }
     }
@@ -343,7 +365,7 @@
     /// Returns the first record of a term, which inherits the idle time unless an earlier holder
     /// may have acted until now.
     fn new_term_record(&self, observed: &ObservedObject, now: Instant) -> LeaseRecord {
-        let idle_ms = observed.idle_ms(now).unwrap_or(0);
+        let idle_ms = self.trusted_idle_ms(observed, now).unwrap_or(0);
         LeaseRecord {
             holder: Some(self.holder.clone()),
             fencing_number: self.fencing_number_max + 1,
--- a/tests/gateway_pure/main.rs
+++ b/tests/gateway_pure/main.rs
@@ -32,6 +32,7 @@
     UpstreamStage, VmGroup, WatchPurpose, WeightHistory, choose_candidate, earliest_change,
     is_store_likelier, watch_wait,
 };
+use celerylever::platform::{era_of, revision_of, store_position};
 use proptest::prelude::*;
 use rstest::rstest;
 
--- a/tests/gateway_pure/mirrors.rs
+++ b/tests/gateway_pure/mirrors.rs
@@ -88,3 +88,87 @@
         prop_assert_eq!(follower.listing(), mirror.listing());
     }
 }
+
+fn upstream_change(name: &str) -> ObjectChange {
+    ObjectChange {
+        name: name.to_owned(),
+        record: Some(ObjectRecord::Upstream(entry(1, UpstreamStage::Ready))),
+    }
+}
+
+/// Guards against weights that fall back, and engines that stay listed, after a restore.
+#[test]
+fn a_listing_of_a_later_era_replaces_all_but_newer_content_of_the_operator() {
+    let mut weights = ObjectMirror::default();
+    weights.replace(Listing {
+        objects: vec![weights_change("m", 5), weights_change("n", 1)],
+        revision: store_position(1, 90).unwrap(),
+    });
+    let changes = weights.replace(Listing {
+        objects: vec![weights_change("m", 4)],
+        revision: store_position(2, 40).unwrap(),
+    });
+    assert_eq!(changes, []);
+    assert_eq!(weights.listing().unwrap().objects.len(), 2);
+    let mut upstreams = ObjectMirror::default();
+    upstreams.replace(Listing {
+        objects: vec![upstream_change("i-1"), upstream_change("i-2")],
+        revision: store_position(1, 90).unwrap(),
+    });
+    let changes = upstreams.replace(Listing {
+        objects: vec![upstream_change("i-1")],
+        revision: store_position(2, 40).unwrap(),
+    });
+    assert_eq!(changes, [deletion("i-2")]);
+}
+
+/// A follower must list again, as the changes of the earlier era lead to another state.
+#[test]
+fn followers_list_again_after_a_restore() {
+    let mut mirror = ObjectMirror::default();
+    let before = store_position(1, 90).unwrap();
+    mirror.replace(Listing {
+        objects: vec![],
+        revision: before,
+    });
+    mirror.apply(vec![weights_change("m", 2)], before + 1);
+    mirror.replace(Listing {
+        objects: vec![weights_change("m", 2)],
+        revision: store_position(2, 40).unwrap(),
+    });
+    assert!(mirror.changes_after(before).is_none());
+    assert!(mirror.changes_after(before + 1).is_none());
+}
+
+/// Another VM may know what the restored store has forgotten.
+#[test]
+fn an_older_listing_with_newer_content_of_the_operator_is_applied() {
+    let mut mirror = ObjectMirror::default();
+    mirror.replace(Listing {
+        objects: vec![weights_change("m", 4)],
+        revision: store_position(2, 50).unwrap(),
+    });
+    let changes = mirror.replace(Listing {
+        objects: vec![weights_change("m", 5)],
+        revision: store_position(2, 40).unwrap(),
+    });
+    assert_eq!(changes, [weights_change("m", 5)]);
+    assert_eq!(mirror.revision(), store_position(2, 50).unwrap());
+}
+
+proptest! {
+    /// Positions of different eras are ordered by their eras, whatever the revisions.
+    #[test]
+    fn positions_are_ordered_by_era_and_then_by_revision(one in (0_u64..1_000, 1_u64..1 << 44), other in (0_u64..1_000, 1_u64..1 << 44)) {
+        let position = |(era, revision)| store_position(era, revision).unwrap();
+        prop_assert_eq!(position(one).cmp(&position(other)), one.cmp(&other));
+        prop_assert_eq!((era_of(position(one)), revision_of(position(one))), one);
+    }
+}
+
+#[test]
+fn positions_that_do_not_fit_are_refused() {
+    assert_eq!(store_position(1 << 20, 1), None);
+    assert_eq!(store_position(1, 1 << 44), None);
+    assert_eq!(store_position(7, 0), Some(0));
+}
--- a/tests/gateway_pure/upstreams.rs
+++ b/tests/gateway_pure/upstreams.rs
@@ -121,3 +121,36 @@
     engine.record_weights("m", 4);
     assert_eq!(engine.weights("m"), Some(5));
 }
+
+/// A store that was restored from a copy may list an engine as ready that has announced its leaving
+/// since, or that is gone.
+#[test]
+fn an_engine_that_left_does_not_come_back_with_an_older_entry() {
+    let mut registry = UpstreamRegistry::new(UpstreamRegistrySettings::default());
+    for id in ["i-1", "i-2"] {
+        registry.apply(id, Some(entry(1, UpstreamStage::Ready)), MS(0));
+        registry.apply(id, Some(entry(1, UpstreamStage::Draining)), MS(10));
+    }
+    registry.apply("i-2", None, MS(20));
+    for id in ["i-1", "i-2"] {
+        registry.apply(id, Some(entry(1, UpstreamStage::Ready)), MS(30));
+    }
+    assert_eq!(ready_ids(&registry), Vec::<String>::new());
+    // A new process under the same name.
+    registry.apply("i-2", Some(entry(2, UpstreamStage::Ready)), MS(40));
+    assert_eq!(ready_ids(&registry), ["i-2"]);
+}
+
+#[test]
+fn an_engine_is_held_off_until_the_latest_time_that_it_asked_for() {
+    let mut registry = UpstreamRegistry::new(UpstreamRegistrySettings::default());
+    registry.apply("i-1", Some(entry(1, UpstreamStage::Ready)), MS(0));
+    let upstream = registry.get_mut("i-1").unwrap();
+    upstream.record_hold_off(MS(500), MS(0));
+    upstream.record_hold_off(MS(100), MS(200));
+    assert_eq!(upstream.held_off_until(MS(499)), Some(MS(500)));
+    assert_eq!(upstream.held_off_until(MS(500)), None);
+    // A huge value ends too: the engine may have been replaced unseen.
+    upstream.record_hold_off(Duration::from_secs(u64::from(u32::MAX)), MS(600));
+    assert_eq!(upstream.held_off_until(MS(601 + 600_000)), None);
+}
