fix(gateway): begin the last run of a stream only where it need not be withdrawn

A resumable stream was resumed at an engine with weights that had been replaced 4.1 s before, sat there without an event, and was withdrawn 0.65 s later, so that it would not begin on weights that are too old. No further run was allowed, and the caller's stream ended early.

Class: two bounds, each right, that leave no time between them.

--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -6,10 +6,11 @@
 use super::allowance::AllowanceExceeded;
 use super::event_log::LogEvent;
 use super::model::{CostUnit, Customer, Route};
+use super::placement_request::PlacementRequest;
 use super::platform_api::RequestHead;
 use super::request::{AdmittedRequest, AttemptProgress, ReceivedRequest};
 use super::response::{draining_refusal, retryable_refusal};
-use super::state::{Gateway, PlacementRequest};
+use super::state::Gateway;
 use super::table::RoutingTable;
 use crate::entry::{collect_body, strip_hop_by_hop};
 use crate::error::{Code, Refusal};
@@ -99,6 +100,7 @@
         objective: route.objective,
         wait_objective: table.shortest_objective(&service, &route),
         service,
+        is_final_run: false,
         tried_upstreams: Vec::new(),
     };
     let mut headers = std::mem::take(&mut received.headers);
--- a/src/gateway/announcements.rs
+++ b/src/gateway/announcements.rs
@@ -6,8 +6,9 @@
 use rand::Rng;
 
 use super::event_log::LogEvent;
+use super::placement_request::PlacementRequest;
 use super::platform_api::ResponseHead;
-use super::state::{Gateway, GatewayState, PlacementRequest};
+use super::state::{Gateway, GatewayState};
 use super::upstream_registry::UpstreamInstance;
 use crate::clock::Instant;
 
--- a/src/gateway/candidates.rs
+++ b/src/gateway/candidates.rs
@@ -15,9 +15,10 @@
 use super::placement::{
     Candidate, Placement, ResourceDemand, choose_candidate, prefill_time, required_memory_tokens,
 };
+use super::placement_request::PlacementRequest;
 use super::prefix_cache_index::CachedPrefix;
 use super::prompt::{PrefixHash, Prompt};
-use super::state::{Gateway, GatewayState, PlacementRequest};
+use super::state::{Gateway, GatewayState};
 use super::upstream_registry::{Upstream, UpstreamLoad};
 use crate::clock::Instant;
 use crate::ids::Tokens;
@@ -27,6 +28,9 @@
 /// Fraction of the time limit for new weights after which an engine with older ones receives no
 /// requests; a request may wait at its engine for the rest of that time.
 const OLDER_WEIGHTS_CUTOFF_FRACTION: f64 = 0.8;
+/// As [`OLDER_WEIGHTS_CUTOFF_FRACTION`], for a stream whose last allowed run begins there: if it
+/// waited too long, it would have to be withdrawn and end.
+const FINAL_RUN_CUTOFF_FRACTION: f64 = 0.6;
 /// Time since target weights were set from which an engine without them costs more.
 const OLDER_WEIGHTS_GRACE: Duration = Duration::from_millis(1_300);
 
@@ -200,7 +204,11 @@
         if upstreams.is_empty() {
             return Err(Placement::NoCandidate);
         }
-        let cutoff = older_weights_cutoff(gateway.settings.bounds.weights_timeout);
+        let weights_timeout = gateway.settings.bounds.weights_timeout;
+        let cutoff = match request.is_final_run {
+            true => weights_timeout.mul_f64(FINAL_RUN_CUTOFF_FRACTION),
+            false => older_weights_cutoff(weights_timeout),
+        };
         let recent_enough = upstreams
             .into_iter()
             .filter(|upstream| upstream.held_off_until(now).is_none())
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -37,6 +37,7 @@
 mod peers;
 mod pending_call;
 mod placement;
+mod placement_request;
 mod platform_api;
 mod pool;
 mod prefix_cache_index;
--- a/src/gateway/queued_placement.rs
+++ b/src/gateway/queued_placement.rs
@@ -10,8 +10,9 @@
 use super::dispatch::DispatchedRequest;
 use super::event_log::LogEvent;
 use super::placement::{Placement, first_event_time_max};
+use super::placement_request::PlacementRequest;
 use super::request_queue::{QueueSettings, QueuedRequest, RequestQueue, Ticket};
-use super::state::{Gateway, GatewayState, PlacementRequest};
+use super::state::{Gateway, GatewayState};
 use crate::clock::Instant;
 use crate::ids::Tokens;
 
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -12,11 +12,12 @@
 use super::dispatch::DispatchedRequest;
 use super::event_log::LogEvent;
 use super::model::{Customer, Route, RouteKind};
+use super::placement_request::PlacementRequest;
 use super::platform_api::RequestHead;
 use super::queued_placement::PlacementError;
 use super::request_queue::QueuedRequest;
 use super::response::{draining_refusal, retryable_refusal};
-use super::state::{Gateway, PlacementRequest};
+use super::state::Gateway;
 use super::stream;
 use crate::clock::Instant;
 use crate::entry::RequestGuard;
@@ -123,7 +124,7 @@
         let may_refuse_as_draining = !self.progress.may_have_run;
         let placed = tokio::select! {
             biased;
-            placed = self.place() => placed,
+            placed = self.place(self.progress.runs) => placed,
             () = gateway.drain.wait_until_refusing(), if may_refuse_as_draining => {
                 return Err(draining_refusal());
             }
@@ -153,10 +154,21 @@
 
     /// Chooses an untried upstream, waiting in the queue if necessary.
     ///
+    /// `earlier_runs` is the number of upstreams that may have run the request by the time of the
+    /// next attempt.
+    ///
     /// # Errors
     ///
     /// Returns why the request was not placed.
-    pub(super) async fn place(&self) -> Result<DispatchedRequest, PlacementError> {
+    pub(super) async fn place(
+        &self,
+        earlier_runs: u32,
+    ) -> Result<DispatchedRequest, PlacementError> {
+        let is_final_run = earlier_runs > 0 && earlier_runs + 1 >= self.route.attempts;
+        let placement_request = PlacementRequest {
+            is_final_run,
+            ..self.placement_request.clone()
+        };
         let now = self.gateway.now();
         let left = self.deadline.saturating_sub(now);
         let queued_request = QueuedRequest {
@@ -167,7 +179,7 @@
             deadline: now + left.mul_f64(QUEUE_TIME_FRACTION),
         };
         self.gateway
-            .place(&self.id, &self.placement_request, queued_request)
+            .place(&self.id, &placement_request, queued_request)
             .await
     }
 
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -23,7 +23,6 @@
 use super::platform_api::{Platform, TrackedKind};
 use super::pool::ConnectionPool;
 use super::prefix_cache_index::PrefixCacheIndex;
-use super::prompt::Prompt;
 use super::queued_placement::ServiceQueue;
 use super::retry_budgets::{RetryBudgetBounds, RetryBudgets};
 use super::settings::GatewaySettings;
@@ -108,22 +107,6 @@
     pub(super) placement_settings: PlacementSettings,
 }
 
-/// Properties of a request that determine its upstream.
-#[derive(Debug, Clone)]
-pub(super) struct PlacementRequest {
-    pub(super) service: ServiceId,
-    pub(super) prompt: Option<Arc<Prompt>>,
-    /// Customer whose cached prompts are not shared with other customers.
-    pub(super) isolated_customer: Option<String>,
-    /// Target time to the first event.
-    pub(super) objective: Duration,
-    /// Objective that limits the work queued before the request: the shortest among its own route
-    /// and routes that are at least as urgent.
-    pub(super) wait_objective: Duration,
-    /// Upstreams that the request was sent to before.
-    pub(super) tried_upstreams: Vec<UpstreamId>,
-}
-
 /// What a received heartbeat means for this VM.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub(super) struct HeartbeatNews {
--- a/src/gateway/takeover.rs
+++ b/src/gateway/takeover.rs
@@ -75,7 +75,7 @@
             continue;
         }
         let placed = match gateway.has_retry(service) {
-            true => admitted.place().await.ok(),
+            true => admitted.place(admitted.progress.runs + 1).await.ok(),
             false => None,
         };
         if let Some(dispatched) = placed {
