fix(settings): read bounds that have decimal places

A gateway did not start where the platform had calculated a bound:

The platform's bounds may be fractions.

Decimal places of the gateway's bounds are dropped, which keeps the lower side of each limit; a value that is no number is a fault as before. The new test failed to parse before.

--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -242,21 +242,25 @@
     key(
         "contact_ms",
         "ms",
-        Accessor::Millis(500..=600_000, |settings| {
+        Accessor::RoundedDown(&Accessor::Millis(500..=600_000, |settings| {
             &mut settings.bounds.contact_timeout
-        }),
+        })),
         "Time after an interruption from which a VM that is connected again has to keep all limits.",
     ),
     key(
         "drain_ms",
         "ms",
-        Accessor::Millis(500..=600_000, |settings| &mut settings.bounds.drain_timeout),
+        Accessor::RoundedDown(&Accessor::Millis(500..=600_000, |settings| {
+            &mut settings.bounds.drain_timeout
+        })),
         "Time after which an upstream that leaves must receive no requests.",
     ),
     key(
         "lease_ms",
         "ms",
-        Accessor::Millis(500..=600_000, |settings| &mut settings.bounds.lease_ttl),
+        Accessor::RoundedDown(&Accessor::Millis(500..=600_000, |settings| {
+            &mut settings.bounds.lease_ttl
+        })),
         "Time for which the lease that permits orders is valid.",
     ),
     key(
@@ -268,15 +272,17 @@
     key(
         "grace_s",
         "s",
-        Accessor::Seconds(1..=3_600, |settings| &mut settings.bounds.shutdown_timeout),
+        Accessor::RoundedDown(&Accessor::Seconds(1..=3_600, |settings| {
+            &mut settings.bounds.shutdown_timeout
+        })),
         "Maximum time from the request to stop to the end of the process.",
     ),
     key(
         "weights_ms",
         "ms",
-        Accessor::Millis(500..=600_000, |settings| {
+        Accessor::RoundedDown(&Accessor::Millis(500..=600_000, |settings| {
             &mut settings.bounds.weights_timeout
-        }),
+        })),
         "Time after which no request is started on weights older than the target weights.",
     ),
     key(
@@ -288,7 +294,9 @@
     key(
         "retry_slack",
         "",
-        Accessor::U32(0..=1_000_000, |settings| &mut settings.bounds.retry_slack),
+        Accessor::RoundedDown(&Accessor::U32(0..=1_000_000, |settings| {
+            &mut settings.bounds.retry_slack
+        })),
         "Retries beyond that fraction in a window, for all VMs together.",
     ),
     key(
@@ -300,15 +308,17 @@
     key(
         "allowance_slack",
         "",
-        Accessor::U64(0..=u64::MAX, |settings| {
+        Accessor::RoundedDown(&Accessor::U64(0..=u64::MAX, |settings| {
             &mut settings.bounds.allowance_slack
-        }),
+        })),
         "Units beyond that in a window.",
     ),
     key(
         "allowance_window_s",
         "s",
-        Accessor::Seconds(1..=3_600, |settings| &mut settings.bounds.allowance_window),
+        Accessor::RoundedDown(&Accessor::Seconds(1..=3_600, |settings| {
+            &mut settings.bounds.allowance_window
+        })),
         "Window in which a customer's units are counted.",
     ),
 ];
--- a/src/ini/key.rs
+++ b/src/ini/key.rs
@@ -12,7 +12,7 @@
                                digits; never a plain key (`celerylever key new` prints a digest)";
 
 /// Key of an INI section whose values are stored in a `T`.
-pub(crate) struct Key<T> {
+pub(crate) struct Key<T: 'static> {
     /// Name of the key in the INI text.
     pub(crate) name: &'static str,
     /// Unit of the value; empty if it has none.
@@ -28,7 +28,7 @@
 type Field<T, V> = fn(&mut T) -> &mut V;
 
 /// Type of a value, its allowed range and the field that stores it.
-pub(crate) enum Accessor<T> {
+pub(crate) enum Accessor<T: 'static> {
     Name(Field<T, String>),
     OptionalName(Field<T, Option<String>>),
     Names(Field<T, Vec<String>>),
@@ -40,6 +40,8 @@
     Millis(RangeInclusive<u64>, Field<T, Duration>),
     Seconds(RangeInclusive<u64>, Field<T, Duration>),
     Fraction(Field<T, f64>),
+    /// Value of another type with decimal places, which are dropped.
+    RoundedDown(&'static Accessor<T>),
     Address(Field<T, SocketAddr>),
     OptionalAddress(Field<T, Option<SocketAddr>>),
     Addresses(Field<T, Vec<SocketAddr>>),
@@ -99,6 +101,10 @@
                 format!("whole number from {} to {}", range.start(), range.end())
             }
             Self::Fraction(_) => "number from 0 to 1".into(),
+            Self::RoundedDown(accessor) => format!(
+                "{}; decimal places are dropped",
+                accessor.allowed().replace("whole number", "number")
+            ),
             Self::Address(_) | Self::OptionalAddress(_) => "IP address and port as IP:PORT".into(),
             Self::Addresses(_) => "comma-separated list of distinct IP:PORT".into(),
             Self::FilePath(_) => "path of a file".into(),
@@ -138,6 +144,7 @@
                 *field(target) = Duration::from_secs(parse_in_range(text, range)?);
             }
             Self::Fraction(field) => *field(target) = parse_fraction(text)?,
+            Self::RoundedDown(accessor) => accessor.parse(target, without_decimal_places(text)?)?,
             Self::Address(field) => *field(target) = text.parse().ok()?,
             Self::OptionalAddress(field) => *field(target) = Some(text.parse().ok()?),
             Self::Addresses(field) => *field(target) = parse_list(text, |part| part.parse().ok())?,
@@ -167,6 +174,7 @@
             Self::Millis(_, field) => Some(field(source).as_millis().to_string()),
             Self::Seconds(_, field) => Some(field(source).as_secs().to_string()),
             Self::Fraction(field) => Some(field(source).to_string()),
+            Self::RoundedDown(accessor) => accessor.format(source),
             Self::Address(field) => Some(field(source).to_string()),
             Self::OptionalAddress(field) => field(source).map(|address| address.to_string()),
             Self::Addresses(field) => non_empty(format_list(field(source), SocketAddr::to_string)),
@@ -194,6 +202,12 @@
     text.parse().ok().filter(|number| range.contains(number))
 }
 
+fn without_decimal_places(text: &str) -> Option<&str> {
+    let (whole, decimals) = text.split_once('.').unwrap_or((text, "0"));
+    let is_number = |part: &str| !part.is_empty() && part.bytes().all(|b| b.is_ascii_digit());
+    (is_number(whole) && is_number(decimals)).then_some(whole)
+}
+
 fn parse_fraction(text: &str) -> Option<f64> {
     text.parse()
         .ok()
--- a/tests/gateway_settings.rs
+++ b/tests/gateway_settings.rs
@@ -24,6 +24,22 @@
     assert_eq!((bounds.retry_ratio, bounds.allowance_slack), (0.25, 9_000));
 }
 
+/// Guards against a gateway that does not start because the platform calculated a bound.
+#[test]
+fn decimal_places_of_bounds_are_dropped() {
+    let text = format!(
+        "{MINIMAL_SETTINGS}[bounds]\nretry_slack = 33.1578947368421\ngrace_s = 7.5\nweights_ms = 6000.0\n"
+    );
+    let bounds = GatewaySettings::parse(&text).unwrap().bounds;
+    assert_eq!(bounds.retry_slack, 33);
+    assert_eq!(bounds.shutdown_timeout, Duration::from_secs(7));
+    assert_eq!(bounds.weights_timeout, Duration::from_secs(6));
+    for value in ["-1", "1.x", "1.", ".5", "1e3", ""] {
+        let text = format!("{MINIMAL_SETTINGS}[bounds]\nretry_slack = {value}\n");
+        assert!(GatewaySettings::parse(&text).is_err(), "{value}");
+    }
+}
+
 #[test]
 fn every_fault_is_told_at_once() {
     let text = "[process]\nvm = front-1\n[bounds]\nretry_ratio = 3\nleas_ms = 5\n[stor]\n";
