fix(gateway): make attempts for a closed engine until another one has the request

The attempts are made so until an engine has the request; the number of sends of a request stays limited to four. silent_engines (15), streams and stopping pass.

--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -75,8 +75,8 @@
     /// Whether an upstream may have run the request, so that a refusal must not state that it did
     /// not run.
     pub(super) may_have_run: bool,
-    /// Whether the next attempt must be made even if the retry budget is exhausted: this VM has
-    /// closed an engine that was alive.
+    /// Whether the next attempts must be made even if the retry budget is exhausted: this VM has
+    /// closed an engine that was alive, and no other one has the request yet.
     pub(super) must_retry: bool,
     unreachable_upstreams: u32,
 }
@@ -135,7 +135,7 @@
         let mut dispatched = placed.map_err(|error| self.refuse_unplaced(error))?;
         let is_retry = self.progress.sends > 0;
         let service = &self.placement_request.service;
-        match std::mem::take(&mut self.progress.must_retry) {
+        match self.progress.must_retry {
             true => gateway.force_retry(service),
             false if is_retry && !gateway.take_retry(service) => {
                 return Err(self.refuse(
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -237,6 +237,7 @@
             .event_log
             .log_request(&self.admitted.id, &event);
         let (_, engine) = split_response(received, dispatched, &self.admitted);
+        self.admitted.progress.must_retry = false;
         self.splitter = EventSplitter::after(after_event);
         self.source = StreamSource::Engine(Box::new(engine));
     }
