feat(gateway): tell crashes of engines and the parts of failed requests in the log

Failed attempts named neither the parts of the prompt nor whether the engine itself was gone, so that requests that crash engines looked like load.

`attempt_failed` has the shared parts of the prompt. After a broken connection one check for each process shows whether the engine still listens; if not, `upstream_crashed` and `gateway_engine_crashes` tell it.

--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -95,6 +95,10 @@
     gateway.event_log.log_request(&id, &event);
     let isolated = customer.as_ref().filter(|customer| customer.is_isolated);
     let placement_request = PlacementRequest {
+        shared_parts: prompt
+            .as_ref()
+            .map(|prompt| prompt.shared_part_hashes())
+            .unwrap_or_default(),
         prompt,
         isolated_customer: isolated.map(|customer| customer.id.clone()),
         objective: route.objective,
--- a/src/gateway/event_log.rs
+++ b/src/gateway/event_log.rs
@@ -195,9 +195,20 @@
         cause: FailureCause,
         reason: &'a str,
         after_ms: u64,
+        /// Parts of the prompt that other prompts may share.
+        parts: Option<String>,
         /// Time since the process was requested to stop.
         stopping_ms: Option<u64>,
     },
+    /// An engine no longer listens after the connections of requests to it broke.
+    UpstreamCrashed {
+        upstream: &'a str,
+        born_ms: u64,
+        /// Hash of the process lifetime, by which VMs refer to the crash.
+        process: String,
+        /// Requests of this VM that it had.
+        requests: usize,
+    },
     Resumed {
         upstream: &'a str,
         after_event: Option<u64>,
@@ -266,6 +277,7 @@
             Self::UpstreamListed { .. }
             | Self::UpstreamGone { .. }
             | Self::UpstreamLeaving { .. }
+            | Self::UpstreamCrashed { .. }
             | Self::UpstreamHeldOff { .. } => "upstream",
             Self::ObjectUnusable { .. } => "object_unusable",
             Self::StoreLost { .. } | Self::StoreBack { .. } | Self::StoreRestored { .. } => "store",
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -21,6 +21,7 @@
     refusals: Counter<u64>,
     retries: Counter<u64>,
     attempt_failures: Counter<u64>,
+    crashes: Counter<u64>,
     aborts: Counter<u64>,
     responses: Counter<u64>,
     orders: Counter<u64>,
@@ -56,6 +57,10 @@
                 "gateway_attempt_failures",
                 "Failed attempts, by outcome and cause",
             ),
+            crashes: counter(
+                "gateway_engine_crashes",
+                "Engines that no longer listened after connections of requests broke",
+            ),
             aborts: counter(
                 "gateway_aborts",
                 "Requests ended by the shutdown, by what the caller had received",
@@ -94,6 +99,10 @@
         self.attempt_failures.add(1, &labels);
     }
 
+    pub(super) fn count_crash(&self) {
+        self.crashes.add(1, &[]);
+    }
+
     pub(super) fn count_abort(&self, stage: AbortStage) {
         self.aborts.add(1, &[KeyValue::new("stage", stage.name())]);
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -14,6 +14,8 @@
 mod catch_up;
 mod charge;
 mod connection_headers;
+mod crash_check;
+mod crash_watch;
 mod daemon;
 mod dispatch;
 mod engine_client;
@@ -73,6 +75,7 @@
 pub use account_groups::AccountGroups;
 pub use allowance::{AllowanceExceeded, AllowanceSettings, Allowances, VmGroup};
 pub use cache_retention::{CacheRetention, is_store_likelier};
+pub use crash_watch::{BrokenConnection, CrashWatch, ProcessHash, hash_process};
 pub use daemon::{GatewayError, GatewayProcess};
 pub use event_log::EventLog;
 pub use event_splitter::{EventSplitter, SplitError};
@@ -97,7 +100,7 @@
     WriteResult,
 };
 pub use prefix_cache_index::{CachedPrefix, PrefixCacheIndex, PrefixHolder};
-pub use prompt::{Prompt, PromptPart};
+pub use prompt::{PartHash, Prompt, PromptPart, hash_part};
 pub use request_queue::{QueueSettings, QueuedRequest, RequestQueue, Ticket};
 pub use retry_budgets::{RetryBudgetBounds, RetryBudgets};
 pub use rollout_schedule::{EngineView, RolloutAction, RolloutSchedule, RolloutSettings};
--- a/src/gateway/placement_request.rs
+++ b/src/gateway/placement_request.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::model::ServiceId;
-use super::prompt::Prompt;
+use super::prompt::{PartHash, Prompt};
 use crate::ids::UpstreamId;
 
 /// Properties of a request that determine its upstream.
@@ -12,6 +12,8 @@
 pub(super) struct PlacementRequest {
     pub(super) service: ServiceId,
     pub(super) prompt: Option<Arc<Prompt>>,
+    /// Parts of the prompt that other prompts may share.
+    pub(super) shared_parts: Arc<[PartHash]>,
     /// Customer whose cached prompts are not shared with other customers.
     pub(super) isolated_customer: Option<String>,
     /// Target time to the first event.
--- a/src/gateway/prompt.rs
+++ b/src/gateway/prompt.rs
@@ -1,8 +1,9 @@
 //! Prompts as described by callers: sequences of parts that other prompts may share.
 
 use std::hash::Hasher;
+use std::sync::Arc;
 
-use xxhash_rust::xxh3::Xxh3;
+use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
 use super::model::WeightNumber;
 use crate::ids::{ModelId, Tokens};
@@ -10,6 +11,13 @@
 /// Hash that identifies a prompt prefix, a sequence of leading parts, under one salt and model.
 pub(super) type PrefixHash = u64;
 
+/// Hash that identifies a part of prompts, whatever precedes it.
+pub type PartHash = u64;
+
+/// Maximum number of parts of one prompt that are tracked one by one; more do not fit the head of a
+/// usual request.
+const TRACKED_PARTS_MAX: usize = 512;
+
 /// Part of a prompt.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PromptPart {
@@ -46,6 +54,18 @@
         hint.min(self.output_tokens_max)
     }
 
+    /// Returns the parts that other prompts may share: all but the last.
+    pub fn shared_parts(&self) -> &[PromptPart] {
+        let shared = self.parts.len().saturating_sub(1);
+        &self.parts[..shared.min(TRACKED_PARTS_MAX)]
+    }
+
+    /// Returns the hashes of the parts that other prompts may share.
+    pub fn shared_part_hashes(&self) -> Arc<[PartHash]> {
+        let parts = self.shared_parts().iter();
+        parts.map(|part| hash_part(&part.id)).collect()
+    }
+
     /// Returns the hash and the length in tokens of each prefix of parts, shortest first.
     pub fn prefixes(&self, salt: &str) -> Vec<(PrefixHash, Tokens)> {
         let mut hasher = Xxh3::new();
@@ -63,6 +83,11 @@
     }
 }
 
+/// Returns the hash of a part's identifier.
+pub fn hash_part(id: &str) -> PartHash {
+    xxh3_64(id.as_bytes())
+}
+
 /// Returns the salt that separates cached prompts of different weights, and those of an isolated
 /// customer from all others.
 pub(super) fn cache_salt(isolated_customer: Option<&str>, weights: WeightNumber) -> String {
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -233,9 +233,14 @@
                     .now()
                     .saturating_sub(dispatched.placed_at)
                     .as_millis() as u64,
+                parts: self.shared_part_ids(),
                 stopping_ms: self.gateway.stopping_ms(),
             },
         );
+        if cause == FailureCause::Connection {
+            self.gateway
+                .check_crash(dispatched, &self.placement_request.shared_parts);
+        }
         self.progress.last_failure = Some(outcome);
         match failure {
             AttemptFailure::NotSent(_) => {
@@ -321,6 +326,12 @@
         }
     }
 
+    fn shared_part_ids(&self) -> Option<String> {
+        let prompt = self.placement_request.prompt.as_ref()?;
+        let ids = prompt.shared_parts().iter().map(|part| part.id.as_str());
+        Some(ids.collect::<Vec<_>>().join(","))
+    }
+
     pub(super) fn priority(&self) -> u8 {
         let customer = self
             .customer
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -12,6 +12,7 @@
 use super::allowance::{AllowanceSettings, Allowances};
 use super::cache_retention::CacheRetention;
 use super::charge::PendingCharges;
+use super::crash_watch::CrashWatch;
 use super::event_log::{AbortStage, EventLog, LogEvent};
 use super::heartbeat::{CompactLoad, Heartbeat, HeartbeatScope, HeldLease, StoreRevisions};
 use super::metrics::GatewayMetrics;
@@ -105,6 +106,7 @@
     /// Load in the last heartbeat of this VM.
     pub(super) reported_loads: Vec<CompactLoad>,
     pub(super) placement_settings: PlacementSettings,
+    pub(super) crash_watch: CrashWatch,
 }
 
 /// What a received heartbeat means for this VM.
@@ -171,6 +173,7 @@
             last_heartbeat: 0,
             reported_loads: Vec::new(),
             placement_settings: PlacementSettings::default(),
+            crash_watch: CrashWatch::default(),
         };
         Self {
             connections: Connections::new(&limits, clock.clone(), drain.clone()),
@@ -350,6 +353,7 @@
         state.upstreams.sweep(now);
         state.refresh_peer_view(now);
         state.prefix_cache_index.sweep(now);
+        state.crash_watch.sweep(now);
         drop(state);
         self.place_queued();
     }
--- a/tests/gateway_pure/main.rs
+++ b/tests/gateway_pure/main.rs
@@ -3,6 +3,7 @@
 
 mod allowances;
 mod budgets;
+mod crashes;
 mod holdings;
 mod mirrors;
 mod named_weights;
