fix(gateway): keep requests that crash engines from further engines

Cause: the failure of an attempt was charged to the engine and never to the request. The request was sent to the next engine, and so was the next one with the same part.

Now each crash is held against the parts of the prompts that were at the engine. VMs exchange these strikes; a part at several crashes without an answer since is held at all VMs, and crashes that it explains are no longer held against the parts beside it. Requests with a held part are refused at once as 3013, without Retry-After. One VM permits single requests as trials, with growing waits; a complete answer releases the part. A request that may crash another engine is not repeated. What is held is kept in the platform's store, and removing the object releases the part.

--- a/src/gateway/charge.rs
+++ b/src/gateway/charge.rs
@@ -1,18 +1,14 @@
 //! Charging of customers' accounts, at this VM or at the VM of the zone that owns the account.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use tokio::net::UdpSocket;
-use tokio::sync::oneshot;
 
 use super::account_groups::AccountGroups;
 use super::allowance::AllowanceExceeded;
-use super::gossip::Message;
+use super::gossip::{Message, send};
 use super::model::{Allowance, Customer};
 use super::name_hash::{NameHash, hash_name};
 use super::state::{Gateway, GatewayState};
@@ -40,30 +36,6 @@
     pub(super) shortage: Option<AllowanceExceeded>,
 }
 
-/// Charge requests that wait for a response, by id.
-#[derive(Debug, Default)]
-pub(super) struct PendingCharges {
-    next_id: AtomicU64,
-    senders: Mutex<HashMap<u64, oneshot::Sender<ChargeResponse>>>,
-}
-
-impl PendingCharges {
-    fn register(&self) -> (u64, oneshot::Receiver<ChargeResponse>) {
-        let id = self.next_id.fetch_add(1, Ordering::Relaxed);
-        let (sender, receiver) = oneshot::channel();
-        self.lock().insert(id, sender);
-        (id, receiver)
-    }
-
-    fn remove(&self, id: u64) -> Option<oneshot::Sender<ChargeResponse>> {
-        self.lock().remove(&id)
-    }
-
-    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<u64, oneshot::Sender<ChargeResponse>>> {
-        self.senders.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
 impl Gateway {
     /// Charges the cost of a request to its customer's allowance.
     ///
@@ -130,9 +102,7 @@
         } else {
             Duration::ZERO
         };
-        let response = tokio::time::timeout(wait, response).await;
-        self.pending_charges.remove(id);
-        response.ok()?.ok()
+        self.pending_charges.wait(id, response, wait).await
     }
 
     /// Handles a charge request of another VM of the zone and sends the response.
@@ -163,10 +133,7 @@
 
     /// Delivers the response to a charge request to the task that waits for it.
     pub(super) fn complete_charge(&self, response: ChargeResponse) {
-        if let Some(sender) = self.pending_charges.remove(response.id) {
-            // The receiver is gone if the request has timed out.
-            let _ = sender.send(response);
-        }
+        self.pending_charges.complete(response.id, response);
     }
 }
 
@@ -189,10 +156,3 @@
             .try_take(&customer.id, allowance, cost, own_vms, &others, now)
     }
 }
-
-fn send(socket: &UdpSocket, message: &Message, address: SocketAddr) -> bool {
-    match postcard::to_stdvec(message) {
-        Ok(bytes) => socket.try_send_to(&bytes, address).is_ok(),
-        Err(_) => false,
-    }
-}
--- /dev/null
+++ b/src/gateway/crash_news.rs
@@ -0,0 +1,153 @@
+//! News about crashes that VMs send each other.
+
+use std::collections::VecDeque;
+
+use serde::{Deserialize, Serialize};
+
+use super::crash_evidence::Strike;
+use super::crash_watch::ProcessHash;
+use super::prompt::PartHash;
+use super::quarantine::{Quarantine, QuarantineRecord};
+use crate::clock::Instant;
+
+/// Number of messages in which an item is repeated, as datagrams may be lost.
+const REPEATS: u32 = 3;
+/// Maximum number of strikes in one message, which then fits a datagram with the other items.
+const STRIKES_PER_MESSAGE_MAX: usize = 200;
+/// Maximum number of answers in one message.
+const ANSWERS_PER_MESSAGE_MAX: usize = 64;
+/// Maximum number of records in one message.
+pub(super) const RECORDS_PER_MESSAGE_MAX: usize = 16;
+/// Maximum number of items of one kind that wait; the oldest are dropped.
+const WAITING_MAX: usize = 2_000;
+
+/// Crash of a process that had a request with a part, in a message.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct StrikeNews {
+    /// Part of the request's prompt.
+    pub part: PartHash,
+    /// Process that crashed.
+    pub process: ProcessHash,
+    /// Time since the crash.
+    pub age_ms: u32,
+    /// Whether a VM knows of complete answers to the part.
+    pub is_proven: bool,
+}
+
+/// Complete answer to a part that is under suspicion, in a message.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct AnswerNews {
+    /// Part of the request's prompt.
+    pub part: PartHash,
+    /// Time since the end of the answer.
+    pub age_ms: u32,
+}
+
+/// What a VM tells others about crashes.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
+pub struct CrashNews {
+    /// Crashes held against parts.
+    pub strikes: Vec<StrikeNews>,
+    /// Answers that clear parts.
+    pub answers: Vec<AnswerNews>,
+    /// States of parts that are or were held.
+    pub records: Vec<QuarantineRecord>,
+}
+
+impl CrashNews {
+    /// Returns whether the message says nothing.
+    pub fn is_empty(&self) -> bool {
+        self.strikes.is_empty() && self.answers.is_empty() && self.records.is_empty()
+    }
+}
+
+/// Item of news with the number of messages that it is still to be part of.
+type Waiting<T> = VecDeque<(T, u32)>;
+
+/// News that is to be sent.
+#[derive(Debug, Default)]
+pub(super) struct Outbox {
+    strikes: Waiting<Strike>,
+    answers: Waiting<(PartHash, Instant)>,
+    records: Waiting<PartHash>,
+}
+
+impl Outbox {
+    pub(super) fn push_strike(&mut self, strike: Strike) {
+        push_waiting(&mut self.strikes, strike);
+    }
+
+    pub(super) fn push_answer(&mut self, part: PartHash, at: Instant) {
+        push_waiting(&mut self.answers, (part, at));
+    }
+
+    pub(super) fn push_record(&mut self, part: PartHash) {
+        self.records.retain(|(known, _)| *known != part);
+        push_waiting(&mut self.records, part);
+    }
+
+    /// Tells a record once more.
+    pub(super) fn repeat_record(&mut self, part: PartHash) {
+        if !self.records.iter().any(|(known, _)| *known == part) {
+            self.records.push_back((part, 1));
+        }
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.strikes.is_empty() && self.answers.is_empty() && self.records.is_empty()
+    }
+
+    /// Returns the next message; the items of earlier ones are repeated a few times.
+    pub(super) fn next_news(&mut self, quarantine: &Quarantine, now: Instant) -> CrashNews {
+        let age_ms = |at: Instant| now.saturating_sub(at).as_millis() as u32;
+        let strikes = take_waiting(&mut self.strikes, STRIKES_PER_MESSAGE_MAX);
+        let answers = take_waiting(&mut self.answers, ANSWERS_PER_MESSAGE_MAX);
+        let records = take_waiting(&mut self.records, RECORDS_PER_MESSAGE_MAX);
+        CrashNews {
+            strikes: strikes
+                .into_iter()
+                .map(|strike| StrikeNews {
+                    part: strike.part,
+                    process: strike.process,
+                    age_ms: age_ms(strike.at),
+                    is_proven: strike.is_proven,
+                })
+                .collect(),
+            answers: answers
+                .into_iter()
+                .map(|(part, at)| AnswerNews {
+                    part,
+                    age_ms: age_ms(at),
+                })
+                .collect(),
+            records: records
+                .into_iter()
+                .filter_map(|part| quarantine.record(part, now))
+                .collect(),
+        }
+    }
+}
+
+fn push_waiting<T>(waiting: &mut Waiting<T>, item: T) {
+    if waiting.len() >= WAITING_MAX {
+        waiting.pop_front();
+    }
+    waiting.push_back((item, REPEATS));
+}
+
+/// Takes items for one message; those with repeats left go to the back.
+fn take_waiting<T: Clone>(waiting: &mut Waiting<T>, max: usize) -> Vec<T> {
+    let mut taken = Vec::new();
+    for _ in 0..waiting.len().min(max) {
+        if let Some((item, repeats)) = waiting.pop_front() {
+            taken.push(item.clone());
+            if repeats > 1 {
+                waiting.push_back((item, repeats - 1));
+            }
+        }
+    }
+    taken
+}
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -17,7 +17,9 @@
 use super::settings::GatewaySettings;
 use super::shutdown::ShutdownPlan;
 use super::state::Gateway;
-use super::{catch_up, gossip, lease_task, membership, rollout_task, server, store_watch};
+use super::{
+    catch_up, gossip, lease_task, membership, quarantine_task, rollout_task, server, store_watch,
+};
 use crate::clock::SystemClock;
 use crate::daemon::{SharedListener, run_until_stopped, wait_for_stop_signal};
 use crate::entry::stop_listening;
@@ -162,6 +164,7 @@
     socket: &Arc<UdpSocket>,
     reads: SharedListener,
 ) -> Supervisor {
+    let quarantine_gateway = gateway.clone();
     let (member_gateway, receive_gateway, send_gateway, read_gateway) = (
         gateway.clone(),
         gateway.clone(),
@@ -186,6 +189,10 @@
                 Ok(())
             }
         })
+        .child("quarantine", ChildSettings::default(), move |stop| {
+            let gateway = quarantine_gateway.clone();
+            run_until_stopped(quarantine_task::maintain_quarantine(gateway), stop)
+        })
         .child("beats_in", ChildSettings::default(), move |stop| {
             let receive =
                 gossip::receive_datagrams(receive_gateway.clone(), receive_socket.clone());
--- a/src/gateway/event_log.rs
+++ b/src/gateway/event_log.rs
@@ -200,6 +200,23 @@
         /// Time since the process was requested to stop.
         stopping_ms: Option<u64>,
     },
+    /// A part of prompts is kept from engines, tried once more or released.
+    PartState {
+        part: String,
+        part_id: Option<&'a str>,
+        is_held: bool,
+        round: u32,
+        crashes: u16,
+        trials: u32,
+        is_ambiguous: bool,
+        /// Processes that crashed with requests with the part, where this VM drew the conclusion.
+        processes: String,
+        source: &'static str,
+    },
+    QuarantineCallFailed {
+        call: &'static str,
+        reason: String,
+    },
     /// An engine no longer listens after the connections of requests to it broke.
     UpstreamCrashed {
         upstream: &'a str,
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -9,9 +9,12 @@
 use tokio::net::UdpSocket;
 
 use super::charge::{ChargeRequest, ChargeResponse};
+use super::crash_gossip::{send_all_records, send_crash_news};
+use super::crash_news::CrashNews;
 use super::event_log::LogEvent;
 use super::heartbeat::{CompactLoad, Heartbeat, HeartbeatScope, StoreRevisions};
 use super::name_hash::hash_name;
+use super::prompt::PartHash;
 use super::state::{Gateway, GatewayState};
 use super::zone_roles::HeartbeatTargets;
 use crate::clock::Instant;
@@ -50,6 +53,12 @@
     ChargeRequest(ChargeRequest),
     /// Response to a charge request.
     ChargeResponse(ChargeResponse),
+    /// News about crashes of engines.
+    CrashNews(Box<CrashNews>),
+    /// Request to permit a trial of a held part.
+    TrialRequest { id: u64, part: PartHash, round: u32 },
+    /// Reply to the request for a trial.
+    TrialReply { id: u64, is_permitted: bool },
 }
 
 /// Sends heartbeats until dropped.
@@ -62,6 +71,7 @@
             gateway.record_account_owners();
         }
         let receivers = send_heartbeat(&gateway, &socket, sequence, false);
+        send_crash_news(&gateway, &socket, sequence);
         sequence += 1;
         let interval_min = HEARTBEAT_INTERVAL_MIN * (1 + receivers as u32 / EARLY_HEARTBEAT_VMS);
         // The next heartbeat has been announced for the end of the regular interval.
@@ -106,6 +116,13 @@
             }
             Ok(Message::ChargeRequest(request)) => gateway.handle_charge(request, from),
             Ok(Message::ChargeResponse(response)) => gateway.complete_charge(response),
+            Ok(Message::CrashNews(news)) => gateway.apply_crash_news(&news),
+            Ok(Message::TrialRequest { id, part, round }) => {
+                gateway.handle_trial_request(id, part, round, from);
+            }
+            Ok(Message::TrialReply { id, is_permitted }) => {
+                gateway.pending_trials.complete(id, is_permitted);
+            }
             Err(error) => {
                 let reason = format!("datagram cannot be decoded: {error}");
                 gateway.event_log.log(&LogEvent::BeatFailed { reason });
@@ -154,6 +171,7 @@
     drop(state);
     let message = Message::Heartbeat(Box::new(heartbeat));
     send_to_all(gateway, socket, &message, &[address]);
+    send_all_records(gateway, socket, address);
 }
 
 /// Forwards the sums of another zone within this zone: the representative to all VMs, another VM to
@@ -341,7 +359,20 @@
     sum.unlisted_weights.extend(&other.unlisted_weights);
 }
 
-fn send_to_all(gateway: &Gateway, socket: &UdpSocket, message: &Message, addresses: &[SocketAddr]) {
+/// Sends a message; returns whether the socket accepted it.
+pub(super) fn send(socket: &UdpSocket, message: &Message, address: SocketAddr) -> bool {
+    match postcard::to_stdvec(message) {
+        Ok(bytes) => socket.try_send_to(&bytes, address).is_ok(),
+        Err(_) => false,
+    }
+}
+
+pub(super) fn send_to_all(
+    gateway: &Gateway,
+    socket: &UdpSocket,
+    message: &Message,
+    addresses: &[SocketAddr],
+) {
     if addresses.is_empty() {
         return;
     }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -22,6 +22,8 @@
     retries: Counter<u64>,
     attempt_failures: Counter<u64>,
     crashes: Counter<u64>,
+    trials: Counter<u64>,
+    held_parts: Gauge<u64>,
     aborts: Counter<u64>,
     responses: Counter<u64>,
     orders: Counter<u64>,
@@ -61,6 +63,14 @@
                 "gateway_engine_crashes",
                 "Engines that no longer listened after connections of requests broke",
             ),
+            trials: counter(
+                "gateway_trials",
+                "Trials of held parts of prompts permitted",
+            ),
+            held_parts: meter
+                .u64_gauge("gateway_held_parts")
+                .with_description("Parts of prompts that are kept from engines")
+                .build(),
             aborts: counter(
                 "gateway_aborts",
                 "Requests ended by the shutdown, by what the caller had received",
@@ -103,6 +113,14 @@
         self.crashes.add(1, &[]);
     }
 
+    pub(super) fn count_trial(&self) {
+        self.trials.add(1, &[]);
+    }
+
+    pub(super) fn record_held_parts(&self, parts: u64) {
+        self.held_parts.record(parts, &[]);
+    }
+
     pub(super) fn count_abort(&self, stage: AbortStage) {
         self.aborts.add(1, &[KeyValue::new("stage", stage.name())]);
     }
--- /dev/null
+++ b/src/gateway/quarantine_check.rs
@@ -0,0 +1,171 @@
+//! Refusal of requests whose prompt crashes engines, and trials of single ones.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use super::crash_guard::QuarantineChange;
+use super::crash_watch::hash_process;
+use super::dispatch::DispatchedRequest;
+use super::event_log::LogEvent;
+use super::gossip::{Message, send};
+use super::prompt::PartHash;
+use super::quarantine::QuarantineVerdict;
+use super::queued_placement::PlacementError;
+use super::request::AdmittedRequest;
+use super::state::Gateway;
+
+/// Timeout of the request for a trial at the VM that permits them.
+const TRIAL_PERMIT_TIMEOUT: Duration = Duration::from_millis(60);
+
+/// Where a change of a part's state came from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum QuarantineSource {
+    /// Evidence at this VM.
+    Own,
+    /// News of another VM.
+    Peer,
+    /// Record in the platform's store, or its removal.
+    Store,
+}
+
+impl QuarantineSource {
+    /// Returns the name that is used in log lines.
+    fn name(self) -> &'static str {
+        match self {
+            Self::Own => "own",
+            Self::Peer => "peer",
+            Self::Store => "store",
+        }
+    }
+}
+
+impl AdmittedRequest {
+    /// Obtains a permit for a trial if one of the request's parts is held and due for it.
+    pub(super) async fn try_trial(&mut self) {
+        let parts = &self.placement_request.shared_parts;
+        let (gateway, now) = (&self.gateway, self.gateway.now());
+        let verdict = gateway.state().crash_guard.verdict(parts, now);
+        let QuarantineVerdict::TrialDue { part, round } = verdict else {
+            return;
+        };
+        if gateway.request_trial(part, round).await {
+            self.progress.trial_of = Some(part);
+        }
+    }
+
+    /// Checks that no part of the prompt is kept from engines.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`PlacementError::Quarantined`] if one is, unless the request is the trial of it and
+    /// has not run.
+    pub(super) fn check_quarantine(&self, earlier_runs: u32) -> Result<(), PlacementError> {
+        let parts = &self.placement_request.shared_parts;
+        let (gateway, now) = (&self.gateway, self.gateway.now());
+        let verdict = gateway.state().crash_guard.verdict(parts, now);
+        let held = match verdict {
+            QuarantineVerdict::Clear => return Ok(()),
+            QuarantineVerdict::TrialDue { part, .. } | QuarantineVerdict::Held(part) => part,
+        };
+        match self.progress.trial_of == Some(held) && earlier_runs == 0 {
+            true => Ok(()),
+            false => Err(PlacementError::Quarantined(held)),
+        }
+    }
+
+    /// Returns whether the request may crash another engine after its attempt at one broke.
+    pub(super) fn is_suspected(&self, dispatched: &DispatchedRequest) -> bool {
+        let parts = &self.placement_request.shared_parts;
+        let process = hash_process(&dispatched.instance);
+        let state = self.gateway.state();
+        state.crash_guard.is_suspected(parts, process)
+    }
+}
+
+impl Gateway {
+    /// Logs changes of the states of parts and counts them.
+    pub(super) fn record_quarantine_changes(
+        &self,
+        changes: &[QuarantineChange],
+        source: QuarantineSource,
+    ) {
+        if changes.is_empty() {
+            return;
+        }
+        for change in changes {
+            let record = &change.record;
+            let crashes = change
+                .crashes
+                .iter()
+                .map(|(process, age)| format!("{process:016x} {} ms ago", age.as_millis()));
+            let event = LogEvent::PartState {
+                part: format!("{:016x}", record.part),
+                part_id: record.part_id.as_deref(),
+                is_held: record.is_held,
+                round: record.round,
+                crashes: record.crashes,
+                trials: record.trials,
+                is_ambiguous: record.is_ambiguous,
+                processes: crashes.collect::<Vec<_>>().join(", "),
+                source: source.name(),
+            };
+            self.event_log.log(&event);
+        }
+        let held = self.state().crash_guard.quarantine().held_count();
+        self.metrics.record_held_parts(held as u64);
+        self.heartbeat_due.notify_one();
+        self.quarantine_changed.notify_one();
+    }
+
+    /// Returns whether this VM may send one request as the trial of a held part.
+    ///
+    /// One VM permits the trials of the fleet, so that VMs do not make them together.
+    async fn request_trial(&self, part: PartHash, round: u32) -> bool {
+        let coordinator = self.state().peers.coordinator(self.now());
+        let Some(address) = coordinator else {
+            return self.permit_trial(part, round);
+        };
+        let Some(socket) = self.peer_socket.get() else {
+            return false;
+        };
+        let (id, reply) = self.pending_trials.register();
+        let request = Message::TrialRequest { id, part, round };
+        let timeout = match send(socket, &request, address) {
+            true => TRIAL_PERMIT_TIMEOUT,
+            false => Duration::ZERO,
+        };
+        let permitted = self.pending_trials.wait(id, reply, timeout).await;
+        permitted.unwrap_or(false)
+    }
+
+    /// Handles the request of another VM for a trial and sends the reply.
+    pub(super) fn handle_trial_request(
+        &self,
+        id: u64,
+        part: PartHash,
+        round: u32,
+        from: SocketAddr,
+    ) {
+        let is_coordinator = self.state().peers.coordinator(self.now()).is_none();
+        let is_permitted = is_coordinator && self.permit_trial(part, round);
+        if let Some(socket) = self.peer_socket.get() {
+            // If the reply is lost, no trial is made in this round.
+            send(socket, &Message::TrialReply { id, is_permitted }, from);
+        }
+    }
+
+    fn permit_trial(&self, part: PartHash, round: u32) -> bool {
+        let now = self.now();
+        let permitted = self.state().crash_guard.permit_trial(part, round, now);
+        let Some(record) = permitted else {
+            return false;
+        };
+        let crashes = Vec::new();
+        self.metrics.count_trial();
+        self.record_quarantine_changes(
+            &[QuarantineChange { record, crashes }],
+            QuarantineSource::Own,
+        );
+        true
+    }
+}
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -14,6 +14,7 @@
 use super::model::{Customer, Route, RouteKind};
 use super::placement_request::PlacementRequest;
 use super::platform_api::RequestHead;
+use super::prompt::{PartHash, hash_part};
 use super::queued_placement::PlacementError;
 use super::request_queue::QueuedRequest;
 use super::response::{draining_refusal, retryable_refusal};
@@ -78,6 +79,10 @@
     /// Whether the next attempts must be made even if the retry budget is exhausted: this VM has
     /// closed an engine that was alive, and no other one has the request yet.
     pub(super) must_retry: bool,
+    /// Held part of the prompt of which the request is the trial.
+    pub(super) trial_of: Option<PartHash>,
+    /// Whether another attempt could crash another engine.
+    is_suspected: bool,
     unreachable_upstreams: u32,
 }
 
@@ -120,6 +125,7 @@
                 "the maximum number of attempts failed",
             ));
         }
+        self.try_trial().await;
         let gateway = self.gateway.clone();
         let may_refuse_as_draining = !self.progress.may_have_run;
         let placed = tokio::select! {
@@ -169,6 +175,7 @@
             is_final_run,
             ..self.placement_request.clone()
         };
+        self.check_quarantine(earlier_runs)?;
         let now = self.gateway.now();
         let left = self.deadline.saturating_sub(now);
         let queued_request = QueuedRequest {
@@ -178,9 +185,13 @@
             place_by: self.arrived_at + self.route.objective,
             deadline: now + left.mul_f64(QUEUE_TIME_FRACTION),
         };
-        self.gateway
+        let dispatched = self
+            .gateway
             .place(&self.id, &placement_request, queued_request)
-            .await
+            .await?;
+        // A part may have been held while the request waited.
+        self.check_quarantine(earlier_runs)?;
+        Ok(dispatched)
     }
 
     /// Records the upstream of the next attempt, which was searched since `searched_since`.
@@ -233,13 +244,17 @@
                     .now()
                     .saturating_sub(dispatched.placed_at)
                     .as_millis() as u64,
-                parts: self.shared_part_ids(),
+                parts: self
+                    .placement_request
+                    .prompt
+                    .as_ref()
+                    .map(|_| self.shared_part_ids().collect::<Vec<_>>().join(",")),
                 stopping_ms: self.gateway.stopping_ms(),
             },
         );
         if cause == FailureCause::Connection {
-            self.gateway
-                .check_crash(dispatched, &self.placement_request.shared_parts);
+            self.check_crash(dispatched);
+            self.progress.is_suspected |= self.is_suspected(dispatched);
         }
         self.progress.last_failure = Some(outcome);
         match failure {
@@ -283,7 +298,7 @@
             RouteKind::NonIdempotent => false,
             RouteKind::Streaming => self.route.is_resumable,
         };
-        is_retryable && self.progress.runs < self.route.attempts
+        is_retryable && !self.progress.is_suspected && self.progress.runs < self.route.attempts
     }
 
     /// Returns the refusal of a request that gets no further attempt.
@@ -307,6 +322,21 @@
                 Code::UpstreamNone,
                 "the service has no upstream left to try",
             ),
+            // Without a time after which to return: the part will be held then too.
+            PlacementError::Quarantined(part) if !self.progress.may_have_run => Refusal::new(
+                Code::PromptQuarantined,
+                format!(
+                    "a part of the prompt crashes engines: {}",
+                    self.part_name(part)
+                ),
+            ),
+            PlacementError::Quarantined(part) => self.refuse(
+                Code::PromptQuarantined,
+                &format!(
+                    "a part of the prompt crashes engines: {}",
+                    self.part_name(part)
+                ),
+            ),
             PlacementError::WouldMissDeadline(wait) if !self.progress.may_have_run => {
                 let wait = wait.max(UPSTREAM_RETRY_AFTER);
                 retryable_refusal(
@@ -326,10 +356,16 @@
         }
     }
 
-    fn shared_part_ids(&self) -> Option<String> {
-        let prompt = self.placement_request.prompt.as_ref()?;
-        let ids = prompt.shared_parts().iter().map(|part| part.id.as_str());
-        Some(ids.collect::<Vec<_>>().join(","))
+    /// Returns the identifiers of the parts of the prompt that other prompts may share.
+    pub(super) fn shared_part_ids(&self) -> impl Iterator<Item = &str> {
+        let prompt = self.placement_request.prompt.iter();
+        let parts = prompt.flat_map(|prompt| prompt.shared_parts());
+        parts.map(|part| part.id.as_str())
+    }
+
+    fn part_name(&self, part: PartHash) -> &str {
+        let mut names = self.shared_part_ids();
+        names.find(|id| hash_part(id) == part).unwrap_or("unknown")
     }
 
     pub(super) fn priority(&self) -> u8 {
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -11,6 +11,9 @@
     pub(super) fn record_response(&self, dispatched: &DispatchedRequest, status: StatusCode) {
         let after = self.gateway.now().saturating_sub(self.arrived_at);
         self.gateway.metrics.record_response(status.as_u16(), after);
+        if status.is_success() {
+            self.record_end(dispatched);
+        }
         self.gateway.event_log.log_request(
             &self.id,
             &LogEvent::Answered {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -11,8 +11,8 @@
 
 use super::allowance::{AllowanceSettings, Allowances};
 use super::cache_retention::CacheRetention;
-use super::charge::PendingCharges;
-use super::crash_watch::CrashWatch;
+use super::charge::ChargeResponse;
+use super::crash_guard::CrashGuard;
 use super::event_log::{AbortStage, EventLog, LogEvent};
 use super::heartbeat::{CompactLoad, Heartbeat, HeartbeatScope, HeldLease, StoreRevisions};
 use super::metrics::GatewayMetrics;
@@ -20,10 +20,12 @@
 use super::object_mirror::ObjectMirror;
 use super::peer_view::PeerView;
 use super::peers::{Peers, PeersSettings};
+use super::pending_replies::PendingReplies;
 use super::placement::PlacementSettings;
 use super::platform_api::{Platform, TrackedKind};
 use super::pool::ConnectionPool;
 use super::prefix_cache_index::PrefixCacheIndex;
+use super::quarantine_check::QuarantineSource;
 use super::queued_placement::ServiceQueue;
 use super::retry_budgets::{RetryBudgetBounds, RetryBudgets};
 use super::settings::GatewaySettings;
@@ -61,11 +63,14 @@
     pub(super) mirror_changed: Notify,
     /// Signals that a heartbeat of the lease's holder was received.
     pub(super) lease_received: Notify,
+    /// Signals that the state of a held part has changed.
+    pub(super) quarantine_changed: Notify,
     /// Signals that the store was restored from a copy.
     pub(super) store_restored: Notify,
     /// Signals that the operator set new target weights.
     pub(super) target_weights_changed: watch::Sender<()>,
-    pub(super) pending_charges: PendingCharges,
+    pub(super) pending_charges: PendingReplies<ChargeResponse>,
+    pub(super) pending_trials: PendingReplies<bool>,
     /// Socket for datagrams between VMs; set at start-up.
     pub(super) peer_socket: OnceLock<Arc<UdpSocket>>,
     /// Time at which the process was requested to stop.
@@ -106,7 +111,7 @@
     /// Load in the last heartbeat of this VM.
     pub(super) reported_loads: Vec<CompactLoad>,
     pub(super) placement_settings: PlacementSettings,
-    pub(super) crash_watch: CrashWatch,
+    pub(super) crash_guard: CrashGuard,
 }
 
 /// What a received heartbeat means for this VM.
@@ -173,7 +178,7 @@
             last_heartbeat: 0,
             reported_loads: Vec::new(),
             placement_settings: PlacementSettings::default(),
-            crash_watch: CrashWatch::default(),
+            crash_guard: CrashGuard::default(),
         };
         Self {
             connections: Connections::new(&limits, clock.clone(), drain.clone()),
@@ -185,8 +190,10 @@
             mirror_changed: Notify::new(),
             lease_received: Notify::new(),
             target_weights_changed: watch::Sender::new(()),
+            quarantine_changed: Notify::new(),
             store_restored: Notify::new(),
-            pending_charges: PendingCharges::default(),
+            pending_charges: PendingReplies::default(),
+            pending_trials: PendingReplies::default(),
             peer_socket: OnceLock::new(),
             stop_requested_at: OnceLock::new(),
             table: ArcSwapOption::empty(),
@@ -353,8 +360,9 @@
         state.upstreams.sweep(now);
         state.refresh_peer_view(now);
         state.prefix_cache_index.sweep(now);
-        state.crash_watch.sweep(now);
+        let changes = state.crash_guard.tick(now);
         drop(state);
+        self.record_quarantine_changes(&changes, QuarantineSource::Own);
         self.place_queued();
     }
 }
--- a/src/gateway/zone_roles.rs
+++ b/src/gateway/zone_roles.rs
@@ -100,6 +100,16 @@
         (first.role_rank() < self.own_role_rank()).then_some(first)
     }
 
+    /// Returns the address of the VM that decides for the fleet what one VM alone may decide: the
+    /// representative of the first zone by name; `None` if it is this VM.
+    pub fn coordinator(&self, now: Instant) -> Option<SocketAddr> {
+        let fresh = self.other_zones().filter(|peer| self.is_fresh(peer, now));
+        let first = fresh.min_by_key(|peer| &peer.heartbeat.availability_zone);
+        let earlier = first.filter(|peer| peer.heartbeat.availability_zone < *self.zone());
+        let coordinator = earlier.or_else(|| self.representative(now));
+        coordinator.map(|peer| peer.heartbeat.address)
+    }
+
     /// Returns the VM of this zone through which this VM watches the store; `None` if it watches
     /// the store directly.
     pub fn store_relay(&self, now: Instant) -> Option<&Peer> {
--- a/src/route/generational_map.rs
+++ b/src/route/generational_map.rs
@@ -10,7 +10,7 @@
 /// Used entries move into the young generation. When that is full, the old generation is dropped
 /// and the young one takes its place.
 #[derive(Debug)]
-pub(super) struct GenerationalMap<V> {
+pub(crate) struct GenerationalMap<V> {
     entries_per_generation_max: usize,
     young: Map<V>,
     old: Map<V>,
@@ -20,7 +20,7 @@
 
 /// Hasher for keys that are hashes already.
 #[derive(Debug, Default, Clone, Copy)]
-pub(super) struct IdentityHasher(u64);
+pub(crate) struct IdentityHasher(u64);
 
 impl Hasher for IdentityHasher {
     fn finish(&self) -> u64 {
@@ -42,7 +42,7 @@
     /// Creates a map of up to `entries_max` entries, rounded up to an even number.
     ///
     /// Allocates all memory at once.
-    pub(super) fn new(entries_max: usize) -> Self {
+    pub(crate) fn new(entries_max: usize) -> Self {
         let half = entries_max.div_ceil(2).max(1);
         Self {
             entries_per_generation_max: half,
@@ -52,12 +52,12 @@
     }
 
     /// Returns an entry without marking it as used.
-    pub(super) fn peek(&self, key: PrefixHash) -> Option<&V> {
+    pub(crate) fn peek(&self, key: PrefixHash) -> Option<&V> {
         self.young.get(&key).or_else(|| self.old.get(&key))
     }
 
     /// Returns an entry and marks it as used.
-    pub(super) fn get_mut(&mut self, key: PrefixHash) -> Option<&mut V> {
+    pub(crate) fn get_mut(&mut self, key: PrefixHash) -> Option<&mut V> {
         if !self.young.contains_key(&key) {
             let value = self.old.remove(&key)?;
             self.insert(key, value);
@@ -66,7 +66,7 @@
     }
 
     /// Inserts or replaces an entry and marks it as used.
-    pub(super) fn insert(&mut self, key: PrefixHash, value: V) {
+    pub(crate) fn insert(&mut self, key: PrefixHash, value: V) {
         if self.young.len() >= self.entries_per_generation_max && !self.young.contains_key(&key) {
             std::mem::swap(&mut self.young, &mut self.old);
             self.young.clear();
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -26,6 +26,7 @@
 pub use cost::{HitRatio, TokenCost};
 pub use engine::{LoadReport, REPORT_AGE_MAX};
 pub use feedback::{PollTarget, ResponseHead};
+pub(crate) use generational_map::GenerationalMap;
 pub use health::{EngineFailure, Health, HealthChange};
 pub use in_flight::InFlight;
 pub use load::{LoadTable, ServiceInFlight};
--- a/tests/gateway_pure/main.rs
+++ b/tests/gateway_pure/main.rs
@@ -8,6 +8,7 @@
 mod mirrors;
 mod named_weights;
 mod placing;
+mod quarantines;
 mod retention;
 mod rolling_out;
 mod routing;
--- /dev/null
+++ b/tests/gateway_pure/quarantines.rs
@@ -0,0 +1,259 @@
+//! Evidence against parts of prompts, and the quarantine that follows from it.
+
+use std::time::Duration;
+
+use celerylever::clock::Instant;
+use celerylever::gateway::{
+    Conclusion, CrashEvidence, Quarantine, QuarantineRecord, QuarantineVerdict, Strike,
+};
+use proptest::prelude::*;
+use rstest::rstest;
+
+const SYSTEM: u64 = 1;
+const DOCUMENT: u64 = 2;
+const DEADLY: u64 = 3;
+
+/// Time after which any evidence has settled.
+const SETTLED: Duration = Duration::from_secs(5);
+
+fn at(ms: u64) -> Instant {
+    Duration::from_secs(100) + Duration::from_millis(ms)
+}
+
+fn strike(evidence: &mut CrashEvidence, process: u64, ms: u64, parts: &[u64]) {
+    for part in parts {
+        let (part, at, is_proven) = (*part, at(ms), false);
+        evidence.record_strike(Strike {
+            part,
+            process,
+            at,
+            is_proven,
+        });
+    }
+}
+
+fn concluded(evidence: &mut CrashEvidence, now: Instant) -> Vec<u64> {
+    let conclusions = evidence.conclude(now).into_iter();
+    let mut parts: Vec<_> = conclusions.map(|conclusion| conclusion.part).collect();
+    parts.sort_unstable();
+    parts
+}
+
+fn held(part: u64, is_ambiguous: bool, now: Instant) -> Quarantine {
+    let mut quarantine = Quarantine::default();
+    let conclusion = Conclusion {
+        part,
+        crashes: vec![(1, now), (2, now), (3, now)],
+        is_ambiguous,
+    };
+    assert!(quarantine.hold(&conclusion, Some("part"), now).is_some());
+    quarantine
+}
+
+#[test]
+fn a_part_at_every_crash_and_in_no_answer_is_concluded() {
+    let mut evidence = CrashEvidence::default();
+    for (process, ms) in [(1, 0), (2, 150), (3, 300)] {
+        strike(
+            &mut evidence,
+            process,
+            ms,
+            &[SYSTEM, DOCUMENT + 10 * process, DEADLY],
+        );
+    }
+    evidence.record_answer(SYSTEM, at(400));
+    assert_eq!(concluded(&mut evidence, at(500)), [0_u64; 0]);
+    assert_eq!(concluded(&mut evidence, at(1_100)), [DEADLY]);
+}
+
+#[test]
+fn a_system_prompt_at_every_crash_is_not_concluded_before_the_part_beside_it() {
+    let mut evidence = CrashEvidence::default();
+    evidence.record_answer(SYSTEM, at(0));
+    for process in 1..=8 {
+        strike(
+            &mut evidence,
+            process,
+            100 + process * 150,
+            &[SYSTEM, DEADLY],
+        );
+    }
+    let conclusions = evidence.conclude(at(0) + SETTLED);
+    assert_eq!(conclusions.len(), 1);
+    assert_eq!(
+        (conclusions[0].part, conclusions[0].is_ambiguous),
+        (DEADLY, false)
+    );
+    assert_eq!(concluded(&mut evidence, at(0) + SETTLED * 2), [0_u64; 0]);
+}
+
+#[rstest]
+#[case::all_at_once(&[(1, 0), (2, 3), (3, 5), (4, 9), (5, 12), (6, 20)], 0)]
+#[case::one_engine_at_a_time(&[(1, 0), (2, 1_000), (3, 2_000)], 1)]
+fn engines_that_fall_together_are_one_event(
+    #[case] crashes: &[(u64, u64)],
+    #[case] expected: usize,
+) {
+    let mut evidence = CrashEvidence::default();
+    for (process, ms) in crashes {
+        strike(&mut evidence, *process, *ms, &[DOCUMENT]);
+    }
+    assert_eq!(
+        concluded(&mut evidence, at(2_000) + SETTLED).len(),
+        expected
+    );
+}
+
+#[test]
+fn an_answer_after_the_crashes_clears_a_part() {
+    let mut evidence = CrashEvidence::default();
+    for (process, ms) in [(1, 0), (2, 200), (3, 400)] {
+        strike(&mut evidence, process, ms, &[DOCUMENT]);
+    }
+    assert!(evidence.record_answer(DOCUMENT, at(600)));
+    assert_eq!(concluded(&mut evidence, at(0) + SETTLED), [0_u64; 0]);
+    assert!(evidence.is_proven(DOCUMENT) && !evidence.is_suspected(DOCUMENT, 9));
+}
+
+#[test]
+fn parts_that_nothing_tells_apart_are_concluded_together() {
+    let mut evidence = CrashEvidence::default();
+    for process in 1..=3 {
+        strike(&mut evidence, process, process * 200, &[DOCUMENT, DEADLY]);
+    }
+    strike(&mut evidence, 4, 900, &[DOCUMENT]);
+    let conclusions = evidence.conclude(at(0) + SETTLED);
+    assert!(conclusions.iter().all(|conclusion| conclusion.is_ambiguous));
+    let mut parts: Vec<_> = conclusions.iter().map(|one| one.part).collect();
+    parts.sort_unstable();
+    assert_eq!(parts, [DOCUMENT, DEADLY]);
+}
+
+#[test]
+fn two_deadly_parts_are_both_concluded() {
+    let mut evidence = CrashEvidence::default();
+    for process in 1..=6 {
+        let deadly = DEADLY + process % 2;
+        strike(
+            &mut evidence,
+            process,
+            process * 200,
+            &[deadly, 100 + process],
+        );
+    }
+    assert_eq!(
+        concluded(&mut evidence, at(0) + SETTLED),
+        [DEADLY, DEADLY + 1]
+    );
+}
+
+#[test]
+fn many_suspects_do_not_displace_the_one_at_most_crashes() {
+    let mut evidence = CrashEvidence::default();
+    strike(&mut evidence, 1, 0, &[DEADLY]);
+    strike(&mut evidence, 2, 200, &[DEADLY]);
+    for part in 0..100_000 {
+        strike(&mut evidence, 3, 300, &[1_000 + part]);
+    }
+    strike(&mut evidence, 4, 400, &[DEADLY]);
+    assert_eq!(concluded(&mut evidence, at(0) + SETTLED), [DEADLY]);
+}
+
+#[test]
+fn a_request_with_two_held_parts_is_no_trial() {
+    let mut quarantine = held(DOCUMENT, true, at(0));
+    let conclusion = Conclusion {
+        part: DEADLY,
+        crashes: Vec::new(),
+        is_ambiguous: true,
+    };
+    quarantine.hold(&conclusion, None, at(0));
+    let both = quarantine.verdict(&[SYSTEM, DOCUMENT, DEADLY], at(1));
+    assert_eq!(both, QuarantineVerdict::Held(DOCUMENT));
+    let one = quarantine.verdict(&[SYSTEM, DOCUMENT], at(1));
+    assert!(matches!(
+        one,
+        QuarantineVerdict::TrialDue { part: DOCUMENT, .. }
+    ));
+    assert_eq!(
+        quarantine.verdict(&[SYSTEM], at(1)),
+        QuarantineVerdict::Clear
+    );
+}
+
+#[test]
+fn a_trial_is_permitted_once_and_the_next_one_later() {
+    let mut quarantine = held(DEADLY, false, at(0));
+    let is_due = |quarantine: &Quarantine, ms| {
+        let verdict = quarantine.verdict(&[DEADLY], at(ms));
+        matches!(verdict, QuarantineVerdict::TrialDue { .. })
+    };
+    assert!(!is_due(&quarantine, 3_900) && is_due(&quarantine, 4_000));
+    assert!(quarantine.permit_trial(DEADLY, 1, at(4_000)).is_some());
+    assert!(quarantine.permit_trial(DEADLY, 1, at(4_001)).is_none());
+    assert!(!is_due(&quarantine, 23_900) && is_due(&quarantine, 24_000));
+    // Two trials at most within the time that a day of trouble lasts.
+    assert!(quarantine.permit_trial(DEADLY, 2, at(24_000)).is_some());
+    assert!(!is_due(&quarantine, 120_000));
+}
+
+#[test]
+fn a_release_outlasts_older_records() {
+    let mut quarantine = held(DEADLY, false, at(0));
+    let old = quarantine.record(DEADLY, at(0)).unwrap();
+    quarantine.release(DEADLY, at(100)).unwrap();
+    assert!(!quarantine.merge(&old, at(200)));
+    assert_eq!(
+        quarantine.verdict(&[DEADLY], at(200)),
+        QuarantineVerdict::Clear
+    );
+}
+
+fn any_record() -> impl Strategy<Value = QuarantineRecord> {
+    (0..4_u64, 1..4_u32, any::<bool>(), 0..50_u64).prop_map(|(part, round, is_held, age_ms)| {
+        QuarantineRecord {
+            part,
+            part_id: None,
+            round,
+            is_held,
+            crashes: 3,
+            trials: 0,
+            is_ambiguous: false,
+            age_ms,
+        }
+    })
+}
+
+proptest! {
+    #[test]
+    fn vms_agree_in_whatever_order_records_arrive(
+        records in prop::collection::vec(any_record(), 0..20),
+        seed in any::<u64>(),
+    ) {
+        let mut shuffled = records.clone();
+        shuffled.sort_by_key(|record| {
+            record.part.wrapping_mul(seed) ^ u64::from(record.round).rotate_left(seed as u32 % 64)
+        });
+        let held = |records: &[QuarantineRecord]| {
+            let mut quarantine = Quarantine::default();
+            for record in records {
+                quarantine.merge(record, at(0));
+            }
+            let states = (0..4).map(|part| quarantine.record(part, at(0)));
+            states
+                .map(|state| state.map(|state| (state.round, state.is_held)))
+                .collect::<Vec<_>>()
+        };
+        prop_assert_eq!(held(&records), held(&shuffled));
+    }
+
+    #[test]
+    fn the_table_stays_bounded(parts in prop::collection::vec(any::<u64>(), 0..600)) {
+        let mut quarantine = Quarantine::default();
+        for (number, part) in parts.iter().enumerate() {
+            let conclusion = Conclusion { part: *part, crashes: Vec::new(), is_ambiguous: false };
+            quarantine.hold(&conclusion, None, at(number as u64));
+        }
+        prop_assert!(quarantine.records(at(1_000)).len() <= 256);
+    }
+}
