fix(gateway): make a trial again that reached no engine

A permit that was not used is given back, and the next trial is due half a second later.

a_trial_that_reached_no_engine_is_made_again_soon tests the table; the code before had no such state.

--- a/src/gateway/crash_guard.rs
+++ b/src/gateway/crash_guard.rs
@@ -104,6 +104,18 @@
         Some(record)
     }
 
+    /// Records that a trial reached no engine; returns the new state.
+    pub fn return_trial(
+        &mut self,
+        part: PartHash,
+        round: u32,
+        now: Instant,
+    ) -> Option<QuarantineRecord> {
+        let record = self.quarantine.return_trial(part, round, now)?;
+        self.tell_record(part);
+        Some(record)
+    }
+
     /// Releases a part; returns the new state, or `None` if it is not held.
     pub fn release(&mut self, part: PartHash, now: Instant) -> Option<QuarantineChange> {
         let record = self.quarantine.release(part, now)?;
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -35,6 +35,7 @@
     ) -> Result<UpstreamResponse, AttemptFailure> {
         let connection = self.connect(dispatched).await?;
         self.progress.sends += 1;
+        self.progress.record_trial(true);
         let result = self.exchange(connection, dispatched, last_event_id).await;
         if matches!(result, Err(AttemptFailure::NotSent(_))) {
             self.progress.sends -= 1;
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -59,6 +59,8 @@
     TrialRequest { id: u64, part: PartHash, round: u32 },
     /// Reply to the request for a trial.
     TrialReply { id: u64, is_permitted: bool },
+    /// Notice that a permitted trial reached no engine.
+    TrialReturn { part: PartHash, round: u32 },
 }
 
 /// Sends heartbeats until dropped.
@@ -123,6 +125,7 @@
             Ok(Message::TrialReply { id, is_permitted }) => {
                 gateway.pending_trials.complete(id, is_permitted);
             }
+            Ok(Message::TrialReturn { part, round }) => gateway.return_trial(part, round),
             Err(error) => {
                 let reason = format!("datagram cannot be decoded: {error}");
                 gateway.event_log.log(&LogEvent::BeatFailed { reason });
--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -22,6 +22,8 @@
     pub trial_wait_factor: u32,
     /// Maximum wait before a trial.
     pub trial_wait_max: Duration,
+    /// Wait before the next trial after one that reached no engine.
+    pub returned_trial_wait: Duration,
     /// Time without a trial or crash after which a record is dropped.
     pub memory: Duration,
     /// Time for which a release is remembered, so that older records do not undo it.
@@ -36,6 +38,7 @@
             first_trial_after: Duration::from_secs(4),
             trial_wait_factor: 5,
             trial_wait_max: Duration::from_secs(3_600),
+            returned_trial_wait: Duration::from_millis(500),
             memory: Duration::from_secs(24 * 3_600),
             release_memory: Duration::from_secs(600),
             records_max: 256,
@@ -62,6 +65,8 @@
     pub trials: u32,
     /// Whether parts beside it were at the same crashes.
     pub is_ambiguous: bool,
+    /// Time from the begin of the round to the next trial.
+    pub trial_wait_ms: u64,
     /// Time since the round began.
     pub age_ms: u64,
 }
@@ -91,6 +96,7 @@
     crashes: u16,
     trials: u32,
     is_ambiguous: bool,
+    trial_wait: Duration,
     since: Instant,
 }
 
@@ -179,6 +185,11 @@
             crashes: conclusion.crashes.len().min(usize::from(u16::MAX)) as u16,
             trials: 0,
             is_ambiguous: conclusion.is_ambiguous,
+            // Of several parts only one may be the cause, and the others are needed.
+            trial_wait: match conclusion.is_ambiguous {
+                true => Duration::ZERO,
+                false => self.settings.first_trial_after,
+            },
             since: now,
         };
         self.entries.insert(conclusion.part, entry);
@@ -196,11 +207,33 @@
         if self.due_trial(part, now) != Some(round) {
             return None;
         }
+        let settings = self.settings;
         let entry = self.entries.get_mut(&part)?;
         entry.round += 1;
         entry.trials += 1;
         entry.since = now;
-        entry.is_ambiguous = false;
+        let factor = settings.trial_wait_factor.saturating_pow(entry.trials);
+        let wait = settings.first_trial_after.saturating_mul(factor);
+        entry.trial_wait = wait.min(settings.trial_wait_max);
+        self.record(part, now)
+    }
+
+    /// Records that the trial of this round reached no engine, so that another one follows soon;
+    /// returns the new record.
+    pub fn return_trial(
+        &mut self,
+        part: PartHash,
+        round: u32,
+        now: Instant,
+    ) -> Option<QuarantineRecord> {
+        let entry = self.entries.get_mut(&part)?;
+        if !entry.is_held || entry.round != round || entry.trials == 0 {
+            return None;
+        }
+        entry.round += 1;
+        entry.trials -= 1;
+        entry.since = now;
+        entry.trial_wait = self.settings.returned_trial_wait;
         self.record(part, now)
     }
 
@@ -229,6 +262,7 @@
             crashes: record.crashes,
             trials: record.trials,
             is_ambiguous: record.is_ambiguous,
+            trial_wait: Duration::from_millis(record.trial_wait_ms),
             since: now.saturating_sub(age),
         };
         match self.entries.get_mut(&record.part) {
@@ -283,6 +317,7 @@
             crashes: entry.crashes,
             trials: entry.trials,
             is_ambiguous: entry.is_ambiguous,
+            trial_wait_ms: entry.trial_wait.as_millis() as u64,
             age_ms: now.saturating_sub(entry.since).as_millis() as u64,
         })
     }
@@ -290,17 +325,7 @@
     /// Returns the current round of a held part if a trial is due.
     fn due_trial(&self, part: PartHash, now: Instant) -> Option<u32> {
         let entry = self.entries.get(&part).filter(|entry| entry.is_held)?;
-        (now >= entry.since + self.trial_wait(entry)).then_some(entry.round)
-    }
-
-    fn trial_wait(&self, entry: &Entry) -> Duration {
-        // Of several parts only one may be the cause, and the others are needed.
-        if entry.is_ambiguous {
-            return Duration::ZERO;
-        }
-        let factor = self.settings.trial_wait_factor.saturating_pow(entry.trials);
-        let wait = self.settings.first_trial_after.saturating_mul(factor);
-        wait.min(self.settings.trial_wait_max)
+        (now >= entry.since + entry.trial_wait).then_some(entry.round)
     }
 
     /// Removes the oldest record if the table is full, a released one first.
--- a/src/gateway/quarantine_check.rs
+++ b/src/gateway/quarantine_check.rs
@@ -1,6 +1,7 @@
 //! Refusal of requests whose prompt crashes engines, and trials of single ones.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use super::crash_guard::QuarantineChange;
@@ -9,7 +10,7 @@
 use super::event_log::LogEvent;
 use super::gossip::{Message, send};
 use super::prompt::PartHash;
-use super::quarantine::QuarantineVerdict;
+use super::quarantine::{QuarantineRecord, QuarantineVerdict};
 use super::queued_placement::PlacementError;
 use super::request::AdmittedRequest;
 use super::state::Gateway;
@@ -39,6 +40,25 @@
     }
 }
 
+/// Permit to send one request as the trial of a held part, returned on drop unless it was sent.
+#[derive(Debug)]
+pub(super) struct TrialPermit {
+    gateway: Arc<Gateway>,
+    part: PartHash,
+    /// Round that began with the permit.
+    round: u32,
+    /// Whether an engine may have the request.
+    pub(super) is_sent: bool,
+}
+
+impl Drop for TrialPermit {
+    fn drop(&mut self) {
+        if !self.is_sent {
+            self.gateway.give_trial_back(self.part, self.round);
+        }
+    }
+}
+
 impl AdmittedRequest {
     /// Obtains a permit for a trial if one of the request's parts is held and due for it.
     pub(super) async fn try_trial(&mut self) {
@@ -48,8 +68,13 @@
         let QuarantineVerdict::TrialDue { part, round } = verdict else {
             return;
         };
-        if gateway.request_trial(part, round).await {
-            self.progress.trial_of = Some(part);
+        if self.progress.trial.is_none() && gateway.request_trial(part, round).await {
+            self.progress.trial = Some(TrialPermit {
+                gateway: gateway.clone(),
+                part,
+                round: round + 1,
+                is_sent: false,
+            });
         }
     }
 
@@ -67,9 +92,9 @@
             QuarantineVerdict::Clear => return Ok(()),
             QuarantineVerdict::TrialDue { part, .. } | QuarantineVerdict::Held(part) => part,
         };
-        match self.progress.trial_of == Some(held) && earlier_runs == 0 {
-            true => Ok(()),
-            false => Err(PlacementError::Quarantined(held)),
+        match &self.progress.trial {
+            Some(trial) if trial.part == held && earlier_runs == 0 => Ok(()),
+            _ => Err(PlacementError::Quarantined(held)),
         }
     }
 
@@ -154,18 +179,42 @@
         }
     }
 
+    /// Tells the VM that permits trials that one reached no engine.
+    fn give_trial_back(&self, part: PartHash, round: u32) {
+        let coordinator = self.state().peers.coordinator(self.now());
+        match (coordinator, self.peer_socket.get()) {
+            (None, _) => self.return_trial(part, round),
+            // If the message is lost, the next trial is made later.
+            (Some(address), Some(socket)) => {
+                send(socket, &Message::TrialReturn { part, round }, address);
+            }
+            (Some(_), None) => {}
+        }
+    }
+
+    /// Makes another trial of a part due, as the one of this round reached no engine.
+    pub(super) fn return_trial(&self, part: PartHash, round: u32) {
+        let now = self.now();
+        let returned = self.state().crash_guard.return_trial(part, round, now);
+        self.record_trial_change(returned);
+    }
+
     fn permit_trial(&self, part: PartHash, round: u32) -> bool {
         let now = self.now();
         let permitted = self.state().crash_guard.permit_trial(part, round, now);
-        let Some(record) = permitted else {
-            return false;
-        };
-        let crashes = Vec::new();
-        self.metrics.count_trial();
-        self.record_quarantine_changes(
-            &[QuarantineChange { record, crashes }],
-            QuarantineSource::Own,
-        );
-        true
+        let is_permitted = permitted.is_some();
+        if is_permitted {
+            self.metrics.count_trial();
+        }
+        self.record_trial_change(permitted);
+        is_permitted
+    }
+
+    fn record_trial_change(&self, record: Option<QuarantineRecord>) {
+        let changes = record.map(|record| QuarantineChange {
+            record,
+            crashes: Vec::new(),
+        });
+        self.record_quarantine_changes(changes.as_slice(), QuarantineSource::Own);
     }
 }
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -15,6 +15,7 @@
 use super::placement_request::PlacementRequest;
 use super::platform_api::RequestHead;
 use super::prompt::{PartHash, hash_part};
+use super::quarantine_check::TrialPermit;
 use super::queued_placement::PlacementError;
 use super::request_queue::QueuedRequest;
 use super::response::{draining_refusal, retryable_refusal};
@@ -80,7 +81,7 @@
     /// closed an engine that was alive, and no other one has the request yet.
     pub(super) must_retry: bool,
     /// Held part of the prompt of which the request is the trial.
-    pub(super) trial_of: Option<PartHash>,
+    pub(super) trial: Option<TrialPermit>,
     /// Whether another attempt could crash another engine.
     is_suspected: bool,
     unreachable_upstreams: u32,
@@ -104,6 +105,15 @@
     }
 }
 
+impl AttemptProgress {
+    /// Records whether an engine may have the request, if it is a trial.
+    pub(super) fn record_trial(&mut self, is_sent: bool) {
+        if let Some(trial) = &mut self.trial {
+            trial.is_sent = is_sent;
+        }
+    }
+}
+
 impl AdmittedRequest {
     /// Chooses the upstream of the next attempt, waiting in the queue if necessary.
     ///
@@ -259,11 +269,13 @@
         self.progress.last_failure = Some(outcome);
         match failure {
             AttemptFailure::NotSent(_) => {
+                self.progress.record_trial(false);
                 self.progress.unreachable_upstreams += 1;
                 dispatched.record_unreachable();
                 return Ok(());
             }
             AttemptFailure::NotRun(_) => {
+                self.progress.record_trial(false);
                 dispatched.record_failure(NOT_RUN_FAILURE_WEIGHT);
                 dispatched.record_rejection();
                 return Ok(());
--- a/tests/gateway_pure/quarantines.rs
+++ b/tests/gateway_pure/quarantines.rs
@@ -197,6 +197,22 @@
     assert!(!is_due(&quarantine, 120_000));
 }
 
+#[test]
+fn a_trial_that_reached_no_engine_is_made_again_soon() {
+    let mut quarantine = held(DEADLY, false, at(0));
+    quarantine.permit_trial(DEADLY, 1, at(4_000)).unwrap();
+    assert!(quarantine.return_trial(DEADLY, 1, at(4_050)).is_none());
+    quarantine.return_trial(DEADLY, 2, at(4_050)).unwrap();
+    let verdict = quarantine.verdict(&[DEADLY], at(4_550));
+    let due = QuarantineVerdict::TrialDue {
+        part: DEADLY,
+        round: 3,
+    };
+    assert_eq!(verdict, due);
+    let next = quarantine.permit_trial(DEADLY, 3, at(4_550)).unwrap();
+    assert_eq!((next.trials, next.trial_wait_ms), (1, 20_000));
+}
+
 #[test]
 fn a_release_outlasts_older_records() {
     let mut quarantine = held(DEADLY, false, at(0));
@@ -219,6 +235,7 @@
             crashes: 3,
             trials: 0,
             is_ambiguous: false,
+            trial_wait_ms: 4_000,
             age_ms,
         }
     })
