fix(gateway): do not take the close by a crashed engine for the end of an answer

Callers could get half of an answer as a whole one: an answer with neither length nor chunks ends with its connection, and the operating system closes the connections of a process that crashes in the same way.

At such an end the gateway checks that the engine still listens, unless it is leaving. If it does not, the attempt has failed: the request is repeated where it may be, a stream goes on at another engine, and no caller sees a whole answer. Answers that are reset were handled before.

--- a/src/gateway/buffered.rs
+++ b/src/gateway/buffered.rs
@@ -7,7 +7,7 @@
 use hyper::body::Incoming;
 
 use super::attempt_failure::AttemptFailure;
-use super::connection_headers::{closes_connection, keep_alive_timeout};
+use super::connection_headers::{closes_connection, ends_with_connection, keep_alive_timeout};
 use super::dispatch::DispatchedRequest;
 use super::model::RouteKind;
 use super::request::AdmittedRequest;
@@ -71,6 +71,9 @@
             .await
             .map_err(|_| AttemptFailure::Timeout)?
             .map_err(AttemptFailure::connection)?;
+        if ends_with_connection(&parts.headers) {
+            self.check_end_by_close(dispatched).await?;
+        }
         let keep_alive = keep_alive_timeout(&parts.headers);
         if !closes_connection(&parts.headers) {
             let instance = dispatched.instance.clone();
--- a/src/gateway/connection_headers.rs
+++ b/src/gateway/connection_headers.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{HeaderMap, HeaderValue};
 
 /// Returns the idle timeout of a connection from the `keep-alive` header of a response.
@@ -12,6 +13,12 @@
     seconds.parse().ok().map(Duration::from_secs)
 }
 
+/// Returns whether a response has neither a length nor chunks, so that its body ends with the
+/// connection.
+pub(super) fn ends_with_connection(headers: &HeaderMap) -> bool {
+    !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING)
+}
+
 /// Returns whether the `connection` header of a response announces that the upstream closes the
 /// connection.
 pub(super) fn closes_connection(headers: &HeaderMap) -> bool {
--- a/src/gateway/crash_check.rs
+++ b/src/gateway/crash_check.rs
@@ -7,6 +7,7 @@
 
 use tokio::net::TcpStream;
 
+use super::attempt_failure::AttemptFailure;
 use super::crash_watch::{BrokenConnection, hash_process};
 use super::dispatch::DispatchedRequest;
 use super::event_log::LogEvent;
@@ -23,16 +24,12 @@
     /// One check serves all requests that were at the engine.
     pub(super) fn check_crash(&self, dispatched: &DispatchedRequest) {
         let (instance, address) = (&dispatched.instance, dispatched.address);
-        let gateway = &self.gateway;
-        let mut state = gateway.state();
         // A process that leaves may end with streams unfinished.
-        let is_in_service = state
-            .upstreams
-            .instance_mut(instance)
-            .is_some_and(|upstream| upstream.is_ready());
-        if !is_in_service {
+        if !self.is_in_service(dispatched) {
             return;
         }
+        let gateway = &self.gateway;
+        let mut state = gateway.state();
         let process = hash_process(instance);
         let part_ids = self.shared_part_ids();
         let shared_parts = &self.placement_request.shared_parts;
@@ -51,6 +48,37 @@
         }
     }
 
+    /// Checks that an engine did not crash when it closed the connection that ended an answer.
+    ///
+    /// The close of a connection by a process that ends looks like one that ends an answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns the failure of the attempt if nothing listens at the engine's address although the
+    /// engine is in service.
+    pub(super) async fn check_end_by_close(
+        &self,
+        dispatched: &DispatchedRequest,
+    ) -> Result<(), AttemptFailure> {
+        if !self.is_in_service(dispatched) || is_listening(dispatched.address).await {
+            return Ok(());
+        }
+        // It may have begun to leave meanwhile.
+        match self.is_in_service(dispatched) {
+            true => Err(AttemptFailure::connection(
+                "the engine no longer listens, and its answer had no other end than the close",
+            )),
+            false => Ok(()),
+        }
+    }
+
+    /// Returns whether an engine is listed and does not leave.
+    fn is_in_service(&self, dispatched: &DispatchedRequest) -> bool {
+        let mut state = self.gateway.state();
+        let upstream = state.upstreams.instance_mut(&dispatched.instance);
+        upstream.is_some_and(|upstream| upstream.is_ready())
+    }
+
     /// Records that the request ran to its end at an engine.
     pub(super) fn record_end(&self, dispatched: &DispatchedRequest) {
         let process = hash_process(&dispatched.instance);
--- a/src/gateway/engine_stream.rs
+++ b/src/gateway/engine_stream.rs
@@ -7,7 +7,7 @@
 use hyper::body::Incoming;
 
 use super::attempt_failure::AttemptFailure;
-use super::connection_headers::{closes_connection, keep_alive_timeout};
+use super::connection_headers::{closes_connection, ends_with_connection, keep_alive_timeout};
 use super::dispatch::DispatchedRequest;
 use super::event_splitter::EventSplitter;
 use super::exchange::UpstreamResponse;
@@ -20,6 +20,8 @@
     connection: Option<Connection>,
     keep_alive: Option<Duration>,
     is_reusable: bool,
+    /// Whether the end of the stream is that of the connection.
+    ends_with_connection: bool,
     pub(super) dispatched: DispatchedRequest,
 }
 
@@ -48,6 +50,7 @@
     let engine = EngineStream {
         body,
         is_reusable: !closes_connection(&parts.headers),
+        ends_with_connection: ends_with_connection(&parts.headers),
         keep_alive: keep_alive_timeout(&parts.headers),
         connection: Some(received.connection),
         dispatched,
@@ -78,6 +81,10 @@
                     "the stream ended inside an event",
                 ));
             }
+            None if engine.ends_with_connection => {
+                admitted.check_end_by_close(&engine.dispatched).await?;
+                return Ok(ReadOutcome::End);
+            }
             None => return Ok(ReadOutcome::End),
             Some(Err(error)) => {
                 return Err(AttemptFailure::connection(format!("stream: {error}")));
