fix(gateway): do not take a late copy of a refusal for the answer to the next request

A caller could be told that its request had not run although an engine had it: an upstream may refuse a request before it has read its id, so a refusal without an id counted for whatever request the connection was used for. A second copy of an earlier refusal, sent late, was taken for the next one.

A refusal without an id is now believed only on a connection that no earlier request used. Copies with an id were recognised before.

a_late_copy_of_a_refusal_is_not_the_answer_to_the_next_request failed before with 503 for a request that the engine had; it gets 502 now.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -99,15 +99,16 @@
             .read_response_head(response.headers());
         let status = response.status();
         dispatched.record_announcements(status, &head);
-        // An upstream may reject a request before it has read the request id.
+        // An upstream may reject a request before it has read the request id. On a connection that
+        // was used before, the rejection may be a late copy of one for an earlier request.
         let is_rejection = head.is_not_run || status == StatusCode::MISDIRECTED_REQUEST;
         let is_same_request = match &head.request_id {
             Some(id) => *id == self.id,
-            None => is_rejection,
+            None => is_rejection && !connection.is_reused(),
         };
         if !is_same_request {
             return Err(AttemptFailure::unusable(
-                "the response carries the id of another request",
+                "the response does not carry the id of the request",
             ));
         }
         match status {
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -62,6 +62,11 @@
         !self.sender.is_closed()
     }
 
+    /// Returns whether an earlier request was sent over the connection.
+    pub(super) fn is_reused(&self) -> bool {
+        self.is_reused
+    }
+
     /// Sends a request, once the previous one has ended, and waits for the head of the response.
     pub(super) async fn request(
         &mut self,
