fix: bound interim responses without end by bytes

An engine, or the store, that sends interim responses without end held up all requests of a VM: the HTTP client consumes them one by one and lets nothing else run meanwhile, so that no timeout fired. Callers of any engine got no answer for seconds.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 mod allowance;
 mod announcements;
 mod attempt_failure;
+mod bounded_io;
 mod buffered;
 mod cache_retention;
 mod candidates;
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -2,19 +2,20 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+use super::bounded_io::{BoundedIo, HeadLimit};
 use super::upstream_registry::UpstreamInstance;
 use crate::clock::{Instant, SharedClock};
 
@@ -35,6 +36,9 @@
 /// Timeout for a connection to become ready for the next request.
 const READY_TIMEOUT: Duration = Duration::from_millis(20);
 
+/// Maximum size of the read buffer of a connection, and of the head of a response.
+const READ_BUFFER_MAX_BYTES: usize = 64 * 1024;
+
 /// Failure to send a request.
 #[derive(Debug)]
 #[derive(thiserror::Error)]
@@ -52,6 +56,7 @@
 pub(super) struct Connection {
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
+    head_limit: Arc<HeadLimit>,
     /// Whether an earlier request was sent over it.
     is_reused: bool,
 }
@@ -73,7 +78,10 @@
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, hyper::Error> {
         self.sender.ready().await?;
-        self.sender.send_request(request).await
+        self.head_limit.start();
+        let response = self.sender.send_request(request).await;
+        self.head_limit.stop();
+        response
     }
 }
 
@@ -135,8 +143,12 @@
         mut request: Request<Full<Bytes>>,
     ) -> Result<(Response<Incoming>, Connection), SendFailure> {
         loop {
+            connection.head_limit.start();
             match connection.sender.try_send_request(request).await {
-                Ok(response) => return Ok((response, connection)),
+                Ok(response) => {
+                    connection.head_limit.stop();
+                    return Ok((response, connection));
+                }
                 Err(mut error) => match error.take_message() {
                     Some(unsent) if connection.is_reused => request = unsent,
                     Some(_) => {
@@ -221,7 +233,11 @@
         .map_err(|error| not_sent(&error))?
         .map_err(|error| not_sent(&error))?;
     configure(&stream).map_err(|error| not_sent(&error))?;
-    let (sender, driver) = handshake(TokioIo::new(stream))
+    let head_limit = Arc::new(HeadLimit::default());
+    let stream = BoundedIo::new(stream, head_limit.clone());
+    let (sender, driver) = Builder::new()
+        .max_buf_size(READ_BUFFER_MAX_BYTES)
+        .handshake(TokioIo::new(stream))
         .await
         .map_err(|error| not_sent(&error))?;
     let task = tokio::spawn(async move {
@@ -231,6 +247,7 @@
     Ok(Connection {
         sender,
         task: task.abort_handle(),
+        head_limit,
         is_reused: false,
     })
 }
--- a/src/platform/transport.rs
+++ b/src/platform/transport.rs
@@ -23,6 +23,10 @@
 /// Time after which a connection with unacknowledged data is closed.
 const TCP_USER_TIMEOUT: Duration = Duration::from_millis(2_000);
 
+/// Maximum size of a connection's read buffer, and of the head of a response. Interim responses are
+/// consumed a buffer at a time, between which the timeout of the call is checked.
+const READ_BUFFER_MAX_BYTES: usize = 16_384;
+
 type HttpClient = Client<HttpConnector, Full<Bytes>>;
 
 /// Request to the store.
@@ -151,6 +155,7 @@
     Client::builder(TokioExecutor::new())
         .pool_timer(TokioTimer::new())
         .pool_idle_timeout(POOL_IDLE_TIMEOUT)
+        .http1_max_buf_size(READ_BUFFER_MAX_BYTES)
         .retry_canceled_requests(false)
         .build(connector)
 }
