fix(gateway): end streams without end, and take no comment for progress

Callers of a stream whose engine sent events or comments without end got them for seconds beyond the time that they had set: a timeout around a read never fires while data is always there. A stalled engine that sent a comment now and then kept its stream: each comment began the wait for the next event anew.

A stream ends 200 ms after its deadline, whatever still arrives. Blocks that have no field are forwarded but are no event: they do not begin the wait anew, the head of the response waits for an event, and their size since the last event is bounded. Both faults are in the same read, so they go in together.

--- a/src/gateway/engine_stream.rs
+++ b/src/gateway/engine_stream.rs
@@ -14,6 +14,9 @@
 use super::pool::Connection;
 use super::request::AdmittedRequest;
 
+/// Time after the deadline in which a stream may end with what arrives without a wait.
+const PROMPT_END_TIME: Duration = Duration::from_millis(200);
+
 /// Body of an engine's response, with the connection and the load that the run takes.
 pub(super) struct EngineStream {
     body: Incoming,
@@ -27,7 +30,10 @@
 
 /// Result of reading from an engine's response.
 pub(super) enum ReadOutcome {
+    /// Complete events, at least one of which has a field.
     Events(Bytes),
+    /// Comments and empty lines, which are no progress.
+    Filler(Bytes),
     End,
 }
 
@@ -58,14 +64,20 @@
     (parts, engine)
 }
 
-/// Reads until at least one complete event has arrived or the stream ends.
+/// Reads until at least one complete event, or a comment, has arrived or the stream ends.
+///
+/// What arrives at once is read for a short time after the deadline.
 pub(super) async fn read_events(
     admitted: &AdmittedRequest,
     engine: &mut EngineStream,
     splitter: &mut EventSplitter,
 ) -> Result<ReadOutcome, AttemptFailure> {
     loop {
-        let left = admitted.deadline.saturating_sub(admitted.gateway.now());
+        let now = admitted.gateway.now();
+        if now >= admitted.deadline + PROMPT_END_TIME {
+            return Err(AttemptFailure::Timeout);
+        }
+        let left = admitted.deadline.saturating_sub(now);
         let frame = tokio::time::timeout(left, engine.body.frame());
         let frame = match splitter.is_inside_event() {
             true => frame.await,
@@ -94,6 +106,12 @@
         let events = splitter
             .push(&data)
             .map_err(|error| AttemptFailure::unusable(error.to_string()))?;
+        if !splitter.has_new_event() {
+            match events.is_empty() {
+                true => continue,
+                false => return Ok(ReadOutcome::Filler(events)),
+            }
+        }
         if !events.is_empty() {
             if engine.dispatched.record_first_response() {
                 admitted.record_first_event(&engine.dispatched);
--- a/src/gateway/event_splitter.rs
+++ b/src/gateway/event_splitter.rs
@@ -9,7 +9,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[derive(thiserror::Error)]
 pub enum SplitError {
-    /// An event exceeds the maximum size.
+    /// An event, or what precedes it, exceeds the maximum size.
     #[error("an event exceeds the size limit")]
     TooLarge,
 }
@@ -20,6 +20,9 @@
     pending: BytesMut,
     scanned: usize,
     last_id: Option<u64>,
+    /// Bytes of comments and empty lines since the last event.
+    filler_bytes: usize,
+    has_new_event: bool,
 }
 
 impl EventSplitter {
@@ -36,6 +39,17 @@
         self.last_id
     }
 
+    /// Returns whether the bytes appended last completed an event; comments and empty lines, which
+    /// an engine may send while it makes no progress, are none.
+    pub fn has_new_event(&self) -> bool {
+        self.has_new_event
+    }
+
+    /// Returns the number of buffered bytes.
+    pub fn buffered_bytes(&self) -> usize {
+        self.pending.len()
+    }
+
     /// Returns whether an incomplete event is buffered.
     pub fn is_inside_event(&self) -> bool {
         !self.pending.is_empty()
@@ -49,14 +63,22 @@
     pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, SplitError> {
         self.pending.extend_from_slice(bytes);
         let mut complete = BytesMut::new();
+        self.has_new_event = false;
         while let Some(end) = self.next_event_end() {
             let event = self.pending.split_to(end);
             self.scanned = 0;
+            match is_filler(&event) {
+                true => self.filler_bytes += event.len(),
+                false => {
+                    self.filler_bytes = 0;
+                    self.has_new_event = true;
+                }
+            }
             if self.accept(&event) {
                 complete.extend_from_slice(&event);
             }
         }
-        match self.pending.len() > EVENT_MAX_BYTES {
+        match self.pending.len() + self.filler_bytes > EVENT_MAX_BYTES {
             true => Err(SplitError::TooLarge),
             false => Ok(complete.freeze()),
         }
@@ -92,6 +114,12 @@
     }
 }
 
+/// Returns whether an event has no field: it consists of comments and empty lines.
+fn is_filler(event: &[u8]) -> bool {
+    let mut lines = event.split(|byte| *byte == b'\n');
+    lines.all(|line| matches!(line, [] | [b'\r'] | [b':', ..]))
+}
+
 fn event_id(event: &[u8]) -> Option<u64> {
     let mut lines = event.split(|byte| *byte == b'\n');
     let line = lines.find_map(|line| line.strip_prefix(b"id:"))?;
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures_util::stream;
 use gotham::helpers::http::Body;
 use http::Response;
@@ -30,6 +30,8 @@
     /// Events that have been read and not been forwarded.
     pub(super) pending_events: Option<Bytes>,
     pub(super) status: http::StatusCode,
+    /// Wait for the next event that comments have interrupted.
+    silence: Option<Silence>,
     _request_guard: RequestGuard,
 }
 
@@ -62,10 +64,9 @@
         let mut splitter = EventSplitter::after(last_event_id);
         // The head is withheld until the first event, so that the request can still be sent to
         // another engine.
-        let first_events = read_events(&admitted, &mut engine, &mut splitter).await;
+        let first_events = read_first_events(&admitted, &mut engine, &mut splitter).await;
         let first_events = match first_events {
-            Ok(ReadOutcome::Events(events)) => Some(events),
-            Ok(ReadOutcome::End) => None,
+            Ok(events) => events,
             Err(failure) => {
                 let dispatched = close_stream(engine);
                 admitted.record_failure(&dispatched, failure)?;
@@ -90,6 +91,7 @@
             source,
             splitter,
             pending_events: first_events,
+            silence: None,
             _request_guard: request_guard,
         };
         let frames = stream::unfold(Some(event_stream), |event_stream| async move {
@@ -107,6 +109,31 @@
     }
 }
 
+/// Reads until the first event has arrived, and returns it with the comments before it; `None` if
+/// the stream ends before.
+///
+/// # Errors
+///
+/// Returns the failure of the attempt.
+async fn read_first_events(
+    admitted: &AdmittedRequest,
+    engine: &mut EngineStream,
+    splitter: &mut EventSplitter,
+) -> Result<Option<Bytes>, AttemptFailure> {
+    // Bounded by the splitter.
+    let mut first = BytesMut::new();
+    loop {
+        match read_events(admitted, engine, splitter).await? {
+            ReadOutcome::Filler(filler) => first.extend_from_slice(&filler),
+            ReadOutcome::Events(events) => {
+                first.extend_from_slice(&events);
+                return Ok(Some(first.freeze()));
+            }
+            ReadOutcome::End => return Ok((!first.is_empty()).then(|| first.freeze())),
+        }
+    }
+}
+
 impl EventStream {
     /// Returns the next complete events, or `None` at the end of the stream.
     ///
@@ -129,7 +156,8 @@
     }
 
     async fn next_events(&mut self) -> Result<Option<Bytes>, Refusal> {
-        let mut silence = Silence::since(self.admitted.gateway.now());
+        let now = self.admitted.gateway.now();
+        let mut silence = self.silence.take().unwrap_or(Silence::since(now));
         loop {
             if let Some(events) = self.pending_events.take() {
                 return Ok(Some(events));
@@ -148,6 +176,10 @@
             };
             match read {
                 Ok(ReadOutcome::Events(events)) => return Ok(Some(events)),
+                Ok(ReadOutcome::Filler(filler)) => {
+                    self.silence = Some(silence);
+                    return Ok(Some(filler));
+                }
                 Ok(ReadOutcome::End) => {
                     if let Some(engine) = self.take_engine() {
                         finish_stream(&self.admitted, *engine, self.status);
--- a/src/gateway/takeover.rs
+++ b/src/gateway/takeover.rs
@@ -5,7 +5,7 @@
 
 use std::pin::pin;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 
 use super::attempt_failure::{AttemptFailure, FailureCause};
 use super::dispatch::DispatchedRequest;
@@ -148,7 +148,7 @@
             OverlapEnd::Answered(sent) => *sent,
             OverlapEnd::Completed => {
                 self.admitted.progress.runs += 1;
-                self.pending_events = silent.withheld;
+                self.pending_events = take_withheld(silent.withheld);
                 if let Some(stream) = silent.stream {
                     finish_stream(&self.admitted, *stream, self.status);
                 }
@@ -162,7 +162,7 @@
                 self.source = silent
                     .stream
                     .map_or(StreamSource::Ended, StreamSource::Engine);
-                self.pending_events = silent.withheld;
+                self.pending_events = take_withheld(silent.withheld);
                 return Ok(());
             }
         };
@@ -176,7 +176,7 @@
             }
             (Err(failure), Some(stream)) => {
                 self.source = StreamSource::Engine(stream);
-                self.pending_events = silent.withheld;
+                self.pending_events = take_withheld(silent.withheld);
                 let _ = self.admitted.record_failure(&dispatched, failure);
                 Ok(())
             }
@@ -212,8 +212,8 @@
     /// Response of the engine until it is closed.
     stream: Option<Box<EngineStream>>,
     closed: Option<(DispatchedRequest, AttemptFailure)>,
-    /// Events with which the silent engine has gone on.
-    withheld: Option<Bytes>,
+    /// Comments of the silent engine, and events with which it has gone on.
+    withheld: BytesMut,
 }
 
 /// End of the time in which two engines have the request.
@@ -231,7 +231,7 @@
         Self {
             stream: Some(stream),
             closed: None,
-            withheld: None,
+            withheld: BytesMut::new(),
         }
     }
 
@@ -254,9 +254,13 @@
                 sent = &mut exchange => return OverlapEnd::Answered(Box::new(sent)),
                 read = read_events(admitted, stream, splitter) => match read {
                     Ok(ReadOutcome::Events(events)) => {
-                        self.withheld = Some(events);
+                        self.withheld.extend_from_slice(&events);
                         return OverlapEnd::GivenUp;
                     }
+                    Ok(ReadOutcome::Filler(filler)) => {
+                        self.withheld.extend_from_slice(&filler);
+                        continue;
+                    }
                     Ok(ReadOutcome::End) => return OverlapEnd::Completed,
                     Err(failure) => failure,
                 },
@@ -267,3 +271,8 @@
         }
     }
 }
+
+/// Returns what the caller has not received, if there is any.
+fn take_withheld(withheld: BytesMut) -> Option<Bytes> {
+    (!withheld.is_empty()).then(|| withheld.freeze())
+}
--- a/tests/gateway_pure/streams.rs
+++ b/tests/gateway_pure/streams.rs
@@ -49,3 +49,18 @@
     let bytes = b"weight-versions: 3\nid: 2\ndata: b\n\n";
     assert_eq!(&splitter.push(bytes).unwrap()[..], bytes);
 }
+
+#[test]
+fn comments_and_empty_lines_are_no_event_and_do_not_pile_up() {
+    let mut splitter = EventSplitter::default();
+    assert_eq!(
+        &splitter.push(b": a\n\n\r\n\n").unwrap()[..],
+        b": a\n\n\r\n\n"
+    );
+    assert!(!splitter.has_new_event());
+    splitter.push(b": b\nid: 1\ndata: a\n\n").unwrap();
+    assert!(splitter.has_new_event());
+    let filler = b": x\n\n".repeat(1_000);
+    let accepted = (0..1_000).take_while(|_| splitter.push(&filler).is_ok());
+    assert!(accepted.count() < 1_000);
+}
