fix(gateway): bound the memory of partly received responses

Hundreds of answers without end could take a VM's memory: each was bounded at 16 MiB, or 1 MiB for an event, all of them together were not.

Responses over 16 KiB share 16 MiB; one that would exceed this fails like any response that cannot be forwarded, and small ones are always received. The share is held until the caller has the response. Read buffers of connections to engines have 16 KiB.

--- a/src/gateway/buffered.rs
+++ b/src/gateway/buffered.rs
@@ -11,6 +11,7 @@
 use super::dispatch::DispatchedRequest;
 use super::model::RouteKind;
 use super::request::AdmittedRequest;
+use super::response_memory::{HeldBody, ResponseShare};
 use crate::entry::strip_hop_by_hop;
 use crate::error::Refusal;
 
@@ -67,10 +68,10 @@
         let gateway = self.gateway.clone();
         let left = self.deadline.saturating_sub(gateway.now());
         let (mut parts, body) = received.response.into_parts();
-        let body = tokio::time::timeout(left, read_body(body))
+        let share = ResponseShare::new(gateway.response_memory.clone());
+        let body = tokio::time::timeout(left, read_body(body, share))
             .await
-            .map_err(|_| AttemptFailure::Timeout)?
-            .map_err(AttemptFailure::connection)?;
+            .map_err(|_| AttemptFailure::Timeout)??;
         if ends_with_connection(&parts.headers) {
             self.check_end_by_close(dispatched).await?;
         }
@@ -93,17 +94,30 @@
     }
 }
 
-async fn read_body(mut body: Incoming) -> Result<Bytes, String> {
-    let mut collected = BytesMut::new();
+/// Reads a body to its end; the result holds its share of the memory until it is dropped.
+async fn read_body(body: Incoming, share: ResponseShare) -> Result<Bytes, AttemptFailure> {
+    let mut body = body;
+    let mut held = HeldBody {
+        bytes: BytesMut::new(),
+        share,
+    };
     while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|error| format!("reading the response body failed: {error}"))?;
+        let frame = frame.map_err(|error| {
+            AttemptFailure::connection(format!("reading the response body failed: {error}"))
+        })?;
         let Ok(data) = frame.into_data() else {
             continue;
         };
-        if collected.len() + data.len() > RESPONSE_MAX_BYTES {
-            return Err("the response body exceeds the size limit".into());
+        let size = held.bytes.len() + data.len();
+        if size > RESPONSE_MAX_BYTES {
+            let reason = "the response body exceeds the size limit";
+            return Err(AttemptFailure::unusable(reason));
         }
-        collected.extend_from_slice(&data);
+        held.bytes.extend_from_slice(&data);
+        // The buffer grows by more than it is filled.
+        held.share
+            .resize(held.bytes.capacity())
+            .map_err(|error| AttemptFailure::unusable(error.to_string()))?;
     }
-    Ok(collected.freeze())
+    Ok(Bytes::from_owner(held))
 }
--- a/src/gateway/engine_stream.rs
+++ b/src/gateway/engine_stream.rs
@@ -13,6 +13,7 @@
 use super::exchange::UpstreamResponse;
 use super::pool::Connection;
 use super::request::AdmittedRequest;
+use super::response_memory::ResponseShare;
 
 /// Time after the deadline in which a stream may end with what arrives without a wait.
 const PROMPT_END_TIME: Duration = Duration::from_millis(200);
@@ -25,6 +26,8 @@
     is_reusable: bool,
     /// Whether the end of the stream is that of the connection.
     ends_with_connection: bool,
+    /// Memory of the event that has not arrived completely.
+    share: ResponseShare,
     pub(super) dispatched: DispatchedRequest,
 }
 
@@ -57,6 +60,7 @@
         body,
         is_reusable: !closes_connection(&parts.headers),
         ends_with_connection: ends_with_connection(&parts.headers),
+        share: ResponseShare::new(admitted.gateway.response_memory.clone()),
         keep_alive: keep_alive_timeout(&parts.headers),
         connection: Some(received.connection),
         dispatched,
@@ -106,6 +110,10 @@
         let events = splitter
             .push(&data)
             .map_err(|error| AttemptFailure::unusable(error.to_string()))?;
+        engine
+            .share
+            .resize(splitter.buffered_bytes())
+            .map_err(|error| AttemptFailure::unusable(error.to_string()))?;
         if !splitter.has_new_event() {
             match events.is_empty() {
                 true => continue,
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -37,7 +37,7 @@
 const READY_TIMEOUT: Duration = Duration::from_millis(20);
 
 /// Maximum size of the read buffer of a connection, and of the head of a response.
-const READ_BUFFER_MAX_BYTES: usize = 64 * 1024;
+const READ_BUFFER_MAX_BYTES: usize = 16 * 1024;
 
 /// Failure to send a request.
 #[derive(Debug)]
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -27,6 +27,7 @@
 use super::prefix_cache_index::PrefixCacheIndex;
 use super::quarantine_check::QuarantineSource;
 use super::queued_placement::ServiceQueue;
+use super::response_memory::ResponseMemory;
 use super::retry_budgets::{RetryBudgetBounds, RetryBudgets};
 use super::settings::GatewaySettings;
 use super::table::RoutingTable;
@@ -53,6 +54,7 @@
     pub(super) drain: Drain,
     pub(super) connections: Connections,
     pub(super) pool: ConnectionPool,
+    pub(super) response_memory: Arc<ResponseMemory>,
     pub(super) incarnation: Incarnation,
     pub(super) next_request_number: AtomicU64,
     /// Triggers a heartbeat before the interval has passed.
@@ -184,6 +186,7 @@
             connections: Connections::new(&limits, clock.clone(), drain.clone()),
             metrics: GatewayMetrics::new(&telemetry.meter()),
             pool: ConnectionPool::new(clock.clone()),
+            response_memory: Arc::default(),
             heartbeat_due: Notify::new(),
             next_request_number: AtomicU64::new(0),
             catch_up_due: Notify::new(),
--- a/tests/gateway_pure/main.rs
+++ b/tests/gateway_pure/main.rs
@@ -5,6 +5,7 @@
 mod budgets;
 mod crashes;
 mod holdings;
+mod memory;
 mod mirrors;
 mod named_weights;
 mod placing;
