fix(gateway): permit trials neither around a handover nor after a pause

Two VMs could permit a trial of one part at once: a coordinator that starts permits before it has heard of its predecessor's permit, and one that was paused permits what another VM has permitted meanwhile.

A VM permits only after 1.5 s as coordinator, counted anew after a pause, and a permit is valid for two seconds.

a_coordinator_permits_nothing_around_a_handover_or_after_a_pause tests the term; the code before had none.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 mod catch_up;
 mod charge;
 mod connection_headers;
+mod coordinator_term;
 mod crash_check;
 mod crash_evidence;
 mod crash_gossip;
@@ -85,6 +86,7 @@
 pub use account_groups::AccountGroups;
 pub use allowance::{AllowanceExceeded, AllowanceSettings, Allowances, VmGroup};
 pub use cache_retention::{CacheRetention, is_store_likelier};
+pub use coordinator_term::CoordinatorTerm;
 pub use crash_evidence::{
     Conclusion, CrashEvidence, CrashEvidenceSettings, CrashThresholds, Strike,
 };
--- a/src/gateway/quarantine_check.rs
+++ b/src/gateway/quarantine_check.rs
@@ -14,10 +14,14 @@
 use super::queued_placement::PlacementError;
 use super::request::AdmittedRequest;
 use super::state::Gateway;
+use crate::clock::Instant;
 
 /// Timeout of the request for a trial at the VM that permits them.
 const TRIAL_PERMIT_TIMEOUT: Duration = Duration::from_millis(60);
 
+/// Time for which a permit is valid, less than the shortest wait before the next trial.
+const TRIAL_VALIDITY: Duration = Duration::from_secs(2);
+
 /// Where a change of a part's state came from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum QuarantineSource {
@@ -47,6 +51,7 @@
     part: PartHash,
     /// Round that began with the permit.
     round: u32,
+    valid_until: Instant,
     /// Whether an engine may have the request.
     pub(super) is_sent: bool,
 }
@@ -73,6 +78,7 @@
                 gateway: gateway.clone(),
                 part,
                 round: round + 1,
+                valid_until: now + TRIAL_VALIDITY,
                 is_sent: false,
             });
         }
@@ -93,7 +99,9 @@
             QuarantineVerdict::TrialDue { part, .. } | QuarantineVerdict::Held(part) => part,
         };
         match &self.progress.trial {
-            Some(trial) if trial.part == held && earlier_runs == 0 => Ok(()),
+            Some(trial) if trial.part == held && earlier_runs == 0 && now < trial.valid_until => {
+                Ok(())
+            }
             _ => Err(PlacementError::Quarantined(held)),
         }
     }
@@ -171,8 +179,7 @@
         round: u32,
         from: SocketAddr,
     ) {
-        let is_coordinator = self.state().peers.coordinator(self.now()).is_none();
-        let is_permitted = is_coordinator && self.permit_trial(part, round);
+        let is_permitted = self.permit_trial(part, round);
         if let Some(socket) = self.peer_socket.get() {
             // If the reply is lost, no trial is made in this round.
             send(socket, &Message::TrialReply { id, is_permitted }, from);
@@ -201,7 +208,12 @@
 
     fn permit_trial(&self, part: PartHash, round: u32) -> bool {
         let now = self.now();
-        let permitted = self.state().crash_guard.permit_trial(part, round, now);
+        let mut state = self.state();
+        if !state.coordinator_term.may_permit(now) {
+            return false;
+        }
+        let permitted = state.crash_guard.permit_trial(part, round, now);
+        drop(state);
         let is_permitted = permitted.is_some();
         if is_permitted {
             self.metrics.count_trial();
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -12,6 +12,7 @@
 use super::allowance::{AllowanceSettings, Allowances};
 use super::cache_retention::CacheRetention;
 use super::charge::ChargeResponse;
+use super::coordinator_term::CoordinatorTerm;
 use super::crash_guard::CrashGuard;
 use super::event_log::{AbortStage, EventLog, LogEvent};
 use super::heartbeat::{CompactLoad, Heartbeat, HeartbeatScope, HeldLease, StoreRevisions};
@@ -114,6 +115,7 @@
     pub(super) reported_loads: Vec<CompactLoad>,
     pub(super) placement_settings: PlacementSettings,
     pub(super) crash_guard: CrashGuard,
+    pub(super) coordinator_term: CoordinatorTerm,
 }
 
 /// What a received heartbeat means for this VM.
@@ -181,6 +183,7 @@
             reported_loads: Vec::new(),
             placement_settings: PlacementSettings::default(),
             crash_guard: CrashGuard::default(),
+            coordinator_term: CoordinatorTerm::default(),
         };
         Self {
             connections: Connections::new(&limits, clock.clone(), drain.clone()),
@@ -363,6 +366,8 @@
         state.upstreams.sweep(now);
         state.refresh_peer_view(now);
         state.prefix_cache_index.sweep(now);
+        let is_coordinator = state.peers.is_complete(now) && state.peers.coordinator(now).is_none();
+        state.coordinator_term.record_check(is_coordinator, now);
         let changes = state.crash_guard.tick(now);
         drop(state);
         self.record_quarantine_changes(&changes, QuarantineSource::Own);
--- a/tests/gateway_pure/quarantines.rs
+++ b/tests/gateway_pure/quarantines.rs
@@ -4,7 +4,8 @@
 
 use celerylever::clock::Instant;
 use celerylever::gateway::{
-    Conclusion, CrashEvidence, Quarantine, QuarantineRecord, QuarantineVerdict, Strike,
+    Conclusion, CoordinatorTerm, CrashEvidence, Quarantine, QuarantineRecord, QuarantineVerdict,
+    Strike,
 };
 use proptest::prelude::*;
 use rstest::rstest;
@@ -213,6 +214,26 @@
     assert_eq!((next.trials, next.trial_wait_ms), (1, 20_000));
 }
 
+#[test]
+fn a_coordinator_permits_nothing_around_a_handover_or_after_a_pause() {
+    let mut term = CoordinatorTerm::default();
+    let mut permits = Vec::new();
+    for ms in (0..10_000).step_by(200) {
+        // Another VM coordinates until 2 s, and this one stands still from 6 to 8 s.
+        if (6_000..8_000).contains(&ms) {
+            continue;
+        }
+        if term.may_permit(at(ms)) {
+            permits.push(ms);
+        }
+        term.record_check(ms >= 2_000, at(ms));
+    }
+    assert_eq!(permits.first(), Some(&3_600));
+    assert!(permits.contains(&5_800));
+    assert!(!permits.iter().any(|ms| (8_000..9_500).contains(ms)));
+    assert!(permits.contains(&9_800));
+}
+
 #[test]
 fn a_release_outlasts_older_records() {
     let mut quarantine = held(DEADLY, false, at(0));
