--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -24,6 +24,8 @@
     pub trial_wait_max: Duration,
     /// Wait before the next trial after one that reached no engine.
     pub returned_trial_wait: Duration,
+    /// Minimum wait before the trial of a request with several held parts.
+    pub joint_trial_after: Duration,
     /// Time without a trial or crash after which a record is dropped.
     pub memory: Duration,
     /// Time for which a release is remembered, so that older records do not undo it.
@@ -39,6 +41,7 @@
             trial_wait_factor: 5,
             trial_wait_max: Duration::from_secs(3_600),
             returned_trial_wait: Duration::from_millis(500),
+            joint_trial_after: Duration::from_secs(60),
             memory: Duration::from_secs(24 * 3_600),
             release_memory: Duration::from_secs(600),
             records_max: 256,
@@ -134,12 +137,9 @@
         let mut held = parts.iter().filter(|part| self.is_held(**part));
         match (held.next(), held.next()) {
             (None, _) => QuarantineVerdict::Clear,
-            // A crash would not tell which of them caused it.
-            (Some(part), Some(_)) => QuarantineVerdict::Held(*part),
-            (Some(part), None) => match self.due_trial(*part, now) {
-                Some(round) => QuarantineVerdict::TrialDue { part: *part, round },
-                None => QuarantineVerdict::Held(*part),
-            },
+            // A crash would not tell which of them caused it, so requests with one come first.
+            (Some(part), Some(_)) => self.verdict_on(*part, self.settings.joint_trial_after, now),
+            (Some(part), None) => self.verdict_on(*part, Duration::ZERO, now),
         }
     }
 
@@ -204,7 +204,7 @@
         round: u32,
         now: Instant,
     ) -> Option<QuarantineRecord> {
-        if self.due_trial(part, now) != Some(round) {
+        if self.due_trial(part, Duration::ZERO, now) != Some(round) {
             return None;
         }
         let settings = self.settings;
@@ -322,10 +322,22 @@
         })
     }
 
+    fn verdict_on(
+        &self,
+        part: PartHash,
+        trial_wait_min: Duration,
+        now: Instant,
+    ) -> QuarantineVerdict {
+        match self.due_trial(part, trial_wait_min, now) {
+            Some(round) => QuarantineVerdict::TrialDue { part, round },
+            None => QuarantineVerdict::Held(part),
+        }
+    }
+
     /// Returns the current round of a held part if a trial is due.
-    fn due_trial(&self, part: PartHash, now: Instant) -> Option<u32> {
+    fn due_trial(&self, part: PartHash, wait_min: Duration, now: Instant) -> Option<u32> {
         let entry = self.entries.get(&part).filter(|entry| entry.is_held)?;
-        (now >= entry.since + entry.trial_wait).then_some(entry.round)
+        (now >= entry.since + entry.trial_wait.max(wait_min)).then_some(entry.round)
     }
 
     /// Removes the oldest record if the table is full, a released one first.
