fix(gateway): conclude only parts at nearly all crashes together

Parts at three quarters of the crashes or more are held with the one at most; the crashes are explained by it, so that the others are cleared.

a_part_at_half_of_the_crashes_is_not_concluded_with_the_one_at_all failed before.

--- a/src/gateway/crash_evidence.rs
+++ b/src/gateway/crash_evidence.rs
@@ -238,7 +238,8 @@
     /// Draws the conclusions that the evidence permits, and removes the crashes that they explain.
     ///
     /// The part at most crashes comes first, and one without any known answer before others. Parts
-    /// that share enough of its crashes cannot be told from it and are concluded with it.
+    /// at nearly all of its crashes cannot be told from it and are concluded with it; those at fewer
+    /// would need a second cause.
     pub fn conclude(&mut self, now: Instant) -> Vec<Conclusion> {
         let mut conclusions = Vec::new();
         while let Some(group) = self.ripest_group(now) {
@@ -273,9 +274,10 @@
         let (_, best) = ripe
             .iter()
             .min_by_key(|(part, suspect)| rank(**part, suspect))?;
+        // A report may be lost.
+        let shared_min = best.crashes.len() - best.crashes.len() / 4;
         let is_alike = |suspect: &Suspect| {
-            suspect.is_proven == best.is_proven
-                && suspect.crashes_shared_with(best) >= best.thresholds(&self.settings).crashes
+            suspect.is_proven == best.is_proven && suspect.crashes_shared_with(best) >= shared_min
         };
         let group = ripe.iter().filter(|(_, suspect)| is_alike(suspect));
         Some(group.map(|(part, _)| **part).collect())
--- a/tests/gateway_pure/quarantines.rs
+++ b/tests/gateway_pure/quarantines.rs
@@ -130,6 +130,21 @@
     assert_eq!(parts, [DOCUMENT, DEADLY]);
 }
 
+#[test]
+fn a_part_at_half_of_the_crashes_is_not_concluded_with_the_one_at_all() {
+    let mut evidence = CrashEvidence::default();
+    for process in 1..=6 {
+        let document = DOCUMENT + 100 * (process % 2);
+        strike(&mut evidence, process, process * 200, &[document, DEADLY]);
+    }
+    let conclusions = evidence.conclude(at(0) + SETTLED);
+    let parts: Vec<_> = conclusions
+        .iter()
+        .map(|one| (one.part, one.is_ambiguous))
+        .collect();
+    assert_eq!(parts, [(DEADLY, false)]);
+}
+
 #[test]
 fn two_deadly_parts_are_both_concluded() {
     let mut evidence = CrashEvidence::default();
