--- a/src/gateway/charge.rs
+++ b/src/gateway/charge.rs
@@ -8,7 +8,7 @@
 
 use super::account_groups::AccountGroups;
 use super::allowance::AllowanceExceeded;
-use super::gossip::{Message, send};
+use super::datagram::{Message, send};
 use super::model::{Allowance, Customer};
 use super::name_hash::{NameHash, hash_name};
 use super::state::{Gateway, GatewayState};
--- a/src/gateway/crash_gossip.rs
+++ b/src/gateway/crash_gossip.rs
@@ -9,7 +9,7 @@
 use tokio::net::UdpSocket;
 
 use super::crash_news::CrashNews;
-use super::gossip::{Message, send_to_all};
+use super::datagram::{Message, send_to_all};
 use super::quarantine_check::QuarantineSource;
 use super::state::Gateway;
 
--- /dev/null
+++ b/src/gateway/datagram.rs
@@ -0,0 +1,78 @@
+//! Datagrams that VMs exchange.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+use tokio::net::UdpSocket;
+
+use super::charge::{ChargeRequest, ChargeResponse};
+use super::crash_news::CrashNews;
+use super::event_log::LogEvent;
+use super::heartbeat::Heartbeat;
+use super::prompt::PartHash;
+use super::state::Gateway;
+
+/// Maximum size of a datagram. The sums of a zone can exceed the usual MTU; a lost fragment only
+/// makes the receivers use older sums for one interval.
+pub(super) const DATAGRAM_MAX_BYTES: usize = 8_000;
+
+/// Datagram exchanged between VMs.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub(super) enum Message {
+    /// Heartbeat of the sender.
+    Heartbeat(Box<Heartbeat>),
+    /// Heartbeat of another zone, forwarded within this zone.
+    Forwarded(Box<Heartbeat>),
+    /// Request to charge the account of a customer that the receiver owns.
+    ChargeRequest(ChargeRequest),
+    /// Response to a charge request.
+    ChargeResponse(ChargeResponse),
+    /// News about crashes of engines.
+    CrashNews(Box<CrashNews>),
+    /// Request to permit a trial of a held part.
+    TrialRequest { id: u64, part: PartHash, round: u32 },
+    /// Reply to the request for a trial.
+    TrialReply { id: u64, is_permitted: bool },
+    /// Notice that a permitted trial reached no engine.
+    TrialReturn { part: PartHash, round: u32 },
+}
+
+/// Sends a message; returns whether the socket accepted it.
+pub(super) fn send(socket: &UdpSocket, message: &Message, address: SocketAddr) -> bool {
+    match postcard::to_stdvec(message) {
+        Ok(bytes) => socket.try_send_to(&bytes, address).is_ok(),
+        Err(_) => false,
+    }
+}
+
+/// Sends a message to several VMs; the next one replaces it if it is lost.
+pub(super) fn send_to_all(
+    gateway: &Gateway,
+    socket: &UdpSocket,
+    message: &Message,
+    addresses: &[SocketAddr],
+) {
+    if addresses.is_empty() {
+        return;
+    }
+    let bytes = match postcard::to_stdvec(message) {
+        Ok(bytes) if bytes.len() <= DATAGRAM_MAX_BYTES => bytes,
+        Ok(bytes) => {
+            let reason = format!(
+                "message has {} bytes, which exceeds the maximum datagram size",
+                bytes.len()
+            );
+            return gateway.event_log.log(&LogEvent::BeatFailed { reason });
+        }
+        Err(error) => {
+            let reason = error.to_string();
+            return gateway.event_log.log(&LogEvent::BeatFailed { reason });
+        }
+    };
+    for address in addresses {
+        // Errors are ignored: the next heartbeat replaces this one, and a peer that is down is
+        // detected by its missing heartbeats.
+        let _ = socket.try_send_to(&bytes, *address);
+    }
+}
--- /dev/null
+++ b/src/gateway/log_event.rs
@@ -0,0 +1,291 @@
+//! Decisions and state changes that the gateway logs.
+
+use serde::Serialize;
+
+use super::attempt_failure::FailureCause;
+use super::model::WeightNumber;
+use super::platform_api::TrackedKind;
+use crate::ids::{FencingNumber, ObjectVersion, StoreEra, Tokens};
+use crate::platform::serialize_position;
+
+/// Decision about a request, or change of the gateway's state.
+#[derive(Debug, Clone)]
+#[derive(Serialize)]
+#[serde(tag = "event", rename_all = "snake_case")]
+pub(super) enum LogEvent<'a> {
+    Started {
+        availability_zone: &'a str,
+        store: String,
+    },
+    Stopping {
+        requests: usize,
+        connections: usize,
+    },
+    Stopped {
+        requests_cut: usize,
+        connections: usize,
+        stopping_ms: Option<u64>,
+    },
+    Reloaded {
+        is_changed: bool,
+    },
+    ReloadRefused {
+        code: u16,
+        reason: String,
+    },
+    StoreLost {
+        tracked: TrackedKind,
+        reason: String,
+    },
+    StoreBack {
+        tracked: TrackedKind,
+        away_ms: u64,
+    },
+    HistoryGone {
+        tracked: TrackedKind,
+        #[serde(serialize_with = "serialize_position")]
+        revision: ObjectVersion,
+    },
+    TakenFromPeer {
+        tracked: TrackedKind,
+        peer: &'a str,
+        #[serde(serialize_with = "serialize_position")]
+        revision: ObjectVersion,
+    },
+    PeerReadFailed {
+        tracked: TrackedKind,
+        peer: &'a str,
+        reason: String,
+    },
+    /// The store was restored from a copy.
+    StoreRestored {
+        era: StoreEra,
+        earlier: StoreEra,
+    },
+    ConfigInForce {
+        version: ObjectVersion,
+        earlier: ObjectVersion,
+    },
+    ObjectUnusable {
+        tracked: TrackedKind,
+        name: &'a str,
+        reason: &'a str,
+    },
+    UpstreamListed {
+        upstream: &'a str,
+        service: &'a str,
+        is_ready: bool,
+        #[serde(serialize_with = "serialize_position")]
+        revision: ObjectVersion,
+    },
+    UpstreamGone {
+        upstream: &'a str,
+        #[serde(serialize_with = "serialize_position")]
+        revision: ObjectVersion,
+    },
+    UpstreamLeaving {
+        upstream: &'a str,
+    },
+    UpstreamHeldOff {
+        upstream: &'a str,
+        for_ms: u64,
+    },
+    WeightsNamed {
+        model: &'a str,
+        weights: WeightNumber,
+        #[serde(serialize_with = "serialize_position")]
+        revision: ObjectVersion,
+        age_ms: u64,
+    },
+    LeaseHeld {
+        fencing: FencingNumber,
+    },
+    LeaseLost {
+        fencing: FencingNumber,
+    },
+    LeaseMalformed {
+        version: ObjectVersion,
+        reason: &'a str,
+    },
+    LeaseCallFailed {
+        reason: String,
+    },
+    OrderSent {
+        upstream: &'a str,
+        model: &'a str,
+        weights: WeightNumber,
+        fencing: FencingNumber,
+        expected_orders: u64,
+        reply: String,
+    },
+    OrderNotSent {
+        upstream: &'a str,
+        reason: String,
+    },
+    WeightsInPlace {
+        upstream: &'a str,
+        model: &'a str,
+        weights: WeightNumber,
+        after_ms: u64,
+    },
+    MembershipCallFailed {
+        call: &'static str,
+        reason: String,
+    },
+    BeatFailed {
+        reason: String,
+    },
+    Admitted {
+        route: &'a str,
+        service: &'a str,
+        customer: Option<&'a str>,
+        /// Units deducted from the customer's allowance; `None` if the customer has no allowance.
+        cost: Option<u64>,
+        left_ms: u64,
+        config: ObjectVersion,
+    },
+    Queued {
+        service: &'a str,
+        requests: usize,
+        tokens: Tokens,
+        left_ms: u64,
+    },
+    Placed {
+        upstream: &'a str,
+        attempt: u32,
+        weights: Option<WeightNumber>,
+        held_tokens: u64,
+        ahead_tokens: u64,
+        /// Time for which the upstream has lacked target weights; 0 if it lacks none.
+        behind_ms: u64,
+        waited_ms: u64,
+    },
+    /// The first event came from an engine that lacks target weights.
+    OlderWeightsUsed {
+        upstream: &'a str,
+        weights: Option<WeightNumber>,
+        behind_ms: u64,
+        after_ms: u64,
+    },
+    Refused {
+        code: u16,
+        name: &'static str,
+        reason: &'a str,
+        retry_after_ms: u64,
+        config: ObjectVersion,
+    },
+    AttemptFailed {
+        upstream: &'a str,
+        attempt: u32,
+        outcome: &'static str,
+        cause: FailureCause,
+        reason: &'a str,
+        after_ms: u64,
+        /// Parts of the prompt that other prompts may share.
+        parts: Option<String>,
+        /// Time since the process was requested to stop.
+        stopping_ms: Option<u64>,
+    },
+    /// A part of prompts is kept from engines, tried once more or released.
+    PartState {
+        part: String,
+        part_id: Option<&'a str>,
+        is_held: bool,
+        round: u32,
+        crashes: u16,
+        trials: u32,
+        is_ambiguous: bool,
+        /// Processes that crashed with requests with the part, where this VM drew the conclusion.
+        processes: String,
+        source: &'static str,
+    },
+    QuarantineCallFailed {
+        call: &'static str,
+        reason: String,
+    },
+    /// An engine no longer listens after the connections of requests to it broke.
+    UpstreamCrashed {
+        upstream: &'a str,
+        born_ms: u64,
+        /// Hash of the process lifetime, by which VMs refer to the crash.
+        process: String,
+        /// Requests of this VM that it had.
+        requests: usize,
+    },
+    Resumed {
+        upstream: &'a str,
+        after_event: Option<u64>,
+    },
+    StreamBroken {
+        reason: &'a str,
+        after_event: Option<u64>,
+        /// Number of upstreams that ran the request or may have run it.
+        runs: u32,
+        stopping_ms: Option<u64>,
+    },
+    /// The shutdown ended the request before its response was complete.
+    Aborted {
+        stage: AbortStage,
+        stopping_ms: Option<u64>,
+    },
+    Answered {
+        upstream: &'a str,
+        status: u16,
+        after_ms: u64,
+    },
+    CallerLeft {
+        upstream: &'a str,
+        after_ms: u64,
+    },
+    LinesLeftOut {
+        kind: &'static str,
+        lines: u64,
+    },
+}
+
+/// Progress of a request that the shutdown aborts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize)]
+#[serde(rename_all = "snake_case")]
+pub(super) enum AbortStage {
+    /// The caller has received nothing and gets a complete refusal.
+    BeforeResponse,
+    /// The caller has received part of a stream, which ends early.
+    Streaming,
+}
+
+impl AbortStage {
+    /// Returns the name that is used in metrics.
+    pub(super) fn name(self) -> &'static str {
+        match self {
+            Self::BeforeResponse => "before_response",
+            Self::Streaming => "streaming",
+        }
+    }
+}
+
+impl LogEvent<'_> {
+    /// Returns the kind of the event, each of which has a rate limit of its own.
+    pub(super) fn kind(&self) -> &'static str {
+        match self {
+            Self::Admitted { .. } => "admitted",
+            Self::Queued { .. } => "queued",
+            Self::Placed { .. } => "placed",
+            Self::Answered { .. } => "answered",
+            Self::Refused { .. } => "refused",
+            Self::AttemptFailed { .. } | Self::Resumed { .. } => "failed",
+            // Not suppressed by the attempts that fail at the same time.
+            Self::StreamBroken { .. } | Self::Aborted { .. } => "broken",
+            Self::OlderWeightsUsed { .. } => "older_weights_used",
+            Self::CallerLeft { .. } => "caller_left",
+            Self::UpstreamListed { .. }
+            | Self::UpstreamGone { .. }
+            | Self::UpstreamLeaving { .. }
+            | Self::UpstreamCrashed { .. }
+            | Self::UpstreamHeldOff { .. } => "upstream",
+            Self::ObjectUnusable { .. } => "object_unusable",
+            Self::StoreLost { .. } | Self::StoreBack { .. } | Self::StoreRestored { .. } => "store",
+            _ => "state",
+        }
+    }
+}
--- a/src/gateway/quarantine_check.rs
+++ b/src/gateway/quarantine_check.rs
@@ -6,9 +6,9 @@
 
 use super::crash_guard::QuarantineChange;
 use super::crash_watch::hash_process;
+use super::datagram::{Message, send};
 use super::dispatch::DispatchedRequest;
 use super::event_log::LogEvent;
-use super::gossip::{Message, send};
 use super::prompt::PartHash;
 use super::quarantine::{QuarantineRecord, QuarantineVerdict};
 use super::queued_placement::PlacementError;
