--- a/src/gateway/crash_evidence.rs
+++ b/src/gateway/crash_evidence.rs
@@ -45,12 +45,12 @@
         Self {
             unproven: CrashThresholds {
                 crashes: 3,
-                events: 2,
+                events: 3,
                 settle_time: Duration::from_millis(700),
             },
             proven: CrashThresholds {
                 crashes: 5,
-                events: 2,
+                events: 3,
                 settle_time: Duration::from_millis(1_500),
             },
             separate_after: Duration::from_millis(100),
