fix(gateway): bound comments before the first event at 64 KiB

Comments that an engine sends before its first event are kept until the event comes; the bound of an event, 1 MiB for each stream, was too much for hundreds of them.

--- a/src/gateway/event_splitter.rs
+++ b/src/gateway/event_splitter.rs
@@ -4,6 +4,9 @@
 
 /// Maximum size of an event.
 const EVENT_MAX_BYTES: usize = 1024 * 1024;
+/// Maximum size of the comments and empty lines between two events, which are kept until the first
+/// event.
+const FILLER_MAX_BYTES: usize = 64 * 1024;
 
 /// Reason why a stream cannot be forwarded.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -78,7 +81,9 @@
                 complete.extend_from_slice(&event);
             }
         }
-        match self.pending.len() + self.filler_bytes > EVENT_MAX_BYTES {
+        let is_too_large =
+            self.pending.len() > EVENT_MAX_BYTES || self.filler_bytes > FILLER_MAX_BYTES;
+        match is_too_large {
             true => Err(SplitError::TooLarge),
             false => Ok(complete.freeze()),
         }
