feat(gateway): tell limits that engines name in the log

An engine in need names in its responses the requests a second that it takes from all VMs together; nothing read it, so that the hypotheses of the incident could not be told apart. The header is read, each VM keeps what its responses say, and logs a limit that begins, changes or ends. Fractions in log lines are written as numbers. No decision depends on it yet.

--- a/src/gateway/announcements.rs
+++ b/src/gateway/announcements.rs
@@ -1,14 +1,17 @@
-//! What upstreams announce in their responses: that they leave, and when to return.
+//! What upstreams announce in their responses: that they leave, when to return, and their
+//! limits.
 
 use std::time::Duration;
 
 use http::StatusCode;
 use rand::Rng;
 
+use super::crash_watch::hash_process;
 use super::event_log::LogEvent;
 use super::placement_request::PlacementRequest;
 use super::platform_api::ResponseHead;
 use super::state::{Gateway, GatewayState};
+use super::upstream_limit::RequestRate;
 use super::upstream_registry::UpstreamInstance;
 use crate::clock::Instant;
 
@@ -43,6 +46,9 @@
         if let Some(time) = hold_off {
             upstream.record_hold_off(time, now);
         }
+        let limits = &mut state.upstream_limits;
+        let limit_change = limits.record_response(hash_process(instance), head.limit, now);
+        let limited = limits.limited_count();
         drop(state);
         let upstream = &instance.id;
         if is_news {
@@ -53,6 +59,14 @@
             self.event_log
                 .log(&LogEvent::UpstreamHeldOff { upstream, for_ms });
         }
+        if let Some(change) = limit_change {
+            let limit_per_s = change.rate.map(RequestRate::per_s);
+            self.event_log.log(&LogEvent::UpstreamLimit {
+                upstream,
+                limit_per_s,
+            });
+            self.metrics.record_limited_upstreams(limited as u64);
+        }
     }
 }
 
--- a/src/gateway/engine_client.rs
+++ b/src/gateway/engine_client.rs
@@ -42,6 +42,7 @@
     instance: &UpstreamInstance,
     timeout: Duration,
 ) -> Result<EngineReport, CallFailure> {
+    gateway.metrics.count_report();
     let request = gateway.platform.dialect.report_request(&instance.id);
     let (status, body) = exchange(gateway, instance, request, timeout).await?;
     match status {
--- a/src/gateway/event_log.rs
+++ b/src/gateway/event_log.rs
@@ -120,9 +120,10 @@
                 serde_json::Value::String(text) => serializer.emit_str(key, text)?,
                 serde_json::Value::Bool(flag) => serializer.emit_bool(key, *flag)?,
                 serde_json::Value::Null => serializer.emit_none(key)?,
-                serde_json::Value::Number(number) => match number.as_u64() {
-                    Some(number) => serializer.emit_u64(key, number)?,
-                    None => serializer.emit_str(key, &number.to_string())?,
+                serde_json::Value::Number(number) => match (number.as_u64(), number.as_f64()) {
+                    (Some(number), _) => serializer.emit_u64(key, number)?,
+                    (None, Some(number)) => serializer.emit_f64(key, number)?,
+                    (None, None) => serializer.emit_str(key, &number.to_string())?,
                 },
                 other => serializer.emit_str(key, &other.to_string())?,
             }
--- a/src/gateway/log_event.rs
+++ b/src/gateway/log_event.rs
@@ -90,6 +90,12 @@
         upstream: &'a str,
         for_ms: u64,
     },
+    /// An upstream names a limit, another one, or none any more.
+    UpstreamLimit {
+        upstream: &'a str,
+        /// Requests a second from all VMs together; `None` without a limit.
+        limit_per_s: Option<f64>,
+    },
     WeightsNamed {
         model: &'a str,
         weights: WeightNumber,
@@ -282,7 +288,8 @@
             | Self::UpstreamGone { .. }
             | Self::UpstreamLeaving { .. }
             | Self::UpstreamCrashed { .. }
-            | Self::UpstreamHeldOff { .. } => "upstream",
+            | Self::UpstreamHeldOff { .. }
+            | Self::UpstreamLimit { .. } => "upstream",
             Self::ObjectUnusable { .. } => "object_unusable",
             Self::StoreLost { .. } | Self::StoreBack { .. } | Self::StoreRestored { .. } => "store",
             _ => "state",
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -24,6 +24,8 @@
     crashes: Counter<u64>,
     trials: Counter<u64>,
     held_parts: Gauge<u64>,
+    limited_upstreams: Gauge<u64>,
+    reports: Counter<u64>,
     aborts: Counter<u64>,
     responses: Counter<u64>,
     orders: Counter<u64>,
@@ -71,6 +73,11 @@
                 .u64_gauge("gateway_held_parts")
                 .with_description("Parts of prompts that are kept from engines")
                 .build(),
+            limited_upstreams: meter
+                .u64_gauge("gateway_limited_upstreams")
+                .with_description("Upstreams that name a limit of requests")
+                .build(),
+            reports: counter("gateway_reports", "Reports requested from engines"),
             aborts: counter(
                 "gateway_aborts",
                 "Requests ended by the shutdown, by what the caller had received",
@@ -121,6 +128,14 @@
         self.held_parts.record(parts, &[]);
     }
 
+    pub(super) fn record_limited_upstreams(&self, upstreams: u64) {
+        self.limited_upstreams.record(upstreams, &[]);
+    }
+
+    pub(super) fn count_report(&self) {
+        self.reports.add(1, &[]);
+    }
+
     pub(super) fn count_abort(&self, stage: AbortStage) {
         self.aborts.add(1, &[KeyValue::new("stage", stage.name())]);
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -80,6 +80,7 @@
 mod table;
 mod takeover;
 mod throughput;
+mod upstream_limit;
 mod upstream_registry;
 mod watch_schedule;
 mod weight_history;
@@ -131,6 +132,7 @@
 pub use stall::{SilentStream, StallSettings};
 pub use status::FleetStatus;
 pub use table::RoutingTable;
+pub use upstream_limit::{AnnouncedLimit, LimitChange, RequestRate, UpstreamLimits};
 pub use upstream_registry::{
     Upstream, UpstreamInstance, UpstreamLoad, UpstreamRegistry, UpstreamRegistrySettings,
 };
--- a/src/gateway/platform_api.rs
+++ b/src/gateway/platform_api.rs
@@ -14,6 +14,7 @@
 use super::model::{Member, RoutingConfig, TargetWeights, UpstreamEntry, WeightNumber};
 use super::prompt::{PartHash, Prompt};
 use super::quarantine::QuarantineRecord;
+use super::upstream_limit::AnnouncedLimit;
 use crate::ids::{FencingNumber, ModelId, ObjectVersion, RequestId, StoreEra, UpstreamId, VmId};
 use crate::steward::{LeaseObject, LeaseRecord};
 
@@ -199,6 +200,8 @@
     pub is_leaving: bool,
     /// Time for which an upstream that rejects the request wants no others of this VM.
     pub retry_after: Option<Duration>,
+    /// Requests that the upstream takes from all VMs together.
+    pub limit: AnnouncedLimit,
 }
 
 /// Headers that the gateway sets on a request to an upstream.
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -14,6 +14,7 @@
 use super::charge::ChargeResponse;
 use super::coordinator_term::CoordinatorTerm;
 use super::crash_guard::CrashGuard;
+use super::crash_watch::{ProcessHash, hash_process};
 use super::event_log::{AbortStage, EventLog, LogEvent};
 use super::heartbeat::{CompactLoad, Heartbeat, HeartbeatScope, HeldLease, StoreRevisions};
 use super::metrics::GatewayMetrics;
@@ -32,6 +33,7 @@
 use super::retry_budgets::{RetryBudgetBounds, RetryBudgets};
 use super::settings::GatewaySettings;
 use super::table::RoutingTable;
+use super::upstream_limit::UpstreamLimits;
 use super::upstream_registry::{
     Upstream, UpstreamLoad, UpstreamRegistry, UpstreamRegistrySettings,
 };
@@ -86,6 +88,7 @@
 #[derive(Debug)]
 pub(super) struct GatewayState {
     pub(super) upstreams: UpstreamRegistry,
+    pub(super) upstream_limits: UpstreamLimits,
     pub(super) peers: Peers,
     pub(super) allowances: Allowances,
     pub(super) retry_budgets: RetryBudgets,
@@ -158,6 +161,7 @@
         allowances.record_start(clock.now());
         let state = GatewayState {
             upstreams: UpstreamRegistry::new(UpstreamRegistrySettings::default()),
+            upstream_limits: UpstreamLimits::default(),
             peers,
             allowances,
             retry_budgets: RetryBudgets::new(RetryBudgetBounds {
@@ -332,6 +336,7 @@
         let mut state = self.state();
         state.peers.sweep(now);
         state.upstreams.sweep(now);
+        state.sweep_limits();
         state.refresh_peer_view(now);
         state.prefix_cache_index.sweep(now);
         let is_coordinator = state.peers.is_complete(now) && state.peers.coordinator(now).is_none();
@@ -363,6 +368,19 @@
             .plus(self.peer_view.load(upstream.name_hash))
     }
 
+    /// Drops the limits of upstreams that are gone.
+    fn sweep_limits(&mut self) {
+        if self.upstream_limits.is_empty() {
+            return;
+        }
+        let upstreams = self.upstreams.iter();
+        let listed: HashSet<ProcessHash> = upstreams
+            .map(|upstream| hash_process(&upstream.instance))
+            .collect();
+        self.upstream_limits
+            .retain(|process| listed.contains(&process));
+    }
+
     /// Updates the sums over the peers' heartbeats if they are too old.
     pub(super) fn refresh_peer_view(&mut self, now: Instant) {
         self.peer_view
--- a/tests/gateway_pure/main.rs
+++ b/tests/gateway_pure/main.rs
@@ -16,6 +16,7 @@
 mod shutdown;
 mod stalls;
 mod streams;
+mod upstream_limits;
 mod upstreams;
 mod waiting;
 mod watching;
@@ -25,15 +26,15 @@
 
 use celerylever::clock::Instant;
 use celerylever::gateway::{
-    Allowance, AllowanceSettings, Allowances, CacheRetention, CachedPrefix, Candidate, CostUnit,
-    EngineView, EventSplitter, Heartbeat, HeartbeatScope, Listing, LoadedModel, ObjectChange,
-    ObjectMirror, ObjectRecord, Peers, PeersSettings, PendingCall, Placement, PlacementSettings,
-    PrefixCacheIndex, QueueSettings, QueuedRequest, RequestQueue, ResourceDemand,
-    RetryBudgetBounds, RetryBudgets, RolloutAction, RolloutSchedule, RolloutSettings, Route,
-    RouteKind, RoutingConfig, RoutingTable, ShutdownPlan, SilentStream, StallSettings,
-    TargetWeights, UpstreamEntry, UpstreamInstance, UpstreamRegistry, UpstreamRegistrySettings,
-    UpstreamStage, VmGroup, WatchPurpose, WeightHistory, choose_candidate, earliest_change,
-    is_store_likelier, watch_wait,
+    Allowance, AllowanceSettings, Allowances, AnnouncedLimit, CacheRetention, CachedPrefix,
+    Candidate, CostUnit, EngineView, EventSplitter, Heartbeat, HeartbeatScope, LimitChange,
+    Listing, LoadedModel, ObjectChange, ObjectMirror, ObjectRecord, Peers, PeersSettings,
+    PendingCall, Placement, PlacementSettings, PrefixCacheIndex, QueueSettings, QueuedRequest,
+    RequestQueue, RequestRate, ResourceDemand, RetryBudgetBounds, RetryBudgets, RolloutAction,
+    RolloutSchedule, RolloutSettings, Route, RouteKind, RoutingConfig, RoutingTable, ShutdownPlan,
+    SilentStream, StallSettings, TargetWeights, UpstreamEntry, UpstreamInstance, UpstreamLimits,
+    UpstreamRegistry, UpstreamRegistrySettings, UpstreamStage, VmGroup, WatchPurpose,
+    WeightHistory, choose_candidate, earliest_change, is_store_likelier, watch_wait,
 };
 use celerylever::platform::{era_of, revision_of, store_position};
 use proptest::prelude::*;
