fix(gateway): keep to the limits that engines name, over all VMs

An equal part for each VM would not do: at 295 VMs a limit of 2.7 a second leaves each one request in 109 s, and a VM without a session there would hold a part that nobody uses.

Change: a VM tells the others what responses say of limits. A request to a limited engine needs a permit of the VM of its zone that keeps the engine's account, as customers' accounts are kept; the zones share the limit by demand and by their VMs, also those not heard. Permits come at even intervals. VMs that are refused get successive turns and place the request elsewhere; what cannot start in time is refused at once, with the time of the next permit. Reports and orders need no permit and delay the next one. Without a reply of the keeper, or after a pause of the process, nothing is sent.

--- a/src/gateway/allowance.rs
+++ b/src/gateway/allowance.rs
@@ -256,7 +256,7 @@
 }
 
 /// Returns the part of a rate, in units per second, that an account receives.
-fn share(rate: f64, own: VmGroup, others: &[VmGroup]) -> f64 {
+pub(super) fn share(rate: f64, own: VmGroup, others: &[VmGroup]) -> f64 {
     let all_vms = own.vms + others.iter().map(|group| group.vms).sum::<usize>();
     let part = rate / all_vms.max(1) as f64;
     let stale = others.iter().filter(|group| group.demand_per_s.is_none());
--- a/src/gateway/announcements.rs
+++ b/src/gateway/announcements.rs
@@ -11,8 +11,7 @@
 use super::placement_request::PlacementRequest;
 use super::platform_api::ResponseHead;
 use super::state::{Gateway, GatewayState};
-use super::upstream_limit::RequestRate;
-use super::upstream_registry::UpstreamInstance;
+use super::upstream_registry::{Upstream, UpstreamInstance};
 use crate::clock::Instant;
 
 /// Maximum time added to the delay that callers are told while all upstreams of a service want no
@@ -48,7 +47,6 @@
         }
         let limits = &mut state.upstream_limits;
         let limit_change = limits.record_response(hash_process(instance), head.limit, now);
-        let limited = limits.limited_count();
         drop(state);
         let upstream = &instance.id;
         if is_news {
@@ -59,13 +57,9 @@
             self.event_log
                 .log(&LogEvent::UpstreamHeldOff { upstream, for_ms });
         }
-        if let Some(change) = limit_change {
-            let limit_per_s = change.rate.map(RequestRate::per_s);
-            self.event_log.log(&LogEvent::UpstreamLimit {
-                upstream,
-                limit_per_s,
-            });
-            self.metrics.record_limited_upstreams(limited as u64);
+        if limit_change.is_some() {
+            self.record_limit_changes(limit_change.as_slice());
+            self.heartbeat_due.notify_one();
         }
     }
 }
@@ -83,10 +77,19 @@
             .ready(&request.service)
             .filter(|upstream| !request.tried_upstreams.contains(&upstream.instance.id));
         let returns: Option<Vec<Instant>> = untried
-            .map(|upstream| upstream.held_off_until(now))
+            .map(|upstream| self.unavailable_until(upstream, now))
             .collect();
         returns?.into_iter().min()
     }
+
+    /// Returns the time before which an upstream accepts no request of this VM; `None` if it may
+    /// accept one now.
+    pub(super) fn unavailable_until(&self, upstream: &Upstream, now: Instant) -> Option<Instant> {
+        let limits = Some(&self.upstream_limits).filter(|limits| !limits.is_empty());
+        let permit_at =
+            limits.and_then(|limits| limits.waits_until(hash_process(&upstream.instance), now));
+        upstream.held_off_until(now).max(permit_at)
+    }
 }
 
 /// Returns the delay after which a caller is to return, if its upstreams accept requests from `at`.
--- a/src/gateway/candidates.rs
+++ b/src/gateway/candidates.rs
@@ -102,6 +102,7 @@
             return Err(placement);
         };
         let (eligible, candidate) = (&eligible_upstreams[index], &candidates[index]);
+        let needs_permit = self.needs_permit(eligible.upstream);
         let available_tokens = eligible.cached_tokens.max(eligible.fetchable_tokens);
         let load = UpstreamLoad {
             requests: 1,
@@ -118,7 +119,8 @@
             .with_cached(eligible.cached_tokens, eligible.fetch_from)
             .with_save_to(save_to)
             .with_tokens_ahead(candidate.prefill_tokens)
-            .with_time_behind(self.time_behind_target(eligible.upstream, prefixes.as_ref(), now));
+            .with_time_behind(self.time_behind_target(eligible.upstream, prefixes.as_ref(), now))
+            .with_needs_permit(needs_permit);
         let name_hash = eligible.name_hash;
         let prefill_tokens_total = candidate.prefill_tokens + load.prefill_tokens;
         let due = dispatched.response_due(
@@ -129,6 +131,7 @@
             upstream.own_load = upstream.own_load.plus(load);
             upstream.expect_response(dispatched.number(), due);
         }
+        self.record_limited_choice(&request.service, &dispatched, now);
         if prefixes.is_some() {
             let prefill_tokens = resource_demand
                 .prompt_tokens
@@ -211,7 +214,7 @@
         };
         let recent_enough = upstreams
             .into_iter()
-            .filter(|upstream| upstream.held_off_until(now).is_none())
+            .filter(|upstream| self.unavailable_until(upstream, now).is_none())
             .filter(|upstream| self.time_behind_target(upstream, prefixes, now) < cutoff);
         let seed = prefixes
             .and_then(PromptPrefixes::longest_shared_prefix)
--- a/src/gateway/crash_gossip.rs
+++ b/src/gateway/crash_gossip.rs
@@ -1,7 +1,4 @@
 //! Exchange of news about crashes between VMs.
-//!
-//! A VM of a large zone tells the hubs, and the representative of a zone tells its VMs and the other
-//! zones what it had not known, so that the messages grow with the number of VMs.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -29,17 +26,7 @@
         return;
     }
     let news = state.crash_guard.next_news(now);
-    let addresses = match is_representative {
-        true => {
-            let mut addresses = state.peers.zone_addresses(own_address);
-            addresses.extend(state.peers.other_zone_addresses(sequence as usize));
-            addresses
-        }
-        false => {
-            let targets = state.peers.heartbeat_targets(own_address, sequence, now);
-            targets.every_round
-        }
-    };
+    let addresses = state.peers.news_receivers(own_address, sequence, now);
     drop(state);
     send_news(gateway, socket, news, &addresses);
 }
--- a/src/gateway/datagram.rs
+++ b/src/gateway/datagram.rs
@@ -7,10 +7,12 @@
 
 use super::charge::{ChargeRequest, ChargeResponse};
 use super::crash_news::CrashNews;
+use super::crash_watch::ProcessHash;
 use super::event_log::LogEvent;
 use super::heartbeat::Heartbeat;
 use super::prompt::PartHash;
 use super::state::Gateway;
+use super::upstream_limit::{LimitNews, PermitCall, PermitReply};
 
 /// Maximum size of a datagram. The sums of a zone can exceed the usual MTU; a lost fragment only
 /// makes the receivers use older sums for one interval.
@@ -36,6 +38,14 @@
     TrialReply { id: u64, is_permitted: bool },
     /// Notice that a permitted trial reached no engine.
     TrialReturn { part: PartHash, round: u32 },
+    /// News about limits that upstreams name.
+    LimitNews(Vec<LimitNews>),
+    /// Request for a permit to send one request to a limited upstream.
+    PermitCall(PermitCall),
+    /// Reply to the request for a permit.
+    PermitReply(PermitReply),
+    /// Notice of a call that counts toward the limit of an upstream and needed no permit.
+    PermitSpent(ProcessHash),
 }
 
 /// Sends a message; returns whether the socket accepted it.
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -49,6 +49,8 @@
     pub(super) placed_at: Instant,
     /// Time for which the engine had lacked target weights when the request was placed.
     pub(super) time_behind: Duration,
+    /// Whether the upstream names a limit, so that the request needs a permit.
+    pub(super) needs_permit: bool,
     number: u64,
     load: UpstreamLoad,
     is_awaiting_first_response: bool,
@@ -74,6 +76,7 @@
             attempt: 0,
             placed_at: gateway.now(),
             time_behind: Duration::ZERO,
+            needs_permit: false,
             number: gateway.next_request_number.fetch_add(1, Ordering::Relaxed),
             load,
             is_awaiting_first_response: true,
@@ -105,6 +108,11 @@
         self
     }
 
+    pub(super) fn with_needs_permit(mut self, needs_permit: bool) -> Self {
+        self.needs_permit = needs_permit;
+        self
+    }
+
     /// Returns the number that identifies the request at this VM.
     pub(super) fn number(&self) -> u64 {
         self.number
--- a/src/gateway/engine_client.rs
+++ b/src/gateway/engine_client.rs
@@ -92,6 +92,7 @@
         let mut connection = connect(address)
             .await
             .map_err(|error| CallFailure::NotSent(error.to_string()))?;
+        gateway.record_unpermitted_call(instance);
         let no_response =
             |error: &dyn std::fmt::Display| CallFailure::NoResponse(error.to_string());
         let response = connection
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -13,6 +13,7 @@
 use super::heartbeat::{CompactLoad, Heartbeat, HeartbeatScope, StoreRevisions};
 use super::name_hash::hash_name;
 use super::state::{Gateway, GatewayState};
+use super::upstream_limit::{send_all_limits, send_limit_news};
 use super::zone_roles::HeartbeatTargets;
 use crate::clock::Instant;
 
@@ -46,6 +47,7 @@
         }
         let receivers = send_heartbeat(&gateway, &socket, sequence, false);
         send_crash_news(&gateway, &socket, sequence);
+        send_limit_news(&gateway, &socket, sequence);
         sequence += 1;
         let interval_min = HEARTBEAT_INTERVAL_MIN * (1 + receivers as u32 / EARLY_HEARTBEAT_VMS);
         // The next heartbeat has been announced for the end of the regular interval.
@@ -98,6 +100,10 @@
                 gateway.pending_trials.complete(id, is_permitted);
             }
             Ok(Message::TrialReturn { part, round }) => gateway.return_trial(part, round),
+            Ok(Message::LimitNews(news)) => gateway.apply_limit_news(&news),
+            Ok(Message::PermitCall(call)) => gateway.handle_permit_call(call, from),
+            Ok(Message::PermitReply(reply)) => gateway.pending_permits.complete(reply.id, reply),
+            Ok(Message::PermitSpent(process)) => gateway.handle_permit_spent(process),
             Err(error) => {
                 let reason = format!("datagram cannot be decoded: {error}");
                 gateway.event_log.log(&LogEvent::BeatFailed { reason });
@@ -147,6 +153,7 @@
     let message = Message::Heartbeat(Box::new(heartbeat));
     send_to_all(gateway, socket, &message, &[address]);
     send_all_records(gateway, socket, address);
+    send_all_limits(gateway, socket, address);
 }
 
 /// Forwards the sums of another zone within this zone: the representative to all VMs, another VM to
@@ -256,6 +263,7 @@
         loads,
         demands: demands
             .map(|(id, units)| (hash_name(&id), units as u32))
+            .chain(state.permit_accounts.demands(now))
             .collect(),
         lease: state.lease.clone(),
         engines_in_rollout: state
--- a/src/gateway/log_event.rs
+++ b/src/gateway/log_event.rs
@@ -92,7 +92,8 @@
     },
     /// An upstream names a limit, another one, or none any more.
     UpstreamLimit {
-        upstream: &'a str,
+        /// `None` if this VM does not list it.
+        upstream: Option<&'a str>,
         /// Requests a second from all VMs together; `None` without a limit.
         limit_per_s: Option<f64>,
     },
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -26,6 +26,7 @@
     held_parts: Gauge<u64>,
     limited_upstreams: Gauge<u64>,
     reports: Counter<u64>,
+    permits: Counter<u64>,
     aborts: Counter<u64>,
     responses: Counter<u64>,
     orders: Counter<u64>,
@@ -78,6 +79,10 @@
                 .with_description("Upstreams that name a limit of requests")
                 .build(),
             reports: counter("gateway_reports", "Reports requested from engines"),
+            permits: counter(
+                "gateway_permits",
+                "Permits requested for limited upstreams, by outcome",
+            ),
             aborts: counter(
                 "gateway_aborts",
                 "Requests ended by the shutdown, by what the caller had received",
@@ -132,6 +137,10 @@
         self.limited_upstreams.record(upstreams, &[]);
     }
 
+    pub(super) fn count_permit(&self, outcome: &'static str) {
+        self.permits.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     pub(super) fn count_report(&self) {
         self.reports.add(1, &[]);
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -132,7 +132,10 @@
 pub use stall::{SilentStream, StallSettings};
 pub use status::FleetStatus;
 pub use table::RoutingTable;
-pub use upstream_limit::{AnnouncedLimit, LimitChange, RequestRate, UpstreamLimits};
+pub use upstream_limit::{
+    AnnouncedLimit, LimitChange, LimitNews, PermitAccounts, PermitDecision, PermitRequest,
+    RequestRate, UpstreamLimits,
+};
 pub use upstream_registry::{
     Upstream, UpstreamInstance, UpstreamLoad, UpstreamRegistry, UpstreamRegistrySettings,
 };
--- a/src/gateway/queued_placement.rs
+++ b/src/gateway/queued_placement.rs
@@ -155,10 +155,11 @@
             ..queued_request
         };
         let tokens_per_s = self.tokens_per_s(&request.service);
-        if let Some(at) = self
-            .earliest_return(request, now)
-            .filter(|at| *at > queued_request.deadline)
-        {
+        let requests_ahead = self
+            .queues
+            .get(&request.service)
+            .map_or(0, |queue| queue.queue.len());
+        if let Some(at) = self.late_start(request, &queued_request, requests_ahead, now) {
             return Err(PlacementError::WouldMissDeadline(spread_return(at, now)));
         }
         let service = self
@@ -182,6 +183,43 @@
         Ok((ticket, receiver, queue_length))
     }
 
+    /// Returns the earliest time at which a request starts after some others, if its upstreams hold
+    /// requests off or name limits.
+    fn expected_start(
+        &self,
+        request: &PlacementRequest,
+        requests_ahead: usize,
+        now: Instant,
+    ) -> Option<Instant> {
+        let first_at = self.earliest_return(request, now);
+        self.permit_expected_at(&request.service, requests_ahead, first_at, now)
+            .max(first_at)
+    }
+
+    /// Returns the expected start of a request after some others if it is too late to wait for it.
+    fn late_start(
+        &self,
+        request: &PlacementRequest,
+        queued_request: &QueuedRequest,
+        requests_ahead: usize,
+        now: Instant,
+    ) -> Option<Instant> {
+        let first_at = self.earliest_return(request, now);
+        let permit_at = self.permit_expected_at(&request.service, requests_ahead, first_at, now);
+        // Later requests that can still be on time would get the permits before one that cannot.
+        let permit_by = match requests_ahead {
+            0 => queued_request.deadline,
+            _ => queued_request.deadline.min(queued_request.place_by),
+        };
+        let late_permit_at = permit_at.filter(|at| *at > permit_by);
+        late_permit_at.max(first_at.filter(|at| *at > queued_request.deadline))
+    }
+
+    /// Returns whether requests wait in a queue.
+    pub(super) fn has_queued(&self) -> bool {
+        self.queues.values().any(|queue| !queue.queue.is_empty())
+    }
+
     /// Returns the nominal prompt speed, in tokens per second, of this VM's part of a service's
     /// engines.
     fn tokens_per_s(&self, service: &str) -> f64 {
@@ -198,6 +236,7 @@
         let mut placed = Vec::new();
         let mut queues = std::mem::take(&mut self.queues);
         for (id, service) in &mut queues {
+            let mut requests_ahead = 0;
             for ticket in service
                 .queue
                 .placement_order(now)
@@ -219,18 +258,24 @@
                         service.waiters.remove(&ticket);
                     }
                     Err(_) => {
-                        let returns_at = self.earliest_return(&waiter.request, now);
+                        let starts_at = self.expected_start(&waiter.request, requests_ahead, now);
                         let deadline = service.queue.deadline(ticket);
-                        if let Some(at) = returns_at.filter(|at| Some(*at) > deadline) {
-                            service.queue.remove(ticket);
-                            let waiter = service.waiters.remove(&ticket);
-                            let refused =
-                                Err(PlacementError::WouldMissDeadline(spread_return(at, now)));
-                            placed.extend(waiter.map(|waiter| (waiter.sender, refused)));
+                        match starts_at.filter(|at| Some(*at) > deadline) {
+                            Some(at) => {
+                                service.queue.remove(ticket);
+                                let waiter = service.waiters.remove(&ticket);
+                                let refused =
+                                    Err(PlacementError::WouldMissDeadline(spread_return(at, now)));
+                                placed.extend(waiter.map(|waiter| (waiter.sender, refused)));
+                            }
+                            None => requests_ahead += 1,
                         }
                     }
                 }
             }
+            if requests_ahead > 0 {
+                self.record_held_back(id, now);
+            }
             for (ticket, retry_after) in service.queue.remove_unservable(self.tokens_per_s(id), now)
             {
                 let waiter = service.waiters.remove(&ticket);
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -195,10 +195,15 @@
             place_by: self.arrived_at + self.route.objective,
             deadline: now + left.mul_f64(QUEUE_TIME_FRACTION),
         };
-        let dispatched = self
-            .gateway
-            .place(&self.id, &placement_request, queued_request)
-            .await?;
+        let dispatched = loop {
+            let dispatched = self
+                .gateway
+                .place(&self.id, &placement_request, queued_request)
+                .await?;
+            if self.gateway.obtain_permit(&dispatched).await {
+                break dispatched;
+            }
+        };
         // A part may have been held while the request waited.
         self.check_quarantine(earlier_runs)?;
         Ok(dispatched)
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -33,7 +33,7 @@
 use super::retry_budgets::{RetryBudgetBounds, RetryBudgets};
 use super::settings::GatewaySettings;
 use super::table::RoutingTable;
-use super::upstream_limit::UpstreamLimits;
+use super::upstream_limit::{PermitAccounts, PermitReply, UpstreamLimits};
 use super::upstream_registry::{
     Upstream, UpstreamLoad, UpstreamRegistry, UpstreamRegistrySettings,
 };
@@ -76,6 +76,7 @@
     pub(super) target_weights_changed: watch::Sender<()>,
     pub(super) pending_charges: PendingReplies<ChargeResponse>,
     pub(super) pending_trials: PendingReplies<bool>,
+    pub(super) pending_permits: PendingReplies<PermitReply>,
     /// Socket for datagrams between VMs; set at start-up.
     pub(super) peer_socket: OnceLock<Arc<UdpSocket>>,
     /// Time at which the process was requested to stop.
@@ -89,6 +90,7 @@
 pub(super) struct GatewayState {
     pub(super) upstreams: UpstreamRegistry,
     pub(super) upstream_limits: UpstreamLimits,
+    pub(super) permit_accounts: PermitAccounts,
     pub(super) peers: Peers,
     pub(super) allowances: Allowances,
     pub(super) retry_budgets: RetryBudgets,
@@ -162,6 +164,7 @@
         let state = GatewayState {
             upstreams: UpstreamRegistry::new(UpstreamRegistrySettings::default()),
             upstream_limits: UpstreamLimits::default(),
+            permit_accounts: PermitAccounts::default(),
             peers,
             allowances,
             retry_budgets: RetryBudgets::new(RetryBudgetBounds {
@@ -204,6 +207,7 @@
             store_restored: Notify::new(),
             pending_charges: PendingReplies::default(),
             pending_trials: PendingReplies::default(),
+            pending_permits: PendingReplies::default(),
             peer_socket: OnceLock::new(),
             stop_requested_at: OnceLock::new(),
             table: ArcSwapOption::empty(),
@@ -336,7 +340,7 @@
         let mut state = self.state();
         state.peers.sweep(now);
         state.upstreams.sweep(now);
-        state.sweep_limits();
+        state.sweep_limits(now);
         state.refresh_peer_view(now);
         state.prefix_cache_index.sweep(now);
         let is_coordinator = state.peers.is_complete(now) && state.peers.coordinator(now).is_none();
@@ -369,7 +373,8 @@
     }
 
     /// Drops the limits of upstreams that are gone.
-    fn sweep_limits(&mut self) {
+    fn sweep_limits(&mut self, now: Instant) {
+        self.permit_accounts.sweep(now);
         if self.upstream_limits.is_empty() {
             return;
         }
--- a/src/gateway/upstream_limit/announced.rs
+++ b/src/gateway/upstream_limit/announced.rs
@@ -2,6 +2,9 @@
 
 use serde::{Deserialize, Serialize};
 
+/// Requests a second that are sent to an upstream with a lower limit.
+const PROBES_PER_S: f64 = 0.25;
+
 /// Rate of requests, in requests per 1,000 s so that it is exact in messages.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 #[derive(Serialize, Deserialize)]
@@ -23,6 +26,12 @@
     pub fn per_s(self) -> f64 {
         f64::from(self.per_1000_s) / 1_000.0
     }
+
+    /// Returns the requests a second that are permitted: the rate, but enough for a response to
+    /// tell when the limit ends.
+    pub fn permitted_per_s(self) -> f64 {
+        self.per_s().max(PROBES_PER_S)
+    }
 }
 
 /// What a response says of the requests that its upstream takes from all VMs together.
--- a/src/gateway/upstream_limit/limits.rs
+++ b/src/gateway/upstream_limit/limits.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::announced::{AnnouncedLimit, RequestRate};
+use super::news::{ITEMS_PER_MESSAGE_MAX, LimitNews, Outbox};
 use crate::clock::Instant;
 use crate::gateway::crash_watch::ProcessHash;
 
@@ -13,6 +14,8 @@
 const END_DELAY_MAX: Duration = Duration::from_secs(8);
 /// Number of responses that the limit allows in that time.
 const RESPONSES_BEFORE_END: f64 = 2.0;
+/// Time after which a limit that is still named is told again.
+const TELL_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Change of the limit of an upstream, for the log.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -27,6 +30,7 @@
 #[derive(Debug, Default)]
 pub struct UpstreamLimits {
     limits: HashMap<ProcessHash, KnownLimit>,
+    outbox: Outbox,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -35,6 +39,12 @@
     rate: Option<RequestRate>,
     /// Time of the last response that named the limit, or with which it ended.
     stated_at: Instant,
+    /// Time at which this VM last told it, or was told it.
+    told_at: Instant,
+    /// Time before which no permit is to be expected.
+    wait_until: Instant,
+    /// Whether the upstream was passed over since a permit was requested.
+    is_held_back: bool,
 }
 
 impl UpstreamLimits {
@@ -48,29 +58,91 @@
         announced: AnnouncedLimit,
         now: Instant,
     ) -> Option<LimitChange> {
-        let known = self.limits.get(&process).copied();
-        let current = known.and_then(|known| known.rate);
-        let rate = match (announced, known) {
+        let known = self.limits.get(&process);
+        let current = known.and_then(|known| Some((known.rate?, known.stated_at)));
+        let rate = match (announced, current) {
             (AnnouncedLimit::Rate(rate), _) => Some(rate),
             // The upstream is still in need.
-            (
-                AnnouncedLimit::Unreadable,
-                Some(KnownLimit {
-                    rate: Some(rate), ..
-                }),
-            ) => Some(rate),
-            (
-                AnnouncedLimit::Absent,
-                Some(KnownLimit {
-                    rate: Some(rate),
-                    stated_at,
-                }),
-            ) if now.saturating_sub(stated_at) >= end_delay(rate) => None,
+            (AnnouncedLimit::Unreadable, Some((rate, _))) => Some(rate),
+            (AnnouncedLimit::Absent, Some((rate, stated_at)))
+                if now.saturating_sub(stated_at) >= end_delay(rate) =>
+            {
+                None
+            }
             _ => return None,
         };
-        let stated_at = now;
-        self.limits.insert(process, KnownLimit { rate, stated_at });
-        (rate != current).then_some(LimitChange { process, rate })
+        let is_told = known.is_some_and(|known| now.saturating_sub(known.told_at) < TELL_INTERVAL);
+        let change = self.set(process, rate, now);
+        if change.is_some() || !is_told {
+            self.tell(process, now);
+        }
+        change
+    }
+
+    /// Applies what another VM tells and, if this VM forwards news, tells what it did not know;
+    /// returns the changes.
+    pub fn apply(&mut self, news: &[LimitNews], forwards: bool, now: Instant) -> Vec<LimitChange> {
+        let mut changes = Vec::new();
+        for item in news {
+            let stated_at = now.saturating_sub(Duration::from_millis(item.age_ms.into()));
+            let known = self.limits.get_mut(&item.process);
+            let is_news = match known {
+                Some(known) if stated_at <= known.stated_at => {
+                    known.told_at = now;
+                    false
+                }
+                // Another response has named it in between.
+                Some(known) => match (item.rate, known.rate) {
+                    (None, Some(rate)) => stated_at >= known.stated_at + end_delay(rate),
+                    _ => true,
+                },
+                None => item.rate.is_some(),
+            };
+            if !is_news {
+                continue;
+            }
+            changes.extend(self.set(item.process, item.rate, stated_at));
+            if forwards {
+                self.tell(item.process, now);
+            } else if let Some(known) = self.limits.get_mut(&item.process) {
+                known.told_at = now;
+            }
+        }
+        changes
+    }
+
+    /// Returns whether there is news to send.
+    pub fn has_news(&self) -> bool {
+        !self.outbox.is_empty()
+    }
+
+    /// Returns the next message.
+    pub fn next_news(&mut self, now: Instant) -> Vec<LimitNews> {
+        let processes = self.outbox.take().into_iter();
+        processes
+            .filter_map(|process| self.news(process, now))
+            .collect()
+    }
+
+    /// Returns all limits, as messages.
+    pub fn all_news(&self, now: Instant) -> Vec<Vec<LimitNews>> {
+        let limited = self.limits.iter().filter(|(_, known)| known.rate.is_some());
+        let news: Vec<LimitNews> = limited
+            .filter_map(|(process, _)| self.news(*process, now))
+            .collect();
+        let messages = news.chunks(ITEMS_PER_MESSAGE_MAX);
+        messages.map(<[LimitNews]>::to_vec).collect()
+    }
+
+    /// Returns what is known of one process, for a message.
+    pub fn news(&self, process: ProcessHash, now: Instant) -> Option<LimitNews> {
+        let known = self.limits.get(&process)?;
+        let age = now.saturating_sub(known.stated_at);
+        Some(LimitNews {
+            process,
+            rate: known.rate,
+            age_ms: age.as_millis() as u32,
+        })
     }
 
     /// Returns the limit of a process.
@@ -78,6 +150,32 @@
         self.limits.get(&process)?.rate
     }
 
+    /// Returns the time before which this VM gets no permit for a process, if it is not over.
+    pub fn waits_until(&self, process: ProcessHash, now: Instant) -> Option<Instant> {
+        let known = self.limits.get(&process)?;
+        (known.rate.is_some() && now < known.wait_until).then_some(known.wait_until)
+    }
+
+    /// Sets the time before which no permit for a process is requested.
+    pub fn set_wait(&mut self, process: ProcessHash, until: Instant) {
+        if let Some(known) = self.limits.get_mut(&process) {
+            known.wait_until = until;
+        }
+    }
+
+    /// Records that a request passed over a process that waits for a permit.
+    pub fn record_held_back(&mut self, process: ProcessHash) {
+        if let Some(known) = self.limits.get_mut(&process) {
+            known.is_held_back = true;
+        }
+    }
+
+    /// Returns whether a request passed over a process since this was last called.
+    pub fn take_held_back(&mut self, process: ProcessHash) -> bool {
+        let known = self.limits.get_mut(&process);
+        known.is_some_and(|known| std::mem::take(&mut known.is_held_back))
+    }
+
     /// Returns the number of processes with a limit.
     pub fn limited_count(&self) -> usize {
         let limits = self.limits.values();
@@ -93,6 +191,31 @@
     pub fn retain(&mut self, is_listed: impl Fn(ProcessHash) -> bool) {
         self.limits.retain(|process, _| is_listed(*process));
     }
+
+    fn set(
+        &mut self,
+        process: ProcessHash,
+        rate: Option<RequestRate>,
+        stated_at: Instant,
+    ) -> Option<LimitChange> {
+        let known = self.limits.entry(process).or_insert(KnownLimit {
+            rate: None,
+            stated_at,
+            told_at: Instant::ZERO,
+            wait_until: Instant::ZERO,
+            is_held_back: false,
+        });
+        let earlier = std::mem::replace(&mut known.rate, rate);
+        known.stated_at = stated_at;
+        (rate != earlier).then_some(LimitChange { process, rate })
+    }
+
+    fn tell(&mut self, process: ProcessHash, now: Instant) {
+        if let Some(known) = self.limits.get_mut(&process) {
+            known.told_at = now;
+        }
+        self.outbox.push(process);
+    }
 }
 
 /// Returns the time since a limit was last named from which a response without it ends it.
--- a/src/gateway/zone_roles.rs
+++ b/src/gateway/zone_roles.rs
@@ -82,6 +82,25 @@
         }
     }
 
+    /// Returns the receivers of news: the representative tells its VMs and the other zones what it
+    /// had not known, another VM of a large zone only the hubs, so that the messages grow with the
+    /// number of VMs.
+    pub fn news_receivers(
+        &self,
+        own_address: SocketAddr,
+        round: u64,
+        now: Instant,
+    ) -> Vec<SocketAddr> {
+        match self.is_zone_representative(now) {
+            true => {
+                let mut addresses = self.zone_addresses(own_address);
+                addresses.extend(self.other_zone_addresses(round as usize));
+                addresses
+            }
+            false => self.heartbeat_targets(own_address, round, now).every_round,
+        }
+    }
+
     /// Returns whether this VM is the representative of its zone.
     pub fn is_zone_representative(&self, now: Instant) -> bool {
         let mut fresh = self.fresh_in_zone(now).peekable();
