refactor(gateway): one folder for the guard against requests that crash engines

They make a folder whose mod.rs says what it promises; the hash of a process lifetime, which limits need too, has a file of its own, and what knows the gateway is not re-exported, so that decisions do not join an import circle. Moves only; the tests of the pure part pass unchanged.

--- a/src/gateway/announcements.rs
+++ b/src/gateway/announcements.rs
@@ -6,10 +6,10 @@
 use http::StatusCode;
 use rand::Rng;
 
-use super::crash_watch::hash_process;
 use super::event_log::LogEvent;
 use super::placement_request::PlacementRequest;
 use super::platform_api::ResponseHead;
+use super::process_hash::hash_process;
 use super::state::{Gateway, GatewayState};
 use super::upstream_registry::{Upstream, UpstreamInstance};
 use crate::clock::Instant;
--- a/src/gateway/crash_check.rs
+++ b/src/gateway/crash_guard/check.rs
@@ -7,13 +7,14 @@
 
 use tokio::net::TcpStream;
 
-use super::attempt_failure::AttemptFailure;
-use super::crash_watch::{BrokenConnection, hash_process};
-use super::dispatch::DispatchedRequest;
-use super::event_log::LogEvent;
-use super::request::AdmittedRequest;
-use super::state::Gateway;
-use super::upstream_registry::UpstreamInstance;
+use super::watch::BrokenConnection;
+use crate::gateway::attempt_failure::AttemptFailure;
+use crate::gateway::dispatch::DispatchedRequest;
+use crate::gateway::event_log::LogEvent;
+use crate::gateway::process_hash::hash_process;
+use crate::gateway::request::AdmittedRequest;
+use crate::gateway::state::Gateway;
+use crate::gateway::upstream_registry::UpstreamInstance;
 
 /// Timeout of a check; a path that is cut answers nothing.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(300);
@@ -22,7 +23,7 @@
     /// Checks whether an engine has crashed, after the connection of this request to it broke.
     ///
     /// One check serves all requests that were at the engine.
-    pub(super) fn check_crash(&self, dispatched: &DispatchedRequest) {
+    pub(in crate::gateway) fn check_crash(&self, dispatched: &DispatchedRequest) {
         let (instance, address) = (&dispatched.instance, dispatched.address);
         // A process that leaves may end with streams unfinished.
         if !self.is_in_service(dispatched) {
@@ -56,7 +57,7 @@
     ///
     /// Returns the failure of the attempt if nothing listens at the engine's address although the
     /// engine is in service.
-    pub(super) async fn check_end_by_close(
+    pub(in crate::gateway) async fn check_end_by_close(
         &self,
         dispatched: &DispatchedRequest,
     ) -> Result<(), AttemptFailure> {
@@ -80,7 +81,7 @@
     }
 
     /// Records that the request ran to its end at an engine.
-    pub(super) fn record_end(&self, dispatched: &DispatchedRequest) {
+    pub(in crate::gateway) fn record_end(&self, dispatched: &DispatchedRequest) {
         let process = hash_process(&dispatched.instance);
         let now = self.gateway.now();
         let parts = &self.placement_request.shared_parts;
--- a/src/gateway/crash_evidence.rs
+++ b/src/gateway/crash_guard/evidence.rs
@@ -8,9 +8,9 @@
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::time::Duration;
 
-use super::crash_watch::ProcessHash;
-use super::prompt::PartHash;
 use crate::clock::Instant;
+use crate::gateway::process_hash::ProcessHash;
+use crate::gateway::prompt::PartHash;
 use crate::route::GenerationalMap;
 
 /// Thresholds of [`CrashEvidence`].
--- a/src/gateway/crash_gossip.rs
+++ b/src/gateway/crash_guard/gossip.rs
@@ -5,16 +5,16 @@
 
 use tokio::net::UdpSocket;
 
-use super::crash_news::CrashNews;
-use super::datagram::{Message, send_to_all};
-use super::quarantine_check::QuarantineSource;
-use super::state::Gateway;
+use super::news::CrashNews;
+use super::quarantine::QuarantineSource;
+use crate::gateway::datagram::{Message, send_to_all};
+use crate::gateway::state::Gateway;
 
 /// One in this many heartbeats of a representative repeats the states of all held parts.
 const RECORDS_EVERY_HEARTBEATS: u64 = 10;
 
 /// Sends the news that wait, with a heartbeat.
-pub(super) fn send_crash_news(gateway: &Gateway, socket: &UdpSocket, sequence: u64) {
+pub(in crate::gateway) fn send_crash_news(gateway: &Gateway, socket: &UdpSocket, sequence: u64) {
     let now = gateway.now();
     let own_address = gateway.settings.peer_address;
     let mut state = gateway.state();
@@ -32,7 +32,11 @@
 }
 
 /// Sends the states of all held parts to a VM that has started.
-pub(super) fn send_all_records(gateway: &Gateway, socket: &UdpSocket, address: SocketAddr) {
+pub(in crate::gateway) fn send_all_records(
+    gateway: &Gateway,
+    socket: &UdpSocket,
+    address: SocketAddr,
+) {
     let messages = gateway.state().crash_guard.all_records(gateway.now());
     for news in messages {
         send_news(gateway, socket, news, &[address]);
@@ -48,7 +52,7 @@
 
 impl Gateway {
     /// Applies news of another VM.
-    pub(super) fn apply_crash_news(self: &Arc<Self>, news: &CrashNews) {
+    pub(in crate::gateway) fn apply_crash_news(self: &Arc<Self>, news: &CrashNews) {
         let now = self.now();
         let mut state = self.state();
         let forwards = state.peers.is_zone_representative(now);
--- a/src/gateway/crash_guard.rs
+++ b/src/gateway/crash_guard/guard.rs
@@ -4,12 +4,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::crash_evidence::{Conclusion, CrashEvidence, Strike};
-use super::crash_news::{CrashNews, Outbox, RECORDS_PER_MESSAGE_MAX};
-use super::crash_watch::{BrokenConnection, CrashWatch, ProcessHash};
-use super::prompt::PartHash;
+use super::evidence::{Conclusion, CrashEvidence, Strike};
+use super::news::{CrashNews, Outbox, RECORDS_PER_MESSAGE_MAX};
 use super::quarantine::{Quarantine, QuarantineRecord, QuarantineVerdict};
+use super::watch::{BrokenConnection, CrashWatch};
 use crate::clock::Instant;
+use crate::gateway::process_hash::ProcessHash;
+use crate::gateway::prompt::PartHash;
 
 /// Maximum number of identifiers of suspected parts that are kept for the log.
 const PART_IDS_MAX: usize = 4_096;
--- /dev/null
+++ b/src/gateway/crash_guard/mod.rs
@@ -0,0 +1,26 @@
+//! Keeps requests that crash engines from further engines.
+//!
+//! A crash is a strike against what the requests at the engine had in common with those at other
+//! crashes. VMs exchange strikes and complete answers, conclude what crashes engines, and refuse
+//! requests with it. Single requests, permitted by one VM for the fleet, try whether it still does.
+//! What is held is kept in the platform's store and outlasts all VMs.
+//!
+//! [`CrashGuard`] and what it consists of perform no I/O, and the time is passed in.
+
+mod check;
+mod evidence;
+pub(in crate::gateway) mod gossip;
+mod guard;
+mod news;
+mod quarantine;
+pub(in crate::gateway) mod quarantine_check;
+pub(in crate::gateway) mod quarantine_task;
+mod watch;
+
+pub use evidence::{Conclusion, CrashEvidence, CrashEvidenceSettings, CrashThresholds, Strike};
+pub use guard::{CrashGuard, QuarantineChange};
+pub use news::{AnswerNews, CrashNews, StrikeNews};
+pub use quarantine::{
+    Quarantine, QuarantineRecord, QuarantineSettings, QuarantineSource, QuarantineVerdict,
+};
+pub use watch::{BrokenConnection, CrashWatch};
--- a/src/gateway/crash_news.rs
+++ b/src/gateway/crash_guard/news.rs
@@ -4,11 +4,11 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::crash_evidence::Strike;
-use super::crash_watch::ProcessHash;
-use super::prompt::PartHash;
+use super::evidence::Strike;
 use super::quarantine::{Quarantine, QuarantineRecord};
 use crate::clock::Instant;
+use crate::gateway::process_hash::ProcessHash;
+use crate::gateway::prompt::PartHash;
 
 /// Number of messages in which an item is repeated, as datagrams may be lost.
 const REPEATS: u32 = 3;
@@ -17,7 +17,7 @@
 /// Maximum number of answers in one message.
 const ANSWERS_PER_MESSAGE_MAX: usize = 64;
 /// Maximum number of records in one message.
-pub(super) const RECORDS_PER_MESSAGE_MAX: usize = 16;
+pub(in crate::gateway) const RECORDS_PER_MESSAGE_MAX: usize = 16;
 /// Maximum number of items of one kind that wait; the oldest are dropped.
 const WAITING_MAX: usize = 2_000;
 
@@ -69,39 +69,43 @@
 
 /// News that is to be sent.
 #[derive(Debug, Default)]
-pub(super) struct Outbox {
+pub(in crate::gateway) struct Outbox {
     strikes: Waiting<Strike>,
     answers: Waiting<(PartHash, Instant)>,
     records: Waiting<PartHash>,
 }
 
 impl Outbox {
-    pub(super) fn push_strike(&mut self, strike: Strike) {
+    pub(in crate::gateway) fn push_strike(&mut self, strike: Strike) {
         push_waiting(&mut self.strikes, strike);
     }
 
-    pub(super) fn push_answer(&mut self, part: PartHash, at: Instant) {
+    pub(in crate::gateway) fn push_answer(&mut self, part: PartHash, at: Instant) {
         push_waiting(&mut self.answers, (part, at));
     }
 
-    pub(super) fn push_record(&mut self, part: PartHash) {
+    pub(in crate::gateway) fn push_record(&mut self, part: PartHash) {
         self.records.retain(|(known, _)| *known != part);
         push_waiting(&mut self.records, part);
     }
 
     /// Tells a record once more.
-    pub(super) fn repeat_record(&mut self, part: PartHash) {
+    pub(in crate::gateway) fn repeat_record(&mut self, part: PartHash) {
         if !self.records.iter().any(|(known, _)| *known == part) {
             self.records.push_back((part, 1));
         }
     }
 
-    pub(super) fn is_empty(&self) -> bool {
+    pub(in crate::gateway) fn is_empty(&self) -> bool {
         self.strikes.is_empty() && self.answers.is_empty() && self.records.is_empty()
     }
 
     /// Returns the next message; the items of earlier ones are repeated a few times.
-    pub(super) fn next_news(&mut self, quarantine: &Quarantine, now: Instant) -> CrashNews {
+    pub(in crate::gateway) fn next_news(
+        &mut self,
+        quarantine: &Quarantine,
+        now: Instant,
+    ) -> CrashNews {
         let age_ms = |at: Instant| now.saturating_sub(at).as_millis() as u32;
         let strikes = take_waiting(&mut self.strikes, STRIKES_PER_MESSAGE_MAX);
         let answers = take_waiting(&mut self.answers, ANSWERS_PER_MESSAGE_MAX);
--- a/src/gateway/quarantine.rs
+++ b/src/gateway/crash_guard/quarantine.rs
@@ -9,9 +9,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::crash_evidence::Conclusion;
-use super::prompt::PartHash;
+use super::evidence::Conclusion;
 use crate::clock::Instant;
+use crate::gateway::prompt::PartHash;
 
 /// Times and bounds of a [`Quarantine`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -90,6 +90,28 @@
     Held(PartHash),
 }
 
+/// Where a change of a part's state came from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum QuarantineSource {
+    /// Evidence at this VM.
+    Own,
+    /// News of another VM.
+    Peer,
+    /// Record in the platform's store, or its removal.
+    Store,
+}
+
+impl QuarantineSource {
+    /// Returns the name that is used in log lines.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Own => "own",
+            Self::Peer => "peer",
+            Self::Store => "store",
+        }
+    }
+}
+
 /// Part with its state at this VM.
 #[derive(Debug, Clone)]
 struct Entry {
--- a/src/gateway/quarantine_check.rs
+++ b/src/gateway/crash_guard/quarantine_check.rs
@@ -4,17 +4,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::crash_guard::QuarantineChange;
-use super::crash_watch::hash_process;
-use super::datagram::{Message, send};
-use super::dispatch::DispatchedRequest;
-use super::event_log::LogEvent;
-use super::prompt::PartHash;
-use super::quarantine::{QuarantineRecord, QuarantineVerdict};
-use super::queued_placement::PlacementError;
-use super::request::AdmittedRequest;
-use super::state::Gateway;
+use super::guard::QuarantineChange;
+use super::quarantine::{QuarantineRecord, QuarantineSource, QuarantineVerdict};
 use crate::clock::Instant;
+use crate::gateway::datagram::{Message, send};
+use crate::gateway::dispatch::DispatchedRequest;
+use crate::gateway::event_log::LogEvent;
+use crate::gateway::process_hash::hash_process;
+use crate::gateway::prompt::PartHash;
+use crate::gateway::queued_placement::PlacementError;
+use crate::gateway::request::AdmittedRequest;
+use crate::gateway::state::Gateway;
 
 /// Timeout of the request for a trial at the VM that permits them.
 const TRIAL_PERMIT_TIMEOUT: Duration = Duration::from_millis(60);
@@ -22,38 +22,16 @@
 /// Time for which a permit is valid, less than the shortest wait before the next trial.
 const TRIAL_VALIDITY: Duration = Duration::from_secs(2);
 
-/// Where a change of a part's state came from.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum QuarantineSource {
-    /// Evidence at this VM.
-    Own,
-    /// News of another VM.
-    Peer,
-    /// Record in the platform's store, or its removal.
-    Store,
-}
-
-impl QuarantineSource {
-    /// Returns the name that is used in log lines.
-    fn name(self) -> &'static str {
-        match self {
-            Self::Own => "own",
-            Self::Peer => "peer",
-            Self::Store => "store",
-        }
-    }
-}
-
 /// Permit to send one request as the trial of a held part, returned on drop unless it was sent.
 #[derive(Debug)]
-pub(super) struct TrialPermit {
+pub(in crate::gateway) struct TrialPermit {
     gateway: Arc<Gateway>,
     part: PartHash,
     /// Round that began with the permit.
     round: u32,
     valid_until: Instant,
     /// Whether an engine may have the request.
-    pub(super) is_sent: bool,
+    pub(in crate::gateway) is_sent: bool,
 }
 
 impl Drop for TrialPermit {
@@ -66,7 +44,7 @@
 
 impl AdmittedRequest {
     /// Obtains a permit for a trial if one of the request's parts is held and due for it.
-    pub(super) async fn try_trial(&mut self) {
+    pub(in crate::gateway) async fn try_trial(&mut self) {
         let parts = &self.placement_request.shared_parts;
         let (gateway, now) = (&self.gateway, self.gateway.now());
         let verdict = gateway.state().crash_guard.verdict(parts, now);
@@ -90,7 +68,10 @@
     ///
     /// Returns [`PlacementError::Quarantined`] if one is, unless the request is the trial of it and
     /// has not run.
-    pub(super) fn check_quarantine(&self, earlier_runs: u32) -> Result<(), PlacementError> {
+    pub(in crate::gateway) fn check_quarantine(
+        &self,
+        earlier_runs: u32,
+    ) -> Result<(), PlacementError> {
         let parts = &self.placement_request.shared_parts;
         let (gateway, now) = (&self.gateway, self.gateway.now());
         let verdict = gateway.state().crash_guard.verdict(parts, now);
@@ -107,7 +88,7 @@
     }
 
     /// Returns whether the request may crash another engine after its attempt at one broke.
-    pub(super) fn is_suspected(&self, dispatched: &DispatchedRequest) -> bool {
+    pub(in crate::gateway) fn is_suspected(&self, dispatched: &DispatchedRequest) -> bool {
         let parts = &self.placement_request.shared_parts;
         let process = hash_process(&dispatched.instance);
         let state = self.gateway.state();
@@ -117,7 +98,7 @@
 
 impl Gateway {
     /// Logs changes of the states of parts and counts them.
-    pub(super) fn record_quarantine_changes(
+    pub(in crate::gateway) fn record_quarantine_changes(
         &self,
         changes: &[QuarantineChange],
         source: QuarantineSource,
@@ -172,7 +153,7 @@
     }
 
     /// Handles the request of another VM for a trial and sends the reply.
-    pub(super) fn handle_trial_request(
+    pub(in crate::gateway) fn handle_trial_request(
         &self,
         id: u64,
         part: PartHash,
@@ -200,7 +181,7 @@
     }
 
     /// Makes another trial of a part due, as the one of this round reached no engine.
-    pub(super) fn return_trial(&self, part: PartHash, round: u32) {
+    pub(in crate::gateway) fn return_trial(&self, part: PartHash, round: u32) {
         let now = self.now();
         let returned = self.state().crash_guard.return_trial(part, round, now);
         self.record_trial_change(returned);
--- a/src/gateway/quarantine_task.rs
+++ b/src/gateway/crash_guard/quarantine_task.rs
@@ -5,12 +5,11 @@
 
 use rand::Rng;
 
-use super::event_log::LogEvent;
-use super::platform_api::StoreCallFailure;
-use super::quarantine::QuarantineRecord;
-use super::quarantine_check::QuarantineSource;
-use super::state::Gateway;
+use super::quarantine::{QuarantineRecord, QuarantineSource};
 use crate::clock::Instant;
+use crate::gateway::event_log::LogEvent;
+use crate::gateway::platform_api::StoreCallFailure;
+use crate::gateway::state::Gateway;
 use crate::ids::StoreEra;
 
 /// Interval at which a VM checks whether it is the representative of its zone.
@@ -30,7 +29,7 @@
 }
 
 /// Reads and writes the states of held parts while this VM represents its zone, until dropped.
-pub(super) async fn maintain_quarantine(gateway: Arc<Gateway>) {
+pub(in crate::gateway) async fn maintain_quarantine(gateway: Arc<Gateway>) {
     let mut stored = StoredRecords::default();
     loop {
         let now = gateway.now();
--- a/src/gateway/crash_watch.rs
+++ b/src/gateway/crash_guard/watch.rs
@@ -7,14 +7,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use xxhash_rust::xxh3::xxh3_64_with_seed;
-
-use super::prompt::PartHash;
-use super::upstream_registry::UpstreamInstance;
 use crate::clock::Instant;
-
-/// Hash that identifies one process lifetime of an engine at all VMs.
-pub type ProcessHash = u64;
+use crate::gateway::process_hash::ProcessHash;
+use crate::gateway::prompt::PartHash;
 
 /// Time for which broken connections of a process, and its crash, are remembered.
 const PROCESS_MEMORY: Duration = Duration::from_secs(10);
@@ -24,11 +19,6 @@
 /// Maximum number of ended runs that are watched.
 const ENDED_RUNS_MAX: usize = 4_096;
 
-/// Returns the hash of a process lifetime.
-pub fn hash_process(instance: &UpstreamInstance) -> ProcessHash {
-    xxh3_64_with_seed(instance.id.as_bytes(), instance.born_ms)
-}
-
 /// Parts of one request's prompt.
 type Parts = Arc<[PartHash]>;
 
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -12,14 +12,13 @@
 use tokio::sync::{Mutex, watch};
 use tokio::task::JoinSet;
 
+use super::crash_guard::quarantine_task::maintain_quarantine;
 use super::event_log::{EventLog, LogEvent};
 use super::platform_api::{Platform, TrackedKind};
 use super::settings::GatewaySettings;
 use super::shutdown::ShutdownPlan;
 use super::state::Gateway;
-use super::{
-    catch_up, gossip, lease_task, membership, quarantine_task, rollout_task, server, store_watch,
-};
+use super::{catch_up, gossip, lease_task, membership, rollout_task, server, store_watch};
 use crate::clock::SystemClock;
 use crate::daemon::{SharedListener, run_until_stopped, wait_for_stop_signal};
 use crate::entry::stop_listening;
@@ -191,7 +190,7 @@
         })
         .child("quarantine", ChildSettings::default(), move |stop| {
             let gateway = quarantine_gateway.clone();
-            run_until_stopped(quarantine_task::maintain_quarantine(gateway), stop)
+            run_until_stopped(maintain_quarantine(gateway), stop)
         })
         .child("beats_in", ChildSettings::default(), move |stop| {
             let receive =
--- a/src/gateway/datagram.rs
+++ b/src/gateway/datagram.rs
@@ -6,10 +6,10 @@
 use tokio::net::UdpSocket;
 
 use super::charge::{ChargeRequest, ChargeResponse};
-use super::crash_news::CrashNews;
-use super::crash_watch::ProcessHash;
+use super::crash_guard::CrashNews;
 use super::event_log::LogEvent;
 use super::heartbeat::Heartbeat;
+use super::process_hash::ProcessHash;
 use super::prompt::PartHash;
 use super::state::Gateway;
 use super::upstream_limit::{LimitNews, PermitCall, PermitReply};
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -7,13 +7,13 @@
 
 use tokio::net::UdpSocket;
 
-use super::crash_gossip::{send_all_records, send_crash_news};
+use super::crash_guard::gossip::{send_all_records, send_crash_news};
 use super::datagram::{DATAGRAM_MAX_BYTES, Message, send_to_all};
 use super::event_log::LogEvent;
 use super::heartbeat::{CompactLoad, Heartbeat, HeartbeatScope, StoreRevisions};
 use super::name_hash::hash_name;
 use super::state::{Gateway, GatewayState};
-use super::upstream_limit::{send_all_limits, send_limit_news};
+use super::upstream_limit::permit_exchange::{send_all_limits, send_limit_news};
 use super::zone_roles::HeartbeatTargets;
 use crate::clock::Instant;
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -16,12 +16,7 @@
 mod charge;
 mod connection_headers;
 mod coordinator_term;
-mod crash_check;
-mod crash_evidence;
-mod crash_gossip;
 mod crash_guard;
-mod crash_news;
-mod crash_watch;
 mod daemon;
 mod datagram;
 mod dispatch;
@@ -52,10 +47,8 @@
 mod platform_api;
 mod pool;
 mod prefix_cache_index;
+mod process_hash;
 mod prompt;
-mod quarantine;
-mod quarantine_check;
-mod quarantine_task;
 mod queued_placement;
 mod request;
 mod request_log;
@@ -91,12 +84,11 @@
 pub use allowance::{AllowanceExceeded, AllowanceSettings, Allowances, VmGroup};
 pub use cache_retention::{CacheRetention, is_store_likelier};
 pub use coordinator_term::CoordinatorTerm;
-pub use crash_evidence::{
-    Conclusion, CrashEvidence, CrashEvidenceSettings, CrashThresholds, Strike,
+pub use crash_guard::{
+    AnswerNews, BrokenConnection, Conclusion, CrashEvidence, CrashEvidenceSettings, CrashGuard,
+    CrashNews, CrashThresholds, CrashWatch, Quarantine, QuarantineChange, QuarantineRecord,
+    QuarantineSettings, QuarantineSource, QuarantineVerdict, Strike, StrikeNews,
 };
-pub use crash_guard::{CrashGuard, QuarantineChange};
-pub use crash_news::{AnswerNews, CrashNews, StrikeNews};
-pub use crash_watch::{BrokenConnection, CrashWatch, ProcessHash, hash_process};
 pub use daemon::{GatewayError, GatewayProcess};
 pub use event_log::EventLog;
 pub use event_splitter::{EventSplitter, SplitError};
@@ -121,8 +113,8 @@
     WriteResult,
 };
 pub use prefix_cache_index::{CachedPrefix, PrefixCacheIndex, PrefixHolder};
+pub use process_hash::{ProcessHash, hash_process};
 pub use prompt::{PartHash, Prompt, PromptPart, hash_part};
-pub use quarantine::{Quarantine, QuarantineRecord, QuarantineSettings, QuarantineVerdict};
 pub use request_queue::{QueueSettings, QueuedRequest, RequestQueue, Ticket};
 pub use response_memory::{ResponseMemory, ResponseMemoryExhausted, ResponseShare};
 pub use retry_budgets::{RetryBudgetBounds, RetryBudgets};
--- a/src/gateway/platform_api.rs
+++ b/src/gateway/platform_api.rs
@@ -11,9 +11,9 @@
 use http_body_util::Full;
 use serde::{Deserialize, Serialize};
 
+use super::crash_guard::QuarantineRecord;
 use super::model::{Member, RoutingConfig, TargetWeights, UpstreamEntry, WeightNumber};
 use super::prompt::{PartHash, Prompt};
-use super::quarantine::QuarantineRecord;
 use super::upstream_limit::AnnouncedLimit;
 use crate::ids::{FencingNumber, ModelId, ObjectVersion, RequestId, StoreEra, UpstreamId, VmId};
 use crate::steward::{LeaseObject, LeaseRecord};
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -9,13 +9,13 @@
 
 use super::admit::admit;
 use super::attempt_failure::{AttemptFailure, FailureCause};
+use super::crash_guard::quarantine_check::TrialPermit;
 use super::dispatch::DispatchedRequest;
 use super::event_log::LogEvent;
 use super::model::{Customer, Route, RouteKind};
 use super::placement_request::PlacementRequest;
 use super::platform_api::RequestHead;
 use super::prompt::{PartHash, hash_part};
-use super::quarantine_check::TrialPermit;
 use super::queued_placement::PlacementError;
 use super::request_queue::QueuedRequest;
 use super::response::{draining_refusal, retryable_refusal};
--- a/src/gateway/upstream_limit/accounts.rs
+++ b/src/gateway/upstream_limit/accounts.rs
@@ -10,8 +10,8 @@
 use super::announced::RequestRate;
 use crate::clock::Instant;
 use crate::gateway::allowance::{VmGroup, share};
-use crate::gateway::crash_watch::ProcessHash;
 use crate::gateway::name_hash::hash_name;
+use crate::gateway::process_hash::ProcessHash;
 
 /// Averaging window of the demand for an upstream.
 const DEMAND_WINDOW: Duration = Duration::from_secs(2);
--- a/src/gateway/upstream_limit/limits.rs
+++ b/src/gateway/upstream_limit/limits.rs
@@ -6,7 +6,7 @@
 use super::announced::{AnnouncedLimit, RequestRate};
 use super::news::{ITEMS_PER_MESSAGE_MAX, LimitNews, Outbox};
 use crate::clock::Instant;
-use crate::gateway::crash_watch::ProcessHash;
+use crate::gateway::process_hash::ProcessHash;
 
 /// Minimum time since a limit was last named from which a response that names none ends it.
 const END_DELAY_MIN: Duration = Duration::from_secs(1);
--- a/src/gateway/upstream_limit/mod.rs
+++ b/src/gateway/upstream_limit/mod.rs
@@ -12,11 +12,11 @@
 mod announced;
 mod limits;
 mod news;
-mod permit_exchange;
+pub(super) mod permit_exchange;
 mod placing;
 
 pub use accounts::{PermitAccounts, PermitDecision, PermitRequest};
 pub use announced::{AnnouncedLimit, RequestRate};
 pub use limits::{LimitChange, UpstreamLimits};
 pub use news::LimitNews;
-pub(super) use permit_exchange::{PermitCall, PermitReply, send_all_limits, send_limit_news};
+pub(super) use news::{PermitCall, PermitReply};
--- a/src/gateway/upstream_limit/news.rs
+++ b/src/gateway/upstream_limit/news.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::announced::RequestRate;
-use crate::gateway::crash_watch::ProcessHash;
+use crate::gateway::process_hash::ProcessHash;
 
 /// Number of messages in which an item is repeated, as datagrams may be lost.
 const REPEATS: u32 = 2;
@@ -24,6 +24,25 @@
     pub age_ms: u32,
 }
 
+/// Request for a permit to the VM that keeps an upstream's account.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub(in crate::gateway) struct PermitCall {
+    pub(in crate::gateway) id: u64,
+    /// What the VM that asks knows of the limit.
+    pub(super) limit: LimitNews,
+    pub(super) is_held_back: bool,
+}
+
+/// Reply to a [`PermitCall`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub(in crate::gateway) struct PermitReply {
+    pub(in crate::gateway) id: u64,
+    pub(super) is_granted: bool,
+    pub(super) wait_ms: u32,
+}
+
 /// Processes whose limits are to be told, with the number of messages left.
 #[derive(Debug, Default)]
 pub(super) struct Outbox {
--- a/src/gateway/upstream_limit/permit_exchange.rs
+++ b/src/gateway/upstream_limit/permit_exchange.rs
@@ -7,17 +7,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
 use super::accounts::{PermitDecision, PermitRequest, account_name};
 use super::limits::LimitChange;
-use super::news::LimitNews;
+use super::news::{LimitNews, PermitCall, PermitReply};
 use crate::clock::Instant;
-use crate::gateway::crash_watch::{ProcessHash, hash_process};
 use crate::gateway::datagram::{Message, send, send_to_all};
 use crate::gateway::dispatch::DispatchedRequest;
 use crate::gateway::event_log::LogEvent;
+use crate::gateway::process_hash::{ProcessHash, hash_process};
 use crate::gateway::state::{Gateway, GatewayState};
 use crate::gateway::upstream_registry::UpstreamInstance;
 
@@ -28,25 +27,6 @@
 /// Time after which a permit is requested again if no VM keeps the account.
 const NO_KEEPER_WAIT: Duration = Duration::from_millis(200);
 
-/// Request for a permit to the VM that keeps an upstream's account.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
-pub(in crate::gateway) struct PermitCall {
-    id: u64,
-    /// What the VM that asks knows of the limit.
-    limit: LimitNews,
-    is_held_back: bool,
-}
-
-/// Reply to a [`PermitCall`].
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
-pub(in crate::gateway) struct PermitReply {
-    pub(in crate::gateway) id: u64,
-    is_granted: bool,
-    wait_ms: u32,
-}
-
 /// Sends the news that wait, with a heartbeat.
 pub(in crate::gateway) fn send_limit_news(gateway: &Gateway, socket: &UdpSocket, sequence: u64) {
     let now = gateway.now();
