feat(gateway): tell copies of a request in the log

Nothing told that two requests are copies, so that engines which one request crashes looked like engines that fall under load. Lines of failed attempts bear a hash of method, host, path, query, customer and body, equal for copies; the identifier, the deadline and what a caller claims of itself are left out. No decision depends on it yet.

--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -3,7 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use http::uri::PathAndQuery;
+
 use super::allowance::AllowanceExceeded;
+use super::crash_guard::RequestContent;
 use super::event_log::LogEvent;
 use super::model::{CostUnit, Customer, Route};
 use super::placement_request::PlacementRequest;
@@ -93,6 +96,14 @@
     };
     let id = head.id.clone().unwrap_or_default();
     gateway.event_log.log_request(&id, &event);
+    let target = received.uri.path_and_query();
+    let content = RequestContent {
+        method: &received.method,
+        host,
+        target: target.map_or("/", PathAndQuery::as_str),
+        customer: customer.as_ref().map(|customer| customer.id.as_str()),
+        body: &body,
+    };
     let isolated = customer.as_ref().filter(|customer| customer.is_isolated);
     let placement_request = PlacementRequest {
         shared_parts: prompt
@@ -100,6 +111,7 @@
             .map(|prompt| prompt.shared_part_hashes())
             .unwrap_or_default(),
         prompt,
+        fingerprint: content.fingerprint(),
         isolated_customer: isolated.map(|customer| customer.id.clone()),
         objective: route.objective,
         wait_objective: table.shortest_objective(&service, &route),
--- /dev/null
+++ b/src/gateway/crash_guard/fingerprint.rs
@@ -0,0 +1,45 @@
+//! Fingerprints by which copies of a request are recognised.
+
+use std::hash::Hasher;
+
+use http::Method;
+use xxhash_rust::xxh3::Xxh3;
+
+/// Hash that identifies copies of a request.
+pub type Fingerprint = u64;
+
+/// Content of a request that copies of it share; their identifiers, deadlines and connections
+/// differ.
+#[derive(Debug, Clone, Copy)]
+pub struct RequestContent<'a> {
+    /// Method.
+    pub method: &'a Method,
+    /// Host that the request is for.
+    pub host: &'a str,
+    /// Path and query.
+    pub target: &'a str,
+    /// Customer whose key the request carries; `None` if it needs no key.
+    pub customer: Option<&'a str>,
+    /// Whole body.
+    pub body: &'a [u8],
+}
+
+impl RequestContent<'_> {
+    /// Returns the fingerprint of the request.
+    pub fn fingerprint(&self) -> Fingerprint {
+        let mut hasher = Xxh3::new();
+        let fields = [
+            self.method.as_str(),
+            self.host,
+            self.target,
+            self.customer.unwrap_or_default(),
+        ];
+        for field in fields {
+            hasher.write(field.as_bytes());
+            hasher.write_u8(0);
+        }
+        hasher.write_u8(u8::from(self.customer.is_some()));
+        hasher.write(self.body);
+        hasher.finish()
+    }
+}
--- a/src/gateway/crash_guard/mod.rs
+++ b/src/gateway/crash_guard/mod.rs
@@ -9,6 +9,7 @@
 
 mod check;
 mod evidence;
+mod fingerprint;
 pub(in crate::gateway) mod gossip;
 mod guard;
 mod news;
@@ -18,6 +19,7 @@
 mod watch;
 
 pub use evidence::{Conclusion, CrashEvidence, CrashEvidenceSettings, CrashThresholds, Strike};
+pub use fingerprint::{Fingerprint, RequestContent};
 pub use guard::{CrashGuard, QuarantineChange};
 pub use news::{AnswerNews, CrashNews, StrikeNews};
 pub use quarantine::{
--- a/src/gateway/log_event.rs
+++ b/src/gateway/log_event.rs
@@ -190,6 +190,8 @@
         after_ms: u64,
         /// Parts of the prompt that other prompts may share.
         parts: Option<String>,
+        /// Equal for copies of the request.
+        fingerprint: String,
         /// Time since the process was requested to stop.
         stopping_ms: Option<u64>,
     },
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -86,8 +86,9 @@
 pub use coordinator_term::CoordinatorTerm;
 pub use crash_guard::{
     AnswerNews, BrokenConnection, Conclusion, CrashEvidence, CrashEvidenceSettings, CrashGuard,
-    CrashNews, CrashThresholds, CrashWatch, Quarantine, QuarantineChange, QuarantineRecord,
-    QuarantineSettings, QuarantineSource, QuarantineVerdict, Strike, StrikeNews,
+    CrashNews, CrashThresholds, CrashWatch, Fingerprint, Quarantine, QuarantineChange,
+    QuarantineRecord, QuarantineSettings, QuarantineSource, QuarantineVerdict, RequestContent,
+    Strike, StrikeNews,
 };
 pub use daemon::{GatewayError, GatewayProcess};
 pub use event_log::EventLog;
--- a/src/gateway/placement_request.rs
+++ b/src/gateway/placement_request.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::crash_guard::Fingerprint;
 use super::model::ServiceId;
 use super::prompt::{PartHash, Prompt};
 use crate::ids::UpstreamId;
@@ -14,6 +15,8 @@
     pub(super) prompt: Option<Arc<Prompt>>,
     /// Parts of the prompt that other prompts may share.
     pub(super) shared_parts: Arc<[PartHash]>,
+    /// Equal for copies of the request.
+    pub(super) fingerprint: Fingerprint,
     /// Customer whose cached prompts are not shared with other customers.
     pub(super) isolated_customer: Option<String>,
     /// Target time to the first event.
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -264,6 +264,7 @@
                     .prompt
                     .as_ref()
                     .map(|_| self.shared_part_ids().collect::<Vec<_>>().join(",")),
+                fingerprint: format!("{:016x}", self.placement_request.fingerprint),
                 stopping_ms: self.gateway.stopping_ms(),
             },
         );
--- a/tests/gateway_pure/main.rs
+++ b/tests/gateway_pure/main.rs
@@ -4,6 +4,7 @@
 mod allowances;
 mod budgets;
 mod crashes;
+mod fingerprints;
 mod holdings;
 mod memory;
 mod mirrors;
