fix(gateway): hold no part for engines that fall together

Callers of a sound document were refused for four seconds or more after a rack or a release took down all engines a few times: one of 40 documents was at one engine of six each time, and no answer to it came in between.

Cause: an event counted against a part if the part was at one of the engines that fell; that the others fell without it counted for nothing.

--- a/src/gateway/crash_guard/evidence.rs
+++ b/src/gateway/crash_guard/evidence.rs
@@ -3,7 +3,8 @@
 //! Each crash is a group test: one of the parts that were at the engine may have caused it. A part
 //! that a completed answer contains is harmless, whatever it was beside. Of the others, a part is
 //! concluded to crash engines once it was at several crashes and no answer to it came since. A crash
-//! that a concluded part explains says nothing about the parts beside it.
+//! that a concluded part explains says nothing about the parts beside it. Neither do crashes of
+//! several engines at once, unless the part was at nearly all of them: their cause is elsewhere.
 
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::time::Duration;
@@ -84,10 +85,14 @@
     pub is_ambiguous: bool,
 }
 
+/// One in this many crashes may lack a report of a part that was there.
+const ALIKE_DIVISOR: usize = 4;
 /// Maximum number of crashes remembered for one part; more add nothing to the evidence.
 const CRASHES_PER_PART_MAX: usize = 32;
 /// Maximum number of explained crashes that are remembered.
 const EXPLAINED_MAX: usize = 1_024;
+/// Maximum number of crashed processes that are remembered.
+const PROCESSES_MAX: usize = 1_024;
 /// Number of parts with complete answers that are remembered.
 const PROVEN_MAX: usize = 16_384;
 
@@ -96,6 +101,8 @@
 pub struct CrashEvidence {
     settings: CrashEvidenceSettings,
     suspects: HashMap<PartHash, Suspect>,
+    /// Crashes that no concluded part explains, in the order in which they became known.
+    processes: VecDeque<(ProcessHash, Instant)>,
     /// Crashes that a concluded part explains, oldest first.
     explained: VecDeque<ProcessHash>,
     proven: GenerationalMap<()>,
@@ -117,11 +124,25 @@
     }
 
     /// Returns whether the evidence has been sufficient for long enough.
-    fn is_ripe(&self, settings: &CrashEvidenceSettings, now: Instant) -> bool {
+    ///
+    /// `processes` are all crashes that are not explained.
+    fn is_ripe(
+        &self,
+        settings: &CrashEvidenceSettings,
+        processes: &VecDeque<(ProcessHash, Instant)>,
+        now: Instant,
+    ) -> bool {
         let thresholds = self.thresholds(settings);
+        if self.crashes.len() < thresholds.crashes {
+            return false;
+        }
         let mut events = 0;
         let mut event_at = None;
-        for (number, (_, at)) in self.crashes.iter().enumerate() {
+        let alone = self
+            .crashes
+            .iter()
+            .filter(|(_, at)| self.was_at_nearly_all(*at, processes, settings));
+        for (number, (_, at)) in alone.enumerate() {
             let is_separate = |since: Instant| *at >= since + settings.separate_after;
             if event_at.is_none_or(is_separate) {
                 events += 1;
@@ -134,6 +155,22 @@
         false
     }
 
+    /// Returns whether the part was at nearly all engines that crashed together with one of them.
+    fn was_at_nearly_all(
+        &self,
+        crashed_at: Instant,
+        processes: &VecDeque<(ProcessHash, Instant)>,
+        settings: &CrashEvidenceSettings,
+    ) -> bool {
+        let is_together = |at: Instant| at.abs_diff(crashed_at) < settings.separate_after;
+        let together = processes.iter().filter(|(_, at)| is_together(*at));
+        let all = together.clone().count();
+        let own = together
+            .filter(|(process, _)| self.was_at(*process))
+            .count();
+        all - own <= own / ALIKE_DIVISOR
+    }
+
     fn was_at(&self, process: ProcessHash) -> bool {
         self.crashes.iter().any(|(known, _)| *known == process)
     }
@@ -157,6 +194,7 @@
         Self {
             settings,
             suspects: HashMap::new(),
+            processes: VecDeque::new(),
             explained: VecDeque::new(),
             proven: GenerationalMap::new(PROVEN_MAX),
         }
@@ -178,6 +216,7 @@
         if self.explained.contains(&strike.process) {
             return false;
         }
+        self.record_process(strike.process, strike.at);
         let is_proven = strike.is_proven || self.proven.peek(strike.part).is_some();
         if !self.suspects.contains_key(&strike.part) {
             self.make_room();
@@ -220,6 +259,7 @@
             self.explained.pop_front();
         }
         self.explained.push_back(process);
+        self.processes.retain(|(known, _)| *known != process);
         self.suspects.retain(|_, suspect| {
             suspect.crashes.retain(|(known, _)| *known != process);
             !suspect.crashes.is_empty()
@@ -262,7 +302,7 @@
     }
 
     fn ripest_group(&self, now: Instant) -> Option<Vec<PartHash>> {
-        let is_ripe = |suspect: &Suspect| suspect.is_ripe(&self.settings, now);
+        let is_ripe = |suspect: &Suspect| suspect.is_ripe(&self.settings, &self.processes, now);
         let ripe: Vec<_> = self
             .suspects
             .iter()
@@ -274,8 +314,7 @@
         let (_, best) = ripe
             .iter()
             .min_by_key(|(part, suspect)| rank(**part, suspect))?;
-        // A report may be lost.
-        let shared_min = best.crashes.len() - best.crashes.len() / 4;
+        let shared_min = best.crashes.len() - best.crashes.len() / ALIKE_DIVISOR;
         let is_alike = |suspect: &Suspect| {
             suspect.is_proven == best.is_proven && suspect.crashes_shared_with(best) >= shared_min
         };
@@ -286,6 +325,8 @@
     /// Forgets old crashes.
     pub fn sweep(&mut self, now: Instant) {
         let memory = self.settings.memory;
+        self.processes
+            .retain(|(_, at)| now.saturating_sub(*at) < memory);
         self.suspects.retain(|_, suspect| {
             suspect
                 .crashes
@@ -294,6 +335,16 @@
         });
     }
 
+    fn record_process(&mut self, process: ProcessHash, at: Instant) {
+        if self.processes.iter().any(|(known, _)| *known == process) {
+            return;
+        }
+        if self.processes.len() >= PROCESSES_MAX {
+            self.processes.pop_front();
+        }
+        self.processes.push_back((process, at));
+    }
+
     /// Removes an eighth of the suspects if the table is full: those with the fewest crashes, and of
     /// these the oldest.
     fn make_room(&mut self) {
--- a/tests/gateway_pure/quarantines.rs
+++ b/tests/gateway_pure/quarantines.rs
@@ -105,6 +105,24 @@
     );
 }
 
+/// Guards against a document that is refused because a rack or a release takes down the fleet.
+#[test]
+fn a_part_at_some_of_the_engines_that_fall_together_is_not_concluded() {
+    let mut evidence = CrashEvidence::default();
+    for outage in 0..6 {
+        for engine in 0..6 {
+            let (process, ms) = (outage * 10 + engine, outage * 1_800 + engine);
+            let parts: &[u64] = match engine < 2 {
+                true => &[DOCUMENT],
+                false => &[SYSTEM],
+            };
+            strike(&mut evidence, process, ms, parts);
+        }
+    }
+    // At four of six engines, which may not be chance, but is not the cause of all.
+    assert_eq!(concluded(&mut evidence, at(9_000) + SETTLED), [0_u64; 0]);
+}
+
 #[test]
 fn an_answer_after_the_crashes_clears_a_part() {
     let mut evidence = CrashEvidence::default();
