--- a/src/error/code.rs
+++ b/src/error/code.rs
@@ -109,7 +109,7 @@
     IdempotencyUnavailable = 3010, "idempotency_unavailable", SERVICE_UNAVAILABLE, NotRun, "The idempotency key cannot be claimed at present.";
     IdempotencyConflict = 3011, "idempotency_conflict", CONFLICT, Unknown, "The idempotency key was used by an earlier request.";
     UpstreamRejected = 3012, "upstream_rejected", BAD_REQUEST, NotRun, "The upstream rejected the request as invalid.";
-    PromptQuarantined = 3013, "prompt_quarantined", SERVICE_UNAVAILABLE, NotRun, "A part of the prompt crashes the upstreams that run it.";
+    PromptQuarantined = 3013, "prompt_quarantined", SERVICE_UNAVAILABLE, NotRun, "The request, or a part of its prompt, crashes the upstreams that run it.";
     StoreUnreachable = 4001, "store_unreachable", SERVICE_UNAVAILABLE, Unknown, "The platform's store cannot be reached.";
     VersionConflict = 4002, "version_conflict", CONFLICT, NotRun, "The object has another version than expected.";
     WriteUnknown = 4003, "write_unknown", BAD_GATEWAY, Unknown, "It is not known whether the write took effect.";
--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -9,7 +9,7 @@
 use super::crash_guard::RequestContent;
 use super::event_log::LogEvent;
 use super::model::{CostUnit, Customer, Route};
-use super::placement_request::PlacementRequest;
+use super::placement_request::{PlacementRequest, suspects};
 use super::platform_api::RequestHead;
 use super::request::{AdmittedRequest, AttemptProgress, ReceivedRequest};
 use super::response::{draining_refusal, retryable_refusal};
@@ -106,12 +106,8 @@
     };
     let isolated = customer.as_ref().filter(|customer| customer.is_isolated);
     let placement_request = PlacementRequest {
-        shared_parts: prompt
-            .as_ref()
-            .map(|prompt| prompt.shared_part_hashes())
-            .unwrap_or_default(),
+        suspects: suspects(&content, prompt.as_deref()),
         prompt,
-        fingerprint: content.fingerprint(),
         isolated_customer: isolated.map(|customer| customer.id.clone()),
         objective: route.objective,
         wait_objective: table.shortest_objective(&service, &route),
--- a/src/gateway/crash_guard/check.rs
+++ b/src/gateway/crash_guard/check.rs
@@ -7,11 +7,14 @@
 
 use tokio::net::TcpStream;
 
-use super::watch::BrokenConnection;
+use super::quarantine::QuarantineSource;
+use super::suspect::{Suspect, SuspectKind};
+use super::watch::{BrokenConnection, InterruptedRun};
 use crate::gateway::attempt_failure::AttemptFailure;
 use crate::gateway::dispatch::DispatchedRequest;
 use crate::gateway::event_log::LogEvent;
 use crate::gateway::process_hash::hash_process;
+use crate::gateway::prompt::hash_part;
 use crate::gateway::request::AdmittedRequest;
 use crate::gateway::state::Gateway;
 use crate::gateway::upstream_registry::UpstreamInstance;
@@ -32,12 +35,11 @@
         let gateway = &self.gateway;
         let mut state = gateway.state();
         let process = hash_process(instance);
+        let run = self.interrupted_run(dispatched);
         let part_ids = self.shared_part_ids();
-        let shared_parts = &self.placement_request.shared_parts;
-        let broken =
-            state
-                .crash_guard
-                .record_broken(process, shared_parts, part_ids, gateway.now());
+        let part_ids = part_ids.map(|id| (Suspect::Part(hash_part(id)), id));
+        let now = gateway.now();
+        let broken = state.crash_guard.record_broken(process, run, part_ids, now);
         drop(state);
         match broken {
             BrokenConnection::CheckDue => {
@@ -84,9 +86,45 @@
     pub(in crate::gateway) fn record_end(&self, dispatched: &DispatchedRequest) {
         let process = hash_process(&dispatched.instance);
         let now = self.gateway.now();
-        let parts = &self.placement_request.shared_parts;
+        let run = self.interrupted_run(dispatched);
         let mut state = self.gateway.state();
-        state.crash_guard.record_end(process, parts, now);
+        let change = state.crash_guard.record_end(process, &run, now);
+        drop(state);
+        self.gateway
+            .record_quarantine_changes(change.as_slice(), QuarantineSource::Own);
+    }
+
+    /// Returns the fingerprint of the request, for log lines.
+    pub(in crate::gateway) fn fingerprint(&self) -> String {
+        let mut suspects = self.placement_request.suspects.iter();
+        let request = suspects.find(|suspect| suspect.kind() == SuspectKind::Request);
+        format!("{:016x}", request.map_or(0, |request| request.hash()))
+    }
+
+    /// Returns the identifiers of the parts of the prompt that other prompts may share.
+    pub(in crate::gateway) fn shared_part_ids(&self) -> impl Iterator<Item = &str> {
+        let prompt = self.placement_request.prompt.iter();
+        let parts = prompt.flat_map(|prompt| prompt.shared_parts());
+        parts.map(|part| part.id.as_str())
+    }
+
+    /// Returns why the request is refused for what is held.
+    pub(in crate::gateway) fn quarantine_reason(&self, held: Suspect) -> String {
+        match held {
+            Suspect::Request(_) => "copies of the request crash engines".to_owned(),
+            Suspect::Part(part) => {
+                let mut names = self.shared_part_ids();
+                let name = names.find(|id| hash_part(id) == part).unwrap_or("unknown");
+                format!("a part of the prompt crashes engines: {name}")
+            }
+        }
+    }
+
+    fn interrupted_run(&self, dispatched: &DispatchedRequest) -> InterruptedRun {
+        InterruptedRun {
+            suspects: self.placement_request.suspects.clone(),
+            began_at: dispatched.placed_at,
+        }
     }
 }
 
@@ -96,8 +134,7 @@
         if is_listening(address).await {
             return self.state().crash_guard.record_listening(process);
         }
-        let now = self.now();
-        let requests = self.state().crash_guard.record_crash(process, now);
+        let requests = self.state().crash_guard.record_crash(process);
         // The other VMs hear of the crash at once.
         self.heartbeat_due.notify_one();
         self.metrics.count_crash();
--- a/src/gateway/crash_guard/evidence.rs
+++ b/src/gateway/crash_guard/evidence.rs
@@ -1,17 +1,18 @@
-//! Finds the part of their prompts that engines which crashed had in common.
+//! Finds what engines that crashed had in common: parts of prompts, or requests as a whole.
 //!
-//! Each crash is a group test: one of the parts that were at the engine may have caused it. A part
-//! that a completed answer contains is harmless, whatever it was beside. Of the others, a part is
-//! concluded to crash engines once it was at several crashes and no answer to it came since. A crash
-//! that a concluded part explains says nothing about the parts beside it. Neither do crashes of
-//! several engines at once, unless the part was at nearly all of them: their cause is elsewhere.
+//! Each crash is a group test: one of the suspects that were at the engine may have caused it. What
+//! a completed answer contains is harmless, whatever it was beside. Of the others, one is concluded
+//! to crash engines once it was at several crashes and no answer to it came since. A crash that a
+//! concluded suspect explains says nothing about those beside it. Neither do crashes of several
+//! engines at once, unless the suspect was at nearly all of them: their cause is elsewhere.
 
+use std::cmp::Reverse;
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::time::Duration;
 
+use super::suspect::{Suspect, SuspectKind};
 use crate::clock::Instant;
 use crate::gateway::process_hash::ProcessHash;
-use crate::gateway::prompt::PartHash;
 use crate::route::GenerationalMap;
 
 /// Thresholds of [`CrashEvidence`].
@@ -21,39 +22,43 @@
     pub unproven: CrashThresholds,
     /// Thresholds for a part to which answers were complete before.
     pub proven: CrashThresholds,
+    /// Thresholds for a request. Earlier answers to copies count only since the first crash.
+    pub request: CrashThresholds,
     /// Minimum time between two crashes that count as separate events; engines of one rack or host
     /// fail together.
     pub separate_after: Duration,
-    /// Time after which a crash is no longer held against a part.
+    /// Time after which a crash is no longer held against a suspect.
     pub memory: Duration,
-    /// Maximum number of parts under suspicion.
+    /// Maximum number of suspects.
     pub suspects_max: usize,
 }
 
-/// Evidence that is needed against one part.
+/// Evidence that is needed against one suspect.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct CrashThresholds {
     /// Crashes of different processes.
     pub crashes: usize,
     /// Separate events among them.
     pub events: usize,
-    /// Time after that in which a complete answer clears the part.
+    /// Time after that in which a complete answer clears the suspect.
     pub settle_time: Duration,
 }
 
 impl Default for CrashEvidenceSettings {
     fn default() -> Self {
+        let unproven = CrashThresholds {
+            crashes: 3,
+            events: 3,
+            settle_time: Duration::from_millis(700),
+        };
         Self {
-            unproven: CrashThresholds {
-                crashes: 3,
-                events: 3,
-                settle_time: Duration::from_millis(700),
-            },
+            unproven,
             proven: CrashThresholds {
                 crashes: 5,
                 events: 3,
                 settle_time: Duration::from_millis(1_500),
             },
+            request: unproven,
             separate_after: Duration::from_millis(100),
             memory: Duration::from_secs(600),
             suspects_max: 4_096,
@@ -61,34 +66,36 @@
     }
 }
 
-/// Crash of a process that had a request with a part.
+/// Crash of a process that had a request with a suspect.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Strike {
-    /// Part of the request's prompt.
-    pub part: PartHash,
+    /// What the request had.
+    pub suspect: Suspect,
     /// Process that crashed.
     pub process: ProcessHash,
     /// Time of the crash.
     pub at: Instant,
-    /// Whether the reporter knows of complete answers to the part.
+    /// Time at which the latest such request was sent to the process.
+    pub began_at: Instant,
+    /// Whether the reporter knows of complete answers to the suspect.
     pub is_proven: bool,
 }
 
-/// Part that is concluded to crash engines.
+/// Suspect that is concluded to crash engines.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Conclusion {
-    /// Part of prompts.
-    pub part: PartHash,
-    /// Processes that crashed with a request with the part, and when.
+    /// What crashes engines.
+    pub suspect: Suspect,
+    /// Processes that crashed with it, and when.
     pub crashes: Vec<(ProcessHash, Instant)>,
-    /// Whether other parts were at the same crashes, of which only one may be the cause.
+    /// Whether other suspects were at the same crashes, of which only one may be the cause.
     pub is_ambiguous: bool,
 }
 
-/// One in this many crashes may lack a report of a part that was there.
+/// One in this many crashes may lack a report of a suspect that was there.
 const ALIKE_DIVISOR: usize = 4;
-/// Maximum number of crashes remembered for one part; more add nothing to the evidence.
-const CRASHES_PER_PART_MAX: usize = 32;
+/// Maximum number of crashes remembered for one suspect; more add nothing to the evidence.
+const CRASHES_PER_SUSPECT_MAX: usize = 32;
 /// Maximum number of explained crashes that are remembered.
 const EXPLAINED_MAX: usize = 1_024;
 /// Maximum number of crashed processes that are remembered.
@@ -96,73 +103,78 @@
 /// Number of parts with complete answers that are remembered.
 const PROVEN_MAX: usize = 16_384;
 
-/// Crashes held against parts of prompts.
+/// Crashes held against suspects.
 #[derive(Debug)]
 pub struct CrashEvidence {
     settings: CrashEvidenceSettings,
-    suspects: HashMap<PartHash, Suspect>,
-    /// Crashes that no concluded part explains, in the order in which they became known.
+    suspects: HashMap<Suspect, Charges>,
+    /// Crashes that no concluded suspect explains, in the order in which they became known.
     processes: VecDeque<(ProcessHash, Instant)>,
-    /// Crashes that a concluded part explains, oldest first.
+    /// Crashes that a concluded suspect explains, oldest first.
     explained: VecDeque<ProcessHash>,
+    /// Parts with complete answers.
     proven: GenerationalMap<()>,
 }
 
+/// Crash that is held against a suspect.
+#[derive(Debug, Clone, Copy)]
+struct Charge {
+    process: ProcessHash,
+    at: Instant,
+    began_at: Instant,
+}
+
+/// What is held against one suspect.
 #[derive(Debug, Default)]
-struct Suspect {
+struct Charges {
     /// Crashes since the last complete answer, in order of time.
-    crashes: Vec<(ProcessHash, Instant)>,
+    crashes: Vec<Charge>,
     is_proven: bool,
 }
 
-impl Suspect {
-    fn thresholds(&self, settings: &CrashEvidenceSettings) -> CrashThresholds {
-        match self.is_proven {
-            true => settings.proven,
-            false => settings.unproven,
-        }
-    }
-
+impl Charges {
     /// Returns whether the evidence has been sufficient for long enough.
     ///
     /// `processes` are all crashes that are not explained.
     fn is_ripe(
         &self,
-        settings: &CrashEvidenceSettings,
+        thresholds: CrashThresholds,
+        separate_after: Duration,
         processes: &VecDeque<(ProcessHash, Instant)>,
         now: Instant,
     ) -> bool {
-        let thresholds = self.thresholds(settings);
         if self.crashes.len() < thresholds.crashes {
             return false;
         }
         let mut events = 0;
         let mut event_at = None;
-        let alone = self
+        let own = self
             .crashes
             .iter()
-            .filter(|(_, at)| self.was_at_nearly_all(*at, processes, settings));
-        for (number, (_, at)) in alone.enumerate() {
-            let is_separate = |since: Instant| *at >= since + settings.separate_after;
+            .filter(|charge| self.was_at_nearly_all(charge.at, separate_after, processes));
+        for (number, charge) in own.enumerate() {
+            // A request that was sent after a crash has not met the same event.
+            let is_separate =
+                |since: Instant| charge.at >= since + separate_after || charge.began_at >= since;
             if event_at.is_none_or(is_separate) {
                 events += 1;
-                event_at = Some(*at);
+                event_at = Some(charge.at);
             }
             if number + 1 >= thresholds.crashes && events >= thresholds.events {
-                return now >= *at + thresholds.settle_time;
+                return now >= charge.at + thresholds.settle_time;
             }
         }
         false
     }
 
-    /// Returns whether the part was at nearly all engines that crashed together with one of them.
+    /// Returns whether the suspect was at nearly all engines that crashed together with one of them.
     fn was_at_nearly_all(
         &self,
         crashed_at: Instant,
+        separate_after: Duration,
         processes: &VecDeque<(ProcessHash, Instant)>,
-        settings: &CrashEvidenceSettings,
     ) -> bool {
-        let is_together = |at: Instant| at.abs_diff(crashed_at) < settings.separate_after;
+        let is_together = |at: Instant| at.abs_diff(crashed_at) < separate_after;
         let together = processes.iter().filter(|(_, at)| is_together(*at));
         let all = together.clone().count();
         let own = together
@@ -172,13 +184,13 @@
     }
 
     fn was_at(&self, process: ProcessHash) -> bool {
-        self.crashes.iter().any(|(known, _)| *known == process)
+        self.crashes.iter().any(|charge| charge.process == process)
     }
 
-    /// Returns the number of crashes that both parts were at.
+    /// Returns the number of crashes that both suspects were at.
     fn crashes_shared_with(&self, other: &Self) -> usize {
         let shared = self.crashes.iter();
-        shared.filter(|(process, _)| other.was_at(*process)).count()
+        shared.filter(|charge| other.was_at(charge.process)).count()
     }
 }
 
@@ -200,57 +212,70 @@
         }
     }
 
-    /// Returns whether complete answers to a part are known.
-    pub fn is_proven(&self, part: PartHash) -> bool {
-        let suspect = self.suspects.get(&part);
-        self.proven.peek(part).is_some() || suspect.is_some_and(|suspect| suspect.is_proven)
+    /// Returns whether complete answers to a suspect are known.
+    pub fn is_proven(&self, suspect: Suspect) -> bool {
+        let charges = self.suspects.get(&suspect);
+        self.is_proven_part(suspect) || charges.is_some_and(|charges| charges.is_proven)
     }
 
-    /// Returns whether any part is under suspicion.
+    /// Returns whether nothing is under suspicion.
     pub fn is_empty(&self) -> bool {
         self.suspects.is_empty()
     }
 
-    /// Holds a crash against a part; returns whether that is news.
+    /// Holds a crash against a suspect; returns whether that is news.
     pub fn record_strike(&mut self, strike: Strike) -> bool {
         if self.explained.contains(&strike.process) {
             return false;
         }
         self.record_process(strike.process, strike.at);
-        let is_proven = strike.is_proven || self.proven.peek(strike.part).is_some();
-        if !self.suspects.contains_key(&strike.part) {
+        let is_proven = strike.is_proven || self.is_proven_part(strike.suspect);
+        if !self.suspects.contains_key(&strike.suspect) {
             self.make_room();
         }
-        let suspect = self.suspects.entry(strike.part).or_default();
-        suspect.is_proven |= is_proven;
-        if suspect.was_at(strike.process) || suspect.crashes.len() >= CRASHES_PER_PART_MAX {
+        let charges = self.suspects.entry(strike.suspect).or_default();
+        charges.is_proven |= is_proven;
+        let crashes = &mut charges.crashes;
+        let known = crashes
+            .iter_mut()
+            .find(|charge| charge.process == strike.process);
+        if let Some(known) = known {
+            known.began_at = known.began_at.max(strike.began_at);
+            return false;
+        }
+        if crashes.len() >= CRASHES_PER_SUSPECT_MAX {
             return false;
         }
-        suspect.crashes.push((strike.process, strike.at));
-        suspect.crashes.sort_unstable_by_key(|(_, at)| *at);
+        crashes.push(Charge {
+            process: strike.process,
+            at: strike.at,
+            began_at: strike.began_at,
+        });
+        crashes.sort_unstable_by_key(|charge| charge.at);
         true
     }
 
-    /// Records a complete answer to a part, which clears it of the crashes before; returns whether
+    /// Records a complete answer to a suspect, which clears it of the crashes before; returns whether
     /// it was under suspicion.
-    pub fn record_answer(&mut self, part: PartHash, at: Instant) -> bool {
-        if self.proven.get_mut(part).is_none() {
-            self.proven.insert(part, ());
+    pub fn record_answer(&mut self, suspect: Suspect, at: Instant) -> bool {
+        // Most requests have no copy, and would displace the parts.
+        if suspect.kind() == SuspectKind::Part && self.proven.get_mut(suspect.hash()).is_none() {
+            self.proven.insert(suspect.hash(), ());
         }
-        let Some(suspect) = self.suspects.get_mut(&part) else {
+        let Some(charges) = self.suspects.get_mut(&suspect) else {
             return false;
         };
-        let before = suspect.crashes.len();
-        suspect.crashes.retain(|(_, crashed_at)| *crashed_at > at);
-        suspect.is_proven = true;
-        let is_cleared = suspect.crashes.len() < before;
-        if suspect.crashes.is_empty() {
-            self.suspects.remove(&part);
+        let before = charges.crashes.len();
+        charges.crashes.retain(|charge| charge.at > at);
+        charges.is_proven = true;
+        let is_cleared = charges.crashes.len() < before;
+        if charges.crashes.is_empty() {
+            self.suspects.remove(&suspect);
         }
         is_cleared
     }
 
-    /// Records that a concluded part was at a crash, which says nothing about the parts beside it.
+    /// Records that a concluded suspect was at a crash, which says nothing about those beside it.
     pub fn record_explained(&mut self, process: ProcessHash) {
         if self.explained.contains(&process) {
             return;
@@ -260,37 +285,40 @@
         }
         self.explained.push_back(process);
         self.processes.retain(|(known, _)| *known != process);
-        self.suspects.retain(|_, suspect| {
-            suspect.crashes.retain(|(known, _)| *known != process);
-            !suspect.crashes.is_empty()
+        self.suspects.retain(|_, charges| {
+            charges.crashes.retain(|charge| charge.process != process);
+            !charges.crashes.is_empty()
         });
     }
 
-    /// Returns whether a part without any known answer was at the crash of another process.
-    pub fn is_suspected(&self, part: PartHash, except: ProcessHash) -> bool {
-        let suspect = self.suspects.get(&part);
-        suspect.is_some_and(|suspect| {
-            let mut others = suspect.crashes.iter();
-            !suspect.is_proven && others.any(|(process, _)| *process != except)
+    /// Returns whether a suspect without any known answer was at the crash of another process.
+    pub fn is_suspected(&self, suspect: Suspect, except: ProcessHash) -> bool {
+        let charges = self.suspects.get(&suspect);
+        charges.is_some_and(|charges| {
+            let mut others = charges.crashes.iter();
+            !charges.is_proven && others.any(|charge| charge.process != except)
         })
     }
 
     /// Draws the conclusions that the evidence permits, and removes the crashes that they explain.
     ///
-    /// The part at most crashes comes first, and one without any known answer before others. Parts
-    /// at nearly all of its crashes cannot be told from it and are concluded with it; those at fewer
-    /// would need a second cause.
+    /// The suspect at most crashes comes first, one without any known answer before others, and a
+    /// request before a part that was at the same crashes: others share the part. Suspects at nearly
+    /// all of its crashes cannot be told from it and are concluded with it; those at fewer would
+    /// need a second cause.
     pub fn conclude(&mut self, now: Instant) -> Vec<Conclusion> {
         let mut conclusions = Vec::new();
         while let Some(group) = self.ripest_group(now) {
             let is_ambiguous = group.len() > 1;
             let mut explained = HashSet::new();
-            for part in group {
-                let suspect = self.suspects.remove(&part).unwrap_or_default();
-                explained.extend(suspect.crashes.iter().map(|(process, _)| *process));
+            for suspect in group {
+                let charges = self.suspects.remove(&suspect).unwrap_or_default();
+                let crashes = charges.crashes.iter();
+                let crashes: Vec<_> = crashes.map(|charge| (charge.process, charge.at)).collect();
+                explained.extend(crashes.iter().map(|(process, _)| *process));
                 conclusions.push(Conclusion {
-                    part,
-                    crashes: suspect.crashes,
+                    suspect,
+                    crashes,
                     is_ambiguous,
                 });
             }
@@ -301,37 +329,48 @@
         conclusions
     }
 
-    fn ripest_group(&self, now: Instant) -> Option<Vec<PartHash>> {
-        let is_ripe = |suspect: &Suspect| suspect.is_ripe(&self.settings, &self.processes, now);
-        let ripe: Vec<_> = self
-            .suspects
-            .iter()
-            .filter(|(_, suspect)| is_ripe(suspect))
-            .collect();
-        let rank = |part: PartHash, suspect: &Suspect| {
-            (suspect.is_proven, usize::MAX - suspect.crashes.len(), part)
-        };
-        let (_, best) = ripe
-            .iter()
-            .min_by_key(|(part, suspect)| rank(**part, suspect))?;
+    fn ripest_group(&self, now: Instant) -> Option<Vec<Suspect>> {
+        let ripe = self.suspects.iter().filter(|(suspect, charges)| {
+            let thresholds = self.thresholds(**suspect, charges);
+            let separate_after = self.settings.separate_after;
+            charges.is_ripe(thresholds, separate_after, &self.processes, now)
+        });
+        let ripe: Vec<_> = ripe.collect();
+        let (first, best) = ripe.iter().min_by_key(|(suspect, charges)| {
+            (charges.is_proven, Reverse(charges.crashes.len()), **suspect)
+        })?;
         let shared_min = best.crashes.len() - best.crashes.len() / ALIKE_DIVISOR;
-        let is_alike = |suspect: &Suspect| {
-            suspect.is_proven == best.is_proven && suspect.crashes_shared_with(best) >= shared_min
+        let is_alike = |suspect: Suspect, charges: &Charges| {
+            charges.is_proven == best.is_proven
+                && charges.crashes_shared_with(best) >= shared_min
+                // Nobody else is refused for a request.
+                && (first.kind() == SuspectKind::Part || suspect.kind() == SuspectKind::Request)
         };
-        let group = ripe.iter().filter(|(_, suspect)| is_alike(suspect));
-        Some(group.map(|(part, _)| **part).collect())
+        let group = ripe
+            .iter()
+            .filter(|(suspect, charges)| is_alike(**suspect, charges));
+        Some(group.map(|(suspect, _)| **suspect).collect())
+    }
+
+    fn thresholds(&self, suspect: Suspect, charges: &Charges) -> CrashThresholds {
+        match suspect.kind() {
+            SuspectKind::Request => self.settings.request,
+            SuspectKind::Part if charges.is_proven => self.settings.proven,
+            SuspectKind::Part => self.settings.unproven,
+        }
+    }
+
+    fn is_proven_part(&self, suspect: Suspect) -> bool {
+        suspect.kind() == SuspectKind::Part && self.proven.peek(suspect.hash()).is_some()
     }
 
     /// Forgets old crashes.
     pub fn sweep(&mut self, now: Instant) {
-        let memory = self.settings.memory;
-        self.processes
-            .retain(|(_, at)| now.saturating_sub(*at) < memory);
-        self.suspects.retain(|_, suspect| {
-            suspect
-                .crashes
-                .retain(|(_, at)| now.saturating_sub(*at) < memory);
-            !suspect.crashes.is_empty()
+        let is_recent = |at: Instant| now.saturating_sub(at) < self.settings.memory;
+        self.processes.retain(|(_, at)| is_recent(*at));
+        self.suspects.retain(|_, charges| {
+            charges.crashes.retain(|charge| is_recent(charge.at));
+            !charges.crashes.is_empty()
         });
     }
 
@@ -354,14 +393,14 @@
         let mut ranked: Vec<_> = self
             .suspects
             .iter()
-            .map(|(part, suspect)| {
-                let last_at = suspect.crashes.last().map(|(_, at)| *at);
-                (suspect.crashes.len(), last_at, *part)
+            .map(|(suspect, charges)| {
+                let last_at = charges.crashes.last().map(|charge| charge.at);
+                (charges.crashes.len(), last_at, *suspect)
             })
             .collect();
         ranked.sort_unstable();
-        for (_, _, part) in ranked.iter().take(self.settings.suspects_max.div_ceil(8)) {
-            self.suspects.remove(part);
+        for (_, _, suspect) in ranked.iter().take(self.settings.suspects_max.div_ceil(8)) {
+            self.suspects.remove(suspect);
         }
     }
 }
--- a/src/gateway/crash_guard/guard.rs
+++ b/src/gateway/crash_guard/guard.rs
@@ -1,21 +1,20 @@
 //! Keeps requests that crash engines from further engines: what one VM knows and tells the others.
 
 use std::collections::{HashMap, HashSet};
-use std::sync::Arc;
 use std::time::Duration;
 
 use super::evidence::{Conclusion, CrashEvidence, Strike};
 use super::news::{CrashNews, Outbox, RECORDS_PER_MESSAGE_MAX};
 use super::quarantine::{Quarantine, QuarantineRecord, QuarantineVerdict};
-use super::watch::{BrokenConnection, CrashWatch};
+use super::suspect::{Suspect, SuspectKind};
+use super::watch::{BrokenConnection, CrashWatch, InterruptedRun};
 use crate::clock::Instant;
 use crate::gateway::process_hash::ProcessHash;
-use crate::gateway::prompt::PartHash;
 
 /// Maximum number of identifiers of suspected parts that are kept for the log.
 const PART_IDS_MAX: usize = 4_096;
 
-/// Change of a part's state, for the log.
+/// Change of the state of a suspect, for the log.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct QuarantineChange {
     /// New state.
@@ -24,7 +23,7 @@
     pub crashes: Vec<(ProcessHash, Duration)>,
 }
 
-/// Crashes, the evidence that they give, and the parts held for them.
+/// Crashes, the evidence that they give, and what is held for them.
 #[derive(Debug, Default)]
 pub struct CrashGuard {
     watch: CrashWatch,
@@ -32,46 +31,47 @@
     quarantine: Quarantine,
     outbox: Outbox,
     /// Identifiers of parts that were at crashed engines.
-    part_ids: HashMap<PartHash, String>,
-    /// Parts whose state the store does not have.
-    unstored: HashSet<PartHash>,
+    part_ids: HashMap<Suspect, String>,
+    /// Suspects whose state the store does not have.
+    unstored: HashSet<Suspect>,
 }
 
 impl CrashGuard {
-    /// Returns the table of held parts.
+    /// Returns the table of what is held.
     pub fn quarantine(&self) -> &Quarantine {
         &self.quarantine
     }
 
-    /// Returns what may be done with a request with these parts.
-    pub fn verdict(&self, parts: &[PartHash], now: Instant) -> QuarantineVerdict {
-        self.quarantine.verdict(parts, now)
+    /// Returns what may be done with a request with these suspects.
+    pub fn verdict(&self, suspects: &[Suspect], now: Instant) -> QuarantineVerdict {
+        self.quarantine.verdict(suspects, now)
     }
 
     /// Returns whether a request whose attempt at a process broke may crash another engine: one of
-    /// its parts is held, or has no known answer and was at another crash.
-    pub fn is_suspected(&self, parts: &[PartHash], process: ProcessHash) -> bool {
-        parts.iter().any(|part| {
-            self.quarantine.is_held(*part) || self.evidence.is_suspected(*part, process)
+    /// its suspects is held, or has no known answer and was at another crash.
+    pub fn is_suspected(&self, suspects: &[Suspect], process: ProcessHash) -> bool {
+        suspects.iter().any(|suspect| {
+            self.quarantine.is_held(*suspect) || self.evidence.is_suspected(*suspect, process)
         })
     }
 
-    /// Records that the connection of a request to a process broke.
+    /// Records that the connection of a request to a process broke; `part_ids` are the identifiers
+    /// of the suspects that are parts.
     pub fn record_broken<'a>(
         &mut self,
         process: ProcessHash,
-        parts: &Arc<[PartHash]>,
-        part_ids: impl Iterator<Item = &'a str>,
+        run: InterruptedRun,
+        part_ids: impl Iterator<Item = (Suspect, &'a str)>,
         now: Instant,
     ) -> BrokenConnection {
-        for (part, id) in parts.iter().zip(part_ids) {
-            if self.part_ids.len() < PART_IDS_MAX && !self.part_ids.contains_key(part) {
-                self.part_ids.insert(*part, id.to_owned());
+        for (part, id) in part_ids {
+            if self.part_ids.len() < PART_IDS_MAX && !self.part_ids.contains_key(&part) {
+                self.part_ids.insert(part, id.to_owned());
             }
         }
-        let broken = self.watch.record_broken(process, parts, now);
+        let broken = self.watch.record_broken(process, run.clone(), now);
         if broken == BrokenConnection::Crashed {
-            self.record_strikes(process, std::slice::from_ref(parts), now);
+            self.record_strikes(process, &[run], now);
         }
         broken
     }
@@ -82,45 +82,57 @@
     }
 
     /// Records that a process has crashed; returns the number of requests that it had.
-    pub fn record_crash(&mut self, process: ProcessHash, now: Instant) -> usize {
-        let requests = self.watch.record_crash(process);
-        self.record_strikes(process, &requests, now);
-        requests.len()
+    pub fn record_crash(&mut self, process: ProcessHash) -> usize {
+        let Some((crashed_at, runs)) = self.watch.record_crash(process) else {
+            return 0;
+        };
+        self.record_strikes(process, &runs, crashed_at);
+        runs.len()
     }
 
-    /// Records that a request ran to its end.
-    pub fn record_end(&mut self, process: ProcessHash, parts: &Arc<[PartHash]>, now: Instant) {
-        self.watch.record_end(process, parts, now);
+    /// Records that a request ran to its end; returns the change, if copies of it were held.
+    ///
+    /// Its parts are cleared only once the engine has lived on.
+    pub fn record_end(
+        &mut self,
+        process: ProcessHash,
+        run: &InterruptedRun,
+        now: Instant,
+    ) -> Option<QuarantineChange> {
+        self.watch.record_end(process, run, now);
+        let mut suspects = run.suspects.iter();
+        let request = *suspects.find(|suspect| suspect.kind() == SuspectKind::Request)?;
+        self.record_answer(request, now, now)
     }
 
-    /// Permits one trial of a part if it is due in this round; returns the new state.
+    /// Permits one trial of a suspect if it is due in this round; returns the new state.
     pub fn permit_trial(
         &mut self,
-        part: PartHash,
+        suspect: Suspect,
         round: u32,
         now: Instant,
     ) -> Option<QuarantineRecord> {
-        let record = self.quarantine.permit_trial(part, round, now)?;
-        self.tell_record(part);
+        let record = self.quarantine.permit_trial(suspect, round, now)?;
+        self.tell_record(suspect);
         Some(record)
     }
 
     /// Records that a trial reached no engine; returns the new state.
     pub fn return_trial(
         &mut self,
-        part: PartHash,
+        suspect: Suspect,
         round: u32,
         now: Instant,
     ) -> Option<QuarantineRecord> {
-        let record = self.quarantine.return_trial(part, round, now)?;
-        self.tell_record(part);
+        let record = self.quarantine.return_trial(suspect, round, now)?;
+        self.tell_record(suspect);
         Some(record)
     }
 
-    /// Releases a part; returns the new state, or `None` if it is not held.
-    pub fn release(&mut self, part: PartHash, now: Instant) -> Option<QuarantineChange> {
-        let record = self.quarantine.release(part, now)?;
-        self.tell_record(part);
+    /// Releases a suspect; returns the new state, or `None` if it is not held.
+    pub fn release(&mut self, suspect: Suspect, now: Instant) -> Option<QuarantineChange> {
+        let record = self.quarantine.release(suspect, now)?;
+        self.tell_record(suspect);
         let crashes = Vec::new();
         Some(QuarantineChange { record, crashes })
     }
@@ -135,9 +147,10 @@
         let since = |age_ms: u32| now.saturating_sub(Duration::from_millis(age_ms.into()));
         for strike in &news.strikes {
             let strike = Strike {
-                part: strike.part,
+                suspect: strike.suspect,
                 process: strike.process,
                 at: since(strike.age_ms),
+                began_at: since(strike.age_ms.saturating_add(strike.ran_ms)),
                 is_proven: strike.is_proven,
             };
             if self.record_strike(strike) && forwards {
@@ -147,17 +160,17 @@
         let mut changes = Vec::new();
         for answer in &news.answers {
             let at = since(answer.age_ms);
-            let was_suspect = self.evidence.record_answer(answer.part, at);
+            let was_suspect = self.evidence.record_answer(answer.suspect, at);
             if was_suspect && forwards {
-                self.outbox.push_answer(answer.part, at);
+                self.outbox.push_answer(answer.suspect, at);
             }
         }
         for record in &news.records {
             if self.merge(record, now) {
                 if forwards {
-                    self.outbox.push_record(record.part);
+                    self.outbox.push_record(record.suspect());
                 }
-                changes.extend(self.change(record.part, now));
+                changes.extend(self.change(record.suspect(), now));
             }
         }
         changes
@@ -172,9 +185,9 @@
         if !self.merge(record, now) {
             return None;
         }
-        self.unstored.remove(&record.part);
-        self.outbox.push_record(record.part);
-        self.change(record.part, now)
+        self.unstored.remove(&record.suspect());
+        self.outbox.push_record(record.suspect());
+        self.change(record.suspect(), now)
     }
 
     /// Draws conclusions and drops old knowledge; returns the changes.
@@ -186,12 +199,9 @@
             self.part_ids.clear();
         }
         let mut changes = Vec::new();
-        for (parts, ended_at) in self.watch.take_survived(now) {
-            for part in parts.iter() {
-                if self.evidence.record_answer(*part, ended_at) {
-                    self.outbox.push_answer(*part, ended_at);
-                }
-                changes.extend(self.release(*part, now));
+        for (suspects, ended_at) in self.watch.take_survived(now) {
+            for suspect in suspects.iter() {
+                changes.extend(self.record_answer(*suspect, ended_at, now));
             }
         }
         for conclusion in self.evidence.conclude(now) {
@@ -213,7 +223,7 @@
     /// Tells the states of all parts once more, for VMs that have missed them.
     pub fn repeat_records(&mut self, now: Instant) {
         for record in self.quarantine.records(now) {
-            self.outbox.repeat_record(record.part);
+            self.outbox.repeat_record(record.suspect());
         }
     }
 
@@ -230,17 +240,17 @@
 
     /// Returns the states that the store does not have yet.
     pub fn unstored(&self, now: Instant) -> Vec<QuarantineRecord> {
-        let parts = self.unstored.iter();
-        parts
-            .filter_map(|part| self.quarantine.record(*part, now))
+        let suspects = self.unstored.iter();
+        suspects
+            .filter_map(|suspect| self.quarantine.record(*suspect, now))
             .collect()
     }
 
     /// Records that the store has a state.
     pub fn record_stored(&mut self, record: &QuarantineRecord, now: Instant) {
-        let current = self.quarantine.record(record.part, now);
+        let current = self.quarantine.record(record.suspect(), now);
         if current.is_none_or(|current| current.round <= record.round) {
-            self.unstored.remove(&record.part);
+            self.unstored.remove(&record.suspect());
         }
     }
 
@@ -248,26 +258,34 @@
     pub fn record_store_lost(&mut self, now: Instant) {
         let records = self.quarantine.records(now).into_iter();
         let held = records.filter(|record| record.is_held);
-        self.unstored.extend(held.map(|record| record.part));
+        self.unstored.extend(held.map(|record| record.suspect()));
     }
 
-    /// Returns whether the store was told of a part's state.
-    pub fn is_stored(&self, part: PartHash) -> bool {
-        !self.unstored.contains(&part)
+    /// Returns whether the store was told of the state of a suspect.
+    pub fn is_stored(&self, suspect: Suspect) -> bool {
+        !self.unstored.contains(&suspect)
     }
 
-    fn record_strikes(&mut self, process: ProcessHash, requests: &[Arc<[PartHash]>], now: Instant) {
-        let parts: HashSet<PartHash> = requests
-            .iter()
-            .flat_map(|parts| parts.iter())
-            .copied()
-            .collect();
-        for part in parts {
+    fn record_strikes(
+        &mut self,
+        process: ProcessHash,
+        runs: &[InterruptedRun],
+        crashed_at: Instant,
+    ) {
+        let mut latest: HashMap<Suspect, Instant> = HashMap::new();
+        for run in runs {
+            for suspect in run.suspects.iter() {
+                let began_at = latest.entry(*suspect).or_insert(run.began_at);
+                *began_at = run.began_at.max(*began_at);
+            }
+        }
+        for (suspect, began_at) in latest {
             let strike = Strike {
-                part,
+                suspect,
                 process,
-                at: now,
-                is_proven: self.evidence.is_proven(part),
+                at: crashed_at,
+                began_at,
+                is_proven: self.evidence.is_proven(suspect),
             };
             if self.record_strike(strike) {
                 self.outbox.push_strike(strike);
@@ -275,9 +293,22 @@
         }
     }
 
-    /// Records a strike, unless a held part explains the crash; returns whether it is news.
+    /// Records a complete answer; returns the change, if the suspect was held.
+    fn record_answer(
+        &mut self,
+        suspect: Suspect,
+        at: Instant,
+        now: Instant,
+    ) -> Option<QuarantineChange> {
+        if self.evidence.record_answer(suspect, at) {
+            self.outbox.push_answer(suspect, at);
+        }
+        self.release(suspect, now)
+    }
+
+    /// Records a strike, unless a held suspect explains the crash; returns whether it is news.
     fn record_strike(&mut self, strike: Strike) -> bool {
-        if self.quarantine.is_held(strike.part) {
+        if self.quarantine.is_held(strike.suspect) {
             self.evidence.record_explained(strike.process);
             return false;
         }
@@ -285,11 +316,11 @@
     }
 
     fn hold(&mut self, conclusion: &Conclusion, now: Instant) -> Option<QuarantineChange> {
-        let part_id = self.part_ids.get(&conclusion.part);
+        let part_id = self.part_ids.get(&conclusion.suspect);
         let record = self
             .quarantine
             .hold(conclusion, part_id.map(String::as_str), now)?;
-        self.tell_record(conclusion.part);
+        self.tell_record(conclusion.suspect);
         let crashes = conclusion.crashes.iter();
         Some(QuarantineChange {
             record,
@@ -302,23 +333,23 @@
     fn merge(&mut self, record: &QuarantineRecord, now: Instant) -> bool {
         let is_newer = self.quarantine.merge(record, now);
         if is_newer {
-            self.unstored.insert(record.part);
+            self.unstored.insert(record.suspect());
             if !record.is_held {
                 // The operator or a complete answer has cleared it.
-                self.evidence.record_answer(record.part, now);
+                self.evidence.record_answer(record.suspect(), now);
             }
         }
         is_newer
     }
 
-    fn change(&self, part: PartHash, now: Instant) -> Option<QuarantineChange> {
-        let record = self.quarantine.record(part, now)?;
+    fn change(&self, suspect: Suspect, now: Instant) -> Option<QuarantineChange> {
+        let record = self.quarantine.record(suspect, now)?;
         let crashes = Vec::new();
         Some(QuarantineChange { record, crashes })
     }
 
-    fn tell_record(&mut self, part: PartHash) {
-        self.unstored.insert(part);
-        self.outbox.push_record(part);
+    fn tell_record(&mut self, suspect: Suspect) {
+        self.unstored.insert(suspect);
+        self.outbox.push_record(suspect);
     }
 }
--- a/src/gateway/crash_guard/mod.rs
+++ b/src/gateway/crash_guard/mod.rs
@@ -16,6 +16,7 @@
 mod quarantine;
 pub(in crate::gateway) mod quarantine_check;
 pub(in crate::gateway) mod quarantine_task;
+mod suspect;
 mod watch;
 
 pub use evidence::{Conclusion, CrashEvidence, CrashEvidenceSettings, CrashThresholds, Strike};
@@ -25,4 +26,5 @@
 pub use quarantine::{
     Quarantine, QuarantineRecord, QuarantineSettings, QuarantineSource, QuarantineVerdict,
 };
-pub use watch::{BrokenConnection, CrashWatch};
+pub use suspect::{Suspect, SuspectKind};
+pub use watch::{BrokenConnection, CrashWatch, InterruptedRun};
--- a/src/gateway/crash_guard/news.rs
+++ b/src/gateway/crash_guard/news.rs
@@ -6,9 +6,9 @@
 
 use super::evidence::Strike;
 use super::quarantine::{Quarantine, QuarantineRecord};
+use super::suspect::Suspect;
 use crate::clock::Instant;
 use crate::gateway::process_hash::ProcessHash;
-use crate::gateway::prompt::PartHash;
 
 /// Number of messages in which an item is repeated, as datagrams may be lost.
 const REPEATS: u32 = 3;
@@ -21,26 +21,28 @@
 /// Maximum number of items of one kind that wait; the oldest are dropped.
 const WAITING_MAX: usize = 2_000;
 
-/// Crash of a process that had a request with a part, in a message.
+/// Crash of a process that had a request with a suspect, in a message.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct StrikeNews {
-    /// Part of the request's prompt.
-    pub part: PartHash,
+    /// What the request had.
+    pub suspect: Suspect,
     /// Process that crashed.
     pub process: ProcessHash,
     /// Time since the crash.
     pub age_ms: u32,
-    /// Whether a VM knows of complete answers to the part.
+    /// Time from the send of the latest such request to the crash.
+    pub ran_ms: u32,
+    /// Whether a VM knows of complete answers to the suspect.
     pub is_proven: bool,
 }
 
-/// Complete answer to a part that is under suspicion, in a message.
+/// Complete answer that clears a suspect, in a message.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct AnswerNews {
-    /// Part of the request's prompt.
-    pub part: PartHash,
+    /// What the request had.
+    pub suspect: Suspect,
     /// Time since the end of the answer.
     pub age_ms: u32,
 }
@@ -49,11 +51,11 @@
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 #[derive(Serialize, Deserialize)]
 pub struct CrashNews {
-    /// Crashes held against parts.
+    /// Crashes held against suspects.
     pub strikes: Vec<StrikeNews>,
-    /// Answers that clear parts.
+    /// Answers that clear suspects.
     pub answers: Vec<AnswerNews>,
-    /// States of parts that are or were held.
+    /// States of suspects that are or were held.
     pub records: Vec<QuarantineRecord>,
 }
 
@@ -71,8 +73,8 @@
 #[derive(Debug, Default)]
 pub(in crate::gateway) struct Outbox {
     strikes: Waiting<Strike>,
-    answers: Waiting<(PartHash, Instant)>,
-    records: Waiting<PartHash>,
+    answers: Waiting<(Suspect, Instant)>,
+    records: Waiting<Suspect>,
 }
 
 impl Outbox {
@@ -80,19 +82,19 @@
         push_waiting(&mut self.strikes, strike);
     }
 
-    pub(in crate::gateway) fn push_answer(&mut self, part: PartHash, at: Instant) {
-        push_waiting(&mut self.answers, (part, at));
+    pub(in crate::gateway) fn push_answer(&mut self, suspect: Suspect, at: Instant) {
+        push_waiting(&mut self.answers, (suspect, at));
     }
 
-    pub(in crate::gateway) fn push_record(&mut self, part: PartHash) {
-        self.records.retain(|(known, _)| *known != part);
-        push_waiting(&mut self.records, part);
+    pub(in crate::gateway) fn push_record(&mut self, suspect: Suspect) {
+        self.records.retain(|(known, _)| *known != suspect);
+        push_waiting(&mut self.records, suspect);
     }
 
     /// Tells a record once more.
-    pub(in crate::gateway) fn repeat_record(&mut self, part: PartHash) {
-        if !self.records.iter().any(|(known, _)| *known == part) {
-            self.records.push_back((part, 1));
+    pub(in crate::gateway) fn repeat_record(&mut self, suspect: Suspect) {
+        if !self.records.iter().any(|(known, _)| *known == suspect) {
+            self.records.push_back((suspect, 1));
         }
     }
 
@@ -114,22 +116,23 @@
             strikes: strikes
                 .into_iter()
                 .map(|strike| StrikeNews {
-                    part: strike.part,
+                    suspect: strike.suspect,
                     process: strike.process,
                     age_ms: age_ms(strike.at),
+                    ran_ms: strike.at.saturating_sub(strike.began_at).as_millis() as u32,
                     is_proven: strike.is_proven,
                 })
                 .collect(),
             answers: answers
                 .into_iter()
-                .map(|(part, at)| AnswerNews {
-                    part,
+                .map(|(suspect, at)| AnswerNews {
+                    suspect,
                     age_ms: age_ms(at),
                 })
                 .collect(),
             records: records
                 .into_iter()
-                .filter_map(|part| quarantine.record(part, now))
+                .filter_map(|suspect| quarantine.record(suspect, now))
                 .collect(),
         }
     }
--- a/src/gateway/crash_guard/quarantine.rs
+++ b/src/gateway/crash_guard/quarantine.rs
@@ -1,8 +1,9 @@
-//! Parts of prompts that are kept from engines, and the trials that end this.
+//! What is kept from engines, and the trials that end this.
 //!
 //! All VMs keep the same table and merge each other's records. A record has a round, which rises
 //! with each trial and release, so that a later state replaces an earlier one in whatever order they
-//! arrive. The waits before trials grow, and one VM at a time permits them for the fleet.
+//! arrive. The waits before trials grow, and one VM at a time permits them for the fleet. Copies of
+//! a request are tried a few times only: the same bytes crash the next engine too.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -10,8 +11,8 @@
 use serde::{Deserialize, Serialize};
 
 use super::evidence::Conclusion;
+use super::suspect::{Suspect, SuspectKind};
 use crate::clock::Instant;
-use crate::gateway::prompt::PartHash;
 
 /// Times and bounds of a [`Quarantine`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -24,7 +25,11 @@
     pub trial_wait_max: Duration,
     /// Wait before the next trial after one that reached no engine.
     pub returned_trial_wait: Duration,
-    /// Minimum wait before the trial of a request with several held parts.
+    /// Factor between the waits before two trials of a request.
+    pub request_trial_wait_factor: u32,
+    /// Crashes and trials after which copies of a request are not tried any more.
+    pub request_sends_max: u32,
+    /// Minimum wait before the trial of a request with several held suspects.
     pub joint_trial_after: Duration,
     /// Time without a trial or crash after which a record is dropped.
     pub memory: Duration,
@@ -41,6 +46,8 @@
             trial_wait_factor: 5,
             trial_wait_max: Duration::from_secs(3_600),
             returned_trial_wait: Duration::from_millis(500),
+            request_trial_wait_factor: 150,
+            request_sends_max: 5,
             joint_trial_after: Duration::from_secs(60),
             memory: Duration::from_secs(24 * 3_600),
             release_memory: Duration::from_secs(600),
@@ -49,24 +56,28 @@
     }
 }
 
-/// State of one part, as VMs exchange and store it.
+/// State of one suspect, as VMs exchange and store it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub struct QuarantineRecord {
-    /// Hash of the part's identifier.
-    pub part: PartHash,
+    /// Hash of the part's identifier, or fingerprint of the request.
+    #[serde(rename = "part")]
+    pub hash: u64,
+    /// Whether it is a part or a request; a record without it is of a part.
+    #[serde(default)]
+    pub kind: SuspectKind,
     /// Identifier of the part, if it is known.
     pub part_id: Option<String>,
     /// Number of the state; a higher one replaces a lower one.
     pub round: u32,
-    /// Whether requests with the part are kept from engines.
+    /// Whether requests with it are kept from engines.
     pub is_held: bool,
     /// Crashes that led to the hold.
     pub crashes: u16,
     /// Trials since the hold.
     pub trials: u32,
-    /// Whether parts beside it were at the same crashes.
+    /// Whether others were at the same crashes.
     pub is_ambiguous: bool,
     /// Time from the begin of the round to the next trial.
     pub trial_wait_ms: u64,
@@ -74,23 +85,30 @@
     pub age_ms: u64,
 }
 
+impl QuarantineRecord {
+    /// Returns what the record is about.
+    pub fn suspect(&self) -> Suspect {
+        self.kind.with_hash(self.hash)
+    }
+}
+
 /// What may be done with a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum QuarantineVerdict {
-    /// None of its parts is held.
+    /// Nothing of it is held.
     Clear,
-    /// One of its parts is held, and a trial of it is due if it is permitted for this round.
+    /// Something of it is held, and a trial of that is due if it is permitted for this round.
     TrialDue {
-        /// Held part.
-        part: PartHash,
+        /// What is held.
+        suspect: Suspect,
         /// Round that the trial would end.
         round: u32,
     },
-    /// A part is held.
-    Held(PartHash),
+    /// This is held.
+    Held(Suspect),
 }
 
-/// Where a change of a part's state came from.
+/// Where a change of a state came from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum QuarantineSource {
     /// Evidence at this VM.
@@ -132,14 +150,27 @@
     }
 }
 
+impl Entry {
+    /// Returns whether a copy of a held request may be sent once more, ever.
+    fn may_try_request(&self, settings: &QuarantineSettings) -> bool {
+        // Of several requests only one may be the cause.
+        let trials_min = u32::from(self.is_ambiguous);
+        let trials_max = settings
+            .request_sends_max
+            .saturating_sub(self.crashes.into())
+            .max(trials_min);
+        self.trials < trials_max
+    }
+}
+
 /// Maximum length of a part's identifier in records.
 const PART_ID_MAX_BYTES: usize = 64;
 
-/// Parts that are kept from engines, and parts released lately.
+/// Suspects that are kept from engines, and those released lately.
 #[derive(Debug, Default)]
 pub struct Quarantine {
     settings: QuarantineSettings,
-    entries: HashMap<PartHash, Entry>,
+    entries: HashMap<Suspect, Entry>,
 }
 
 impl Quarantine {
@@ -151,49 +182,51 @@
         }
     }
 
-    /// Returns what may be done with a request with these parts.
-    pub fn verdict(&self, parts: &[PartHash], now: Instant) -> QuarantineVerdict {
+    /// Returns what may be done with a request with these suspects.
+    pub fn verdict(&self, suspects: &[Suspect], now: Instant) -> QuarantineVerdict {
         if self.entries.is_empty() {
             return QuarantineVerdict::Clear;
         }
-        let mut held = parts.iter().filter(|part| self.is_held(**part));
+        let mut held = suspects.iter().filter(|suspect| self.is_held(**suspect));
         match (held.next(), held.next()) {
             (None, _) => QuarantineVerdict::Clear,
             // A crash would not tell which of them caused it, so requests with one come first.
-            (Some(part), Some(_)) => self.verdict_on(*part, self.settings.joint_trial_after, now),
-            (Some(part), None) => self.verdict_on(*part, Duration::ZERO, now),
+            (Some(first), Some(_)) => self.verdict_on(*first, self.settings.joint_trial_after, now),
+            (Some(first), None) => self.verdict_on(*first, Duration::ZERO, now),
         }
     }
 
-    /// Returns whether requests with a part are kept from engines.
-    pub fn is_held(&self, part: PartHash) -> bool {
-        self.entries.get(&part).is_some_and(|entry| entry.is_held)
+    /// Returns whether requests with a suspect are kept from engines.
+    pub fn is_held(&self, suspect: Suspect) -> bool {
+        self.entries
+            .get(&suspect)
+            .is_some_and(|entry| entry.is_held)
     }
 
-    /// Returns whether any part is held.
+    /// Returns whether anything is held.
     pub fn has_held(&self) -> bool {
         self.entries.values().any(|entry| entry.is_held)
     }
 
-    /// Returns the number of held parts.
+    /// Returns the number of held suspects.
     pub fn held_count(&self) -> usize {
         let entries = self.entries.values();
         entries.filter(|entry| entry.is_held).count()
     }
 
     /// Returns the identifier of a part, if it is known.
-    pub fn part_id(&self, part: PartHash) -> Option<&str> {
-        self.entries.get(&part)?.part_id.as_deref()
+    pub fn part_id(&self, suspect: Suspect) -> Option<&str> {
+        self.entries.get(&suspect)?.part_id.as_deref()
     }
 
-    /// Holds a part; returns the new record, or `None` if the part is held already.
+    /// Holds a suspect; returns the new record, or `None` if it is held already.
     pub fn hold(
         &mut self,
         conclusion: &Conclusion,
         part_id: Option<&str>,
         now: Instant,
     ) -> Option<QuarantineRecord> {
-        let known = self.entries.get(&conclusion.part);
+        let known = self.entries.get(&conclusion.suspect);
         if known.is_some_and(|entry| entry.is_held) {
             return None;
         }
@@ -207,48 +240,52 @@
             crashes: conclusion.crashes.len().min(usize::from(u16::MAX)) as u16,
             trials: 0,
             is_ambiguous: conclusion.is_ambiguous,
-            // Of several parts only one may be the cause, and the others are needed.
+            // Of several suspects only one may be the cause, and the others are needed.
             trial_wait: match conclusion.is_ambiguous {
                 true => Duration::ZERO,
                 false => self.settings.first_trial_after,
             },
             since: now,
         };
-        self.entries.insert(conclusion.part, entry);
-        self.record(conclusion.part, now)
+        self.entries.insert(conclusion.suspect, entry);
+        self.record(conclusion.suspect, now)
     }
 
-    /// Permits one trial of a part if it is due in this round, and puts the next one off; returns the
+    /// Permits one trial of a suspect if it is due in this round, and puts the next one off; returns the
     /// new record.
     pub fn permit_trial(
         &mut self,
-        part: PartHash,
+        suspect: Suspect,
         round: u32,
         now: Instant,
     ) -> Option<QuarantineRecord> {
-        if self.due_trial(part, Duration::ZERO, now) != Some(round) {
+        if self.due_trial(suspect, Duration::ZERO, now) != Some(round) {
             return None;
         }
         let settings = self.settings;
-        let entry = self.entries.get_mut(&part)?;
+        let entry = self.entries.get_mut(&suspect)?;
         entry.round += 1;
         entry.trials += 1;
         entry.since = now;
-        let factor = settings.trial_wait_factor.saturating_pow(entry.trials);
+        let factor = match suspect.kind() {
+            SuspectKind::Part => settings.trial_wait_factor,
+            SuspectKind::Request => settings.request_trial_wait_factor,
+        };
+        let factor = factor.saturating_pow(entry.trials);
         let wait = settings.first_trial_after.saturating_mul(factor);
         entry.trial_wait = wait.min(settings.trial_wait_max);
-        self.record(part, now)
+        self.record(suspect, now)
     }
 
     /// Records that the trial of this round reached no engine, so that another one follows soon;
     /// returns the new record.
     pub fn return_trial(
         &mut self,
-        part: PartHash,
+        suspect: Suspect,
         round: u32,
         now: Instant,
     ) -> Option<QuarantineRecord> {
-        let entry = self.entries.get_mut(&part)?;
+        let entry = self.entries.get_mut(&suspect)?;
         if !entry.is_held || entry.round != round || entry.trials == 0 {
             return None;
         }
@@ -256,19 +293,19 @@
         entry.trials -= 1;
         entry.since = now;
         entry.trial_wait = self.settings.returned_trial_wait;
-        self.record(part, now)
+        self.record(suspect, now)
     }
 
-    /// Releases a part; returns the new record, or `None` if it is not held.
-    pub fn release(&mut self, part: PartHash, now: Instant) -> Option<QuarantineRecord> {
-        let entry = self.entries.get_mut(&part)?;
+    /// Releases a suspect; returns the new record, or `None` if it is not held.
+    pub fn release(&mut self, suspect: Suspect, now: Instant) -> Option<QuarantineRecord> {
+        let entry = self.entries.get_mut(&suspect)?;
         if !entry.is_held {
             return None;
         }
         entry.round += 1;
         entry.is_held = false;
         entry.since = now;
-        self.record(part, now)
+        self.record(suspect, now)
     }
 
     /// Applies a record of another VM or of the store; returns whether it replaces this VM's.
@@ -287,7 +324,7 @@
             trial_wait: Duration::from_millis(record.trial_wait_ms),
             since: now.saturating_sub(age),
         };
-        match self.entries.get_mut(&record.part) {
+        match self.entries.get_mut(&record.suspect()) {
             Some(known) if known.order() >= received.order() => {
                 if known.part_id.is_none() {
                     known.part_id = received.part_id;
@@ -304,16 +341,18 @@
             }
             None => {
                 self.make_room();
-                self.entries.insert(record.part, received);
+                self.entries.insert(record.suspect(), received);
                 true
             }
         }
     }
 
-    /// Returns the records of all parts.
+    /// Returns the records of all suspects.
     pub fn records(&self, now: Instant) -> Vec<QuarantineRecord> {
-        let parts = self.entries.keys();
-        parts.filter_map(|part| self.record(*part, now)).collect()
+        let suspects = self.entries.keys();
+        suspects
+            .filter_map(|suspect| self.record(*suspect, now))
+            .collect()
     }
 
     /// Drops old records.
@@ -328,11 +367,12 @@
         });
     }
 
-    /// Returns the record of a part.
-    pub fn record(&self, part: PartHash, now: Instant) -> Option<QuarantineRecord> {
-        let entry = self.entries.get(&part)?;
+    /// Returns the record of a suspect.
+    pub fn record(&self, suspect: Suspect, now: Instant) -> Option<QuarantineRecord> {
+        let entry = self.entries.get(&suspect)?;
         Some(QuarantineRecord {
-            part,
+            hash: suspect.hash(),
+            kind: suspect.kind(),
             part_id: entry.part_id.clone(),
             round: entry.round,
             is_held: entry.is_held,
@@ -346,19 +386,22 @@
 
     fn verdict_on(
         &self,
-        part: PartHash,
+        suspect: Suspect,
         trial_wait_min: Duration,
         now: Instant,
     ) -> QuarantineVerdict {
-        match self.due_trial(part, trial_wait_min, now) {
-            Some(round) => QuarantineVerdict::TrialDue { part, round },
-            None => QuarantineVerdict::Held(part),
+        match self.due_trial(suspect, trial_wait_min, now) {
+            Some(round) => QuarantineVerdict::TrialDue { suspect, round },
+            None => QuarantineVerdict::Held(suspect),
         }
     }
 
-    /// Returns the current round of a held part if a trial is due.
-    fn due_trial(&self, part: PartHash, wait_min: Duration, now: Instant) -> Option<u32> {
-        let entry = self.entries.get(&part).filter(|entry| entry.is_held)?;
+    /// Returns the current round of a held suspect if a trial is due.
+    fn due_trial(&self, suspect: Suspect, wait_min: Duration, now: Instant) -> Option<u32> {
+        let entry = self.entries.get(&suspect).filter(|entry| entry.is_held)?;
+        if suspect.kind() == SuspectKind::Request && !entry.may_try_request(&self.settings) {
+            return None;
+        }
         (now >= entry.since + entry.trial_wait.max(wait_min)).then_some(entry.round)
     }
 
@@ -371,8 +414,8 @@
             .entries
             .iter()
             .min_by_key(|(_, entry)| (entry.is_held, entry.since));
-        if let Some(part) = oldest.map(|(part, _)| *part) {
-            self.entries.remove(&part);
+        if let Some(suspect) = oldest.map(|(suspect, _)| *suspect) {
+            self.entries.remove(&suspect);
         }
     }
 }
--- a/src/gateway/crash_guard/quarantine_check.rs
+++ b/src/gateway/crash_guard/quarantine_check.rs
@@ -1,4 +1,4 @@
-//! Refusal of requests whose prompt crashes engines, and trials of single ones.
+//! Refusal of requests that crash engines, and trials of single ones.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -6,12 +6,12 @@
 
 use super::guard::QuarantineChange;
 use super::quarantine::{QuarantineRecord, QuarantineSource, QuarantineVerdict};
+use super::suspect::Suspect;
 use crate::clock::Instant;
 use crate::gateway::datagram::{Message, send};
 use crate::gateway::dispatch::DispatchedRequest;
 use crate::gateway::event_log::LogEvent;
 use crate::gateway::process_hash::hash_process;
-use crate::gateway::prompt::PartHash;
 use crate::gateway::queued_placement::PlacementError;
 use crate::gateway::request::AdmittedRequest;
 use crate::gateway::state::Gateway;
@@ -22,11 +22,11 @@
 /// Time for which a permit is valid, less than the shortest wait before the next trial.
 const TRIAL_VALIDITY: Duration = Duration::from_secs(2);
 
-/// Permit to send one request as the trial of a held part, returned on drop unless it was sent.
+/// Permit to send one request as the trial of what is held, returned on drop unless it was sent.
 #[derive(Debug)]
 pub(in crate::gateway) struct TrialPermit {
     gateway: Arc<Gateway>,
-    part: PartHash,
+    suspect: Suspect,
     /// Round that began with the permit.
     round: u32,
     valid_until: Instant,
@@ -37,24 +37,24 @@
 impl Drop for TrialPermit {
     fn drop(&mut self) {
         if !self.is_sent {
-            self.gateway.give_trial_back(self.part, self.round);
+            self.gateway.give_trial_back(self.suspect, self.round);
         }
     }
 }
 
 impl AdmittedRequest {
-    /// Obtains a permit for a trial if one of the request's parts is held and due for it.
+    /// Obtains a permit for a trial if something of the request is held and due for it.
     pub(in crate::gateway) async fn try_trial(&mut self) {
-        let parts = &self.placement_request.shared_parts;
+        let suspects = &self.placement_request.suspects;
         let (gateway, now) = (&self.gateway, self.gateway.now());
-        let verdict = gateway.state().crash_guard.verdict(parts, now);
-        let QuarantineVerdict::TrialDue { part, round } = verdict else {
+        let verdict = gateway.state().crash_guard.verdict(suspects, now);
+        let QuarantineVerdict::TrialDue { suspect, round } = verdict else {
             return;
         };
-        if self.progress.trial.is_none() && gateway.request_trial(part, round).await {
+        if self.progress.trial.is_none() && gateway.request_trial(suspect, round).await {
             self.progress.trial = Some(TrialPermit {
                 gateway: gateway.clone(),
-                part,
+                suspect,
                 round: round + 1,
                 valid_until: now + TRIAL_VALIDITY,
                 is_sent: false,
@@ -62,7 +62,7 @@
         }
     }
 
-    /// Checks that no part of the prompt is kept from engines.
+    /// Checks that nothing of the request is kept from engines.
     ///
     /// # Errors
     ///
@@ -72,15 +72,19 @@
         &self,
         earlier_runs: u32,
     ) -> Result<(), PlacementError> {
-        let parts = &self.placement_request.shared_parts;
+        let suspects = &self.placement_request.suspects;
         let (gateway, now) = (&self.gateway, self.gateway.now());
-        let verdict = gateway.state().crash_guard.verdict(parts, now);
+        let verdict = gateway.state().crash_guard.verdict(suspects, now);
         let held = match verdict {
             QuarantineVerdict::Clear => return Ok(()),
-            QuarantineVerdict::TrialDue { part, .. } | QuarantineVerdict::Held(part) => part,
+            QuarantineVerdict::TrialDue { suspect, .. } | QuarantineVerdict::Held(suspect) => {
+                suspect
+            }
         };
         match &self.progress.trial {
-            Some(trial) if trial.part == held && earlier_runs == 0 && now < trial.valid_until => {
+            Some(trial)
+                if trial.suspect == held && earlier_runs == 0 && now < trial.valid_until =>
+            {
                 Ok(())
             }
             _ => Err(PlacementError::Quarantined(held)),
@@ -89,15 +93,15 @@
 
     /// Returns whether the request may crash another engine after its attempt at one broke.
     pub(in crate::gateway) fn is_suspected(&self, dispatched: &DispatchedRequest) -> bool {
-        let parts = &self.placement_request.shared_parts;
+        let suspects = &self.placement_request.suspects;
         let process = hash_process(&dispatched.instance);
         let state = self.gateway.state();
-        state.crash_guard.is_suspected(parts, process)
+        state.crash_guard.is_suspected(suspects, process)
     }
 }
 
 impl Gateway {
-    /// Logs changes of the states of parts and counts them.
+    /// Logs changes of states and counts what is held.
     pub(in crate::gateway) fn record_quarantine_changes(
         &self,
         changes: &[QuarantineChange],
@@ -113,7 +117,8 @@
                 .iter()
                 .map(|(process, age)| format!("{process:016x} {} ms ago", age.as_millis()));
             let event = LogEvent::PartState {
-                part: format!("{:016x}", record.part),
+                kind: record.kind.name(),
+                part: format!("{:016x}", record.hash),
                 part_id: record.part_id.as_deref(),
                 is_held: record.is_held,
                 round: record.round,
@@ -131,19 +136,19 @@
         self.quarantine_changed.notify_one();
     }
 
-    /// Returns whether this VM may send one request as the trial of a held part.
+    /// Returns whether this VM may send one request as the trial of what is held.
     ///
     /// One VM permits the trials of the fleet, so that VMs do not make them together.
-    async fn request_trial(&self, part: PartHash, round: u32) -> bool {
+    async fn request_trial(&self, suspect: Suspect, round: u32) -> bool {
         let coordinator = self.state().peers.coordinator(self.now());
         let Some(address) = coordinator else {
-            return self.permit_trial(part, round);
+            return self.permit_trial(suspect, round);
         };
         let Some(socket) = self.peer_socket.get() else {
             return false;
         };
         let (id, reply) = self.pending_trials.register();
-        let request = Message::TrialRequest { id, part, round };
+        let request = Message::TrialRequest { id, suspect, round };
         let timeout = match send(socket, &request, address) {
             true => TRIAL_PERMIT_TIMEOUT,
             false => Duration::ZERO,
@@ -156,11 +161,11 @@
     pub(in crate::gateway) fn handle_trial_request(
         &self,
         id: u64,
-        part: PartHash,
+        suspect: Suspect,
         round: u32,
         from: SocketAddr,
     ) {
-        let is_permitted = self.permit_trial(part, round);
+        let is_permitted = self.permit_trial(suspect, round);
         if let Some(socket) = self.peer_socket.get() {
             // If the reply is lost, no trial is made in this round.
             send(socket, &Message::TrialReply { id, is_permitted }, from);
@@ -168,32 +173,32 @@
     }
 
     /// Tells the VM that permits trials that one reached no engine.
-    fn give_trial_back(&self, part: PartHash, round: u32) {
+    fn give_trial_back(&self, suspect: Suspect, round: u32) {
         let coordinator = self.state().peers.coordinator(self.now());
         match (coordinator, self.peer_socket.get()) {
-            (None, _) => self.return_trial(part, round),
+            (None, _) => self.return_trial(suspect, round),
             // If the message is lost, the next trial is made later.
             (Some(address), Some(socket)) => {
-                send(socket, &Message::TrialReturn { part, round }, address);
+                send(socket, &Message::TrialReturn { suspect, round }, address);
             }
             (Some(_), None) => {}
         }
     }
 
     /// Makes another trial of a part due, as the one of this round reached no engine.
-    pub(in crate::gateway) fn return_trial(&self, part: PartHash, round: u32) {
+    pub(in crate::gateway) fn return_trial(&self, suspect: Suspect, round: u32) {
         let now = self.now();
-        let returned = self.state().crash_guard.return_trial(part, round, now);
+        let returned = self.state().crash_guard.return_trial(suspect, round, now);
         self.record_trial_change(returned);
     }
 
-    fn permit_trial(&self, part: PartHash, round: u32) -> bool {
+    fn permit_trial(&self, suspect: Suspect, round: u32) -> bool {
         let now = self.now();
         let mut state = self.state();
         if !state.coordinator_term.may_permit(now) {
             return false;
         }
-        let permitted = state.crash_guard.permit_trial(part, round, now);
+        let permitted = state.crash_guard.permit_trial(suspect, round, now);
         drop(state);
         let is_permitted = permitted.is_some();
         if is_permitted {
--- a/src/gateway/crash_guard/quarantine_task.rs
+++ b/src/gateway/crash_guard/quarantine_task.rs
@@ -125,14 +125,16 @@
     let guard = &mut state.crash_guard;
     let is_removed = |record: &QuarantineRecord| {
         record.is_held
-            && guard.is_stored(record.part)
-            && !listed.iter().any(|listed| listed.part == record.part)
+            && guard.is_stored(record.suspect())
+            && !listed
+                .iter()
+                .any(|listed| listed.suspect() == record.suspect())
     };
     let mut removed = guard.quarantine().records(now);
     removed.retain(is_removed);
     let changes: Vec<_> = removed
         .iter()
-        .filter_map(|record| guard.release(record.part, now))
+        .filter_map(|record| guard.release(record.suspect(), now))
         .collect();
     drop(state);
     gateway.record_quarantine_changes(&changes, QuarantineSource::Store);
@@ -145,7 +147,7 @@
         let store = &gateway.platform.store;
         let written = match record.is_held {
             true => store.put_quarantined(record.clone()).await,
-            false => store.remove_quarantined(record.part).await,
+            false => store.remove_quarantined(record.suspect()).await,
         };
         written.map_err(|failure| ("write", failure))?;
         let now = gateway.now();
--- a/src/gateway/datagram.rs
+++ b/src/gateway/datagram.rs
@@ -6,11 +6,10 @@
 use tokio::net::UdpSocket;
 
 use super::charge::{ChargeRequest, ChargeResponse};
-use super::crash_guard::CrashNews;
+use super::crash_guard::{CrashNews, Suspect};
 use super::event_log::LogEvent;
 use super::heartbeat::Heartbeat;
 use super::process_hash::ProcessHash;
-use super::prompt::PartHash;
 use super::state::Gateway;
 use super::upstream_limit::{LimitNews, PermitCall, PermitReply};
 
@@ -32,12 +31,16 @@
     ChargeResponse(ChargeResponse),
     /// News about crashes of engines.
     CrashNews(Box<CrashNews>),
-    /// Request to permit a trial of a held part.
-    TrialRequest { id: u64, part: PartHash, round: u32 },
+    /// Request to permit a trial of what is held.
+    TrialRequest {
+        id: u64,
+        suspect: Suspect,
+        round: u32,
+    },
     /// Reply to the request for a trial.
     TrialReply { id: u64, is_permitted: bool },
     /// Notice that a permitted trial reached no engine.
-    TrialReturn { part: PartHash, round: u32 },
+    TrialReturn { suspect: Suspect, round: u32 },
     /// News about limits that upstreams name.
     LimitNews(Vec<LimitNews>),
     /// Request for a permit to send one request to a limited upstream.
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -93,13 +93,13 @@
             Ok(Message::ChargeRequest(request)) => gateway.handle_charge(request, from),
             Ok(Message::ChargeResponse(response)) => gateway.complete_charge(response),
             Ok(Message::CrashNews(news)) => gateway.apply_crash_news(&news),
-            Ok(Message::TrialRequest { id, part, round }) => {
-                gateway.handle_trial_request(id, part, round, from);
+            Ok(Message::TrialRequest { id, suspect, round }) => {
+                gateway.handle_trial_request(id, suspect, round, from);
             }
             Ok(Message::TrialReply { id, is_permitted }) => {
                 gateway.pending_trials.complete(id, is_permitted);
             }
-            Ok(Message::TrialReturn { part, round }) => gateway.return_trial(part, round),
+            Ok(Message::TrialReturn { suspect, round }) => gateway.return_trial(suspect, round),
             Ok(Message::LimitNews(news)) => gateway.apply_limit_news(&news),
             Ok(Message::PermitCall(call)) => gateway.handle_permit_call(call, from),
             Ok(Message::PermitReply(reply)) => gateway.pending_permits.complete(reply.id, reply),
--- a/src/gateway/log_event.rs
+++ b/src/gateway/log_event.rs
@@ -195,8 +195,10 @@
         /// Time since the process was requested to stop.
         stopping_ms: Option<u64>,
     },
-    /// A part of prompts is kept from engines, tried once more or released.
+    /// A part of prompts, or a request with its copies, is kept from engines, tried once more or
+    /// released.
     PartState {
+        kind: &'static str,
         part: String,
         part_id: Option<&'a str>,
         is_held: bool,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -86,9 +86,9 @@
 pub use coordinator_term::CoordinatorTerm;
 pub use crash_guard::{
     AnswerNews, BrokenConnection, Conclusion, CrashEvidence, CrashEvidenceSettings, CrashGuard,
-    CrashNews, CrashThresholds, CrashWatch, Fingerprint, Quarantine, QuarantineChange,
-    QuarantineRecord, QuarantineSettings, QuarantineSource, QuarantineVerdict, RequestContent,
-    Strike, StrikeNews,
+    CrashNews, CrashThresholds, CrashWatch, Fingerprint, InterruptedRun, Quarantine,
+    QuarantineChange, QuarantineRecord, QuarantineSettings, QuarantineSource, QuarantineVerdict,
+    RequestContent, Strike, StrikeNews, Suspect, SuspectKind,
 };
 pub use daemon::{GatewayError, GatewayProcess};
 pub use event_log::EventLog;
--- a/src/gateway/placement_request.rs
+++ b/src/gateway/placement_request.rs
@@ -3,9 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::crash_guard::Fingerprint;
+use super::crash_guard::{RequestContent, Suspect};
 use super::model::ServiceId;
-use super::prompt::{PartHash, Prompt};
+use super::prompt::{Prompt, hash_part};
 use crate::ids::UpstreamId;
 
 /// Properties of a request that determine its upstream.
@@ -13,10 +13,9 @@
 pub(super) struct PlacementRequest {
     pub(super) service: ServiceId,
     pub(super) prompt: Option<Arc<Prompt>>,
-    /// Parts of the prompt that other prompts may share.
-    pub(super) shared_parts: Arc<[PartHash]>,
-    /// Equal for copies of the request.
-    pub(super) fingerprint: Fingerprint,
+    /// What the request may crash an engine with: copies of itself, and parts of its prompt that
+    /// other prompts may share.
+    pub(super) suspects: Arc<[Suspect]>,
     /// Customer whose cached prompts are not shared with other customers.
     pub(super) isolated_customer: Option<String>,
     /// Target time to the first event.
@@ -29,3 +28,11 @@
     /// Upstreams that the request was sent to before.
     pub(super) tried_upstreams: Vec<UpstreamId>,
 }
+
+/// Returns what a request may crash an engine with.
+pub(super) fn suspects(content: &RequestContent<'_>, prompt: Option<&Prompt>) -> Arc<[Suspect]> {
+    let request = Suspect::Request(content.fingerprint());
+    let parts = prompt.into_iter().flat_map(Prompt::shared_parts);
+    let parts = parts.map(|part| Suspect::Part(hash_part(&part.id)));
+    std::iter::once(request).chain(parts).collect()
+}
--- a/src/gateway/platform_api.rs
+++ b/src/gateway/platform_api.rs
@@ -11,9 +11,9 @@
 use http_body_util::Full;
 use serde::{Deserialize, Serialize};
 
-use super::crash_guard::QuarantineRecord;
+use super::crash_guard::{QuarantineRecord, Suspect};
 use super::model::{Member, RoutingConfig, TargetWeights, UpstreamEntry, WeightNumber};
-use super::prompt::{PartHash, Prompt};
+use super::prompt::Prompt;
 use super::upstream_limit::AnnouncedLimit;
 use crate::ids::{FencingNumber, ModelId, ObjectVersion, RequestId, StoreEra, UpstreamId, VmId};
 use crate::steward::{LeaseObject, LeaseRecord};
@@ -154,18 +154,18 @@
     fn register(&self, member: Member) -> BoxFuture<'_, Result<(), StoreCallFailure>>;
     /// Returns the highest era in the responses of the store so far; 0 if it does not count them.
     fn era(&self) -> StoreEra;
-    /// Lists the states of held parts of prompts; one that cannot be decoded is returned as the
+    /// Lists the states of what is held; one that cannot be decoded is returned as the
     /// reason.
     fn quarantined(
         &self,
     ) -> BoxFuture<'_, Result<Vec<Result<QuarantineRecord, String>>, StoreCallFailure>>;
-    /// Writes the state of a part, replacing an earlier one.
+    /// Writes a state, replacing an earlier one.
     fn put_quarantined(
         &self,
         record: QuarantineRecord,
     ) -> BoxFuture<'_, Result<(), StoreCallFailure>>;
-    /// Removes the state of a part.
-    fn remove_quarantined(&self, part: PartHash) -> BoxFuture<'_, Result<(), StoreCallFailure>>;
+    /// Removes a state.
+    fn remove_quarantined(&self, suspect: Suspect) -> BoxFuture<'_, Result<(), StoreCallFailure>>;
     /// Removes the record of a VM.
     fn unregister(&self, vm: VmId) -> BoxFuture<'_, Result<(), StoreCallFailure>>;
 }
--- a/src/gateway/prompt.rs
+++ b/src/gateway/prompt.rs
@@ -1,7 +1,6 @@
 //! Prompts as described by callers: sequences of parts that other prompts may share.
 
 use std::hash::Hasher;
-use std::sync::Arc;
 
 use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
@@ -60,12 +59,6 @@
         &self.parts[..shared.min(TRACKED_PARTS_MAX)]
     }
 
-    /// Returns the hashes of the parts that other prompts may share.
-    pub fn shared_part_hashes(&self) -> Arc<[PartHash]> {
-        let parts = self.shared_parts().iter();
-        parts.map(|part| hash_part(&part.id)).collect()
-    }
-
     /// Returns the hash and the length in tokens of each prefix of parts, shortest first.
     pub fn prefixes(&self, salt: &str) -> Vec<(PrefixHash, Tokens)> {
         let mut hasher = Xxh3::new();
--- a/src/gateway/queued_placement.rs
+++ b/src/gateway/queued_placement.rs
@@ -7,11 +7,11 @@
 use tokio::sync::oneshot;
 
 use super::announcements::spread_return;
+use super::crash_guard::Suspect;
 use super::dispatch::DispatchedRequest;
 use super::event_log::LogEvent;
 use super::placement::{Placement, first_event_time_max};
 use super::placement_request::PlacementRequest;
-use super::prompt::PartHash;
 use super::request_queue::{QueueSettings, QueuedRequest, RequestQueue, Ticket};
 use super::state::{Gateway, GatewayState};
 use crate::clock::Instant;
@@ -54,8 +54,8 @@
     WouldMissDeadline(Duration),
     /// The request was queued and did not start before its deadline.
     DeadlinePassed,
-    /// This part of the prompt crashes engines.
-    Quarantined(PartHash),
+    /// This crashes engines.
+    Quarantined(Suspect),
 }
 
 impl Gateway {
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -15,7 +15,6 @@
 use super::model::{Customer, Route, RouteKind};
 use super::placement_request::PlacementRequest;
 use super::platform_api::RequestHead;
-use super::prompt::{PartHash, hash_part};
 use super::queued_placement::PlacementError;
 use super::request_queue::QueuedRequest;
 use super::response::{draining_refusal, retryable_refusal};
@@ -80,7 +79,7 @@
     /// Whether the next attempts must be made even if the retry budget is exhausted: this VM has
     /// closed an engine that was alive, and no other one has the request yet.
     pub(super) must_retry: bool,
-    /// Held part of the prompt of which the request is the trial.
+    /// What is held and the request is the trial of.
     pub(super) trial: Option<TrialPermit>,
     /// Whether another attempt could crash another engine.
     is_suspected: bool,
@@ -204,7 +203,7 @@
                 break dispatched;
             }
         };
-        // A part may have been held while the request waited.
+        // It may have been held while the request waited.
         self.check_quarantine(earlier_runs)?;
         Ok(dispatched)
     }
@@ -264,7 +263,7 @@
                     .prompt
                     .as_ref()
                     .map(|_| self.shared_part_ids().collect::<Vec<_>>().join(",")),
-                fingerprint: format!("{:016x}", self.placement_request.fingerprint),
+                fingerprint: self.fingerprint(),
                 stopping_ms: self.gateway.stopping_ms(),
             },
         );
@@ -340,21 +339,13 @@
                 Code::UpstreamNone,
                 "the service has no upstream left to try",
             ),
-            // Without a time after which to return: the part will be held then too.
-            PlacementError::Quarantined(part) if !self.progress.may_have_run => Refusal::new(
-                Code::PromptQuarantined,
-                format!(
-                    "a part of the prompt crashes engines: {}",
-                    self.part_name(part)
-                ),
-            ),
-            PlacementError::Quarantined(part) => self.refuse(
-                Code::PromptQuarantined,
-                &format!(
-                    "a part of the prompt crashes engines: {}",
-                    self.part_name(part)
-                ),
-            ),
+            // Without a time after which to return: it will be held then too.
+            PlacementError::Quarantined(suspect) if !self.progress.may_have_run => {
+                Refusal::new(Code::PromptQuarantined, self.quarantine_reason(suspect))
+            }
+            PlacementError::Quarantined(suspect) => {
+                self.refuse(Code::PromptQuarantined, &self.quarantine_reason(suspect))
+            }
             PlacementError::WouldMissDeadline(wait) if !self.progress.may_have_run => {
                 let wait = wait.max(UPSTREAM_RETRY_AFTER);
                 retryable_refusal(
@@ -374,18 +365,6 @@
         }
     }
 
-    /// Returns the identifiers of the parts of the prompt that other prompts may share.
-    pub(super) fn shared_part_ids(&self) -> impl Iterator<Item = &str> {
-        let prompt = self.placement_request.prompt.iter();
-        let parts = prompt.flat_map(|prompt| prompt.shared_parts());
-        parts.map(|part| part.id.as_str())
-    }
-
-    fn part_name(&self, part: PartHash) -> &str {
-        let mut names = self.shared_part_ids();
-        names.find(|id| hash_part(id) == part).unwrap_or("unknown")
-    }
-
     pub(super) fn priority(&self) -> u8 {
         let customer = self
             .customer
--- a/tests/gateway_pure/main.rs
+++ b/tests/gateway_pure/main.rs
@@ -5,6 +5,7 @@
 mod budgets;
 mod crashes;
 mod fingerprints;
+mod held_requests;
 mod holdings;
 mod memory;
 mod mirrors;
--- a/tests/gateway_pure/quarantines.rs
+++ b/tests/gateway_pure/quarantines.rs
@@ -5,14 +5,14 @@
 use celerylever::clock::Instant;
 use celerylever::gateway::{
     Conclusion, CoordinatorTerm, CrashEvidence, Quarantine, QuarantineRecord, QuarantineVerdict,
-    Strike,
+    Strike, Suspect, SuspectKind,
 };
 use proptest::prelude::*;
 use rstest::rstest;
 
-const SYSTEM: u64 = 1;
-const DOCUMENT: u64 = 2;
-const DEADLY: u64 = 3;
+const SYSTEM: Suspect = Suspect::Part(1);
+const DOCUMENT: Suspect = Suspect::Part(2);
+const DEADLY: Suspect = Suspect::Part(3);
 
 /// Time after which any evidence has settled.
 const SETTLED: Duration = Duration::from_secs(5);
@@ -21,29 +21,29 @@
     Duration::from_secs(100) + Duration::from_millis(ms)
 }
 
-fn strike(evidence: &mut CrashEvidence, process: u64, ms: u64, parts: &[u64]) {
-    for part in parts {
-        let (part, at, is_proven) = (*part, at(ms), false);
+fn strike(evidence: &mut CrashEvidence, process: u64, ms: u64, suspects: &[Suspect]) {
+    for suspect in suspects {
         evidence.record_strike(Strike {
-            part,
+            suspect: *suspect,
             process,
-            at,
-            is_proven,
+            at: at(ms),
+            began_at: at(ms) - Duration::from_millis(80),
+            is_proven: false,
         });
     }
 }
 
-fn concluded(evidence: &mut CrashEvidence, now: Instant) -> Vec<u64> {
+fn concluded(evidence: &mut CrashEvidence, now: Instant) -> Vec<Suspect> {
     let conclusions = evidence.conclude(now).into_iter();
-    let mut parts: Vec<_> = conclusions.map(|conclusion| conclusion.part).collect();
-    parts.sort_unstable();
-    parts
+    let mut suspects: Vec<_> = conclusions.map(|conclusion| conclusion.suspect).collect();
+    suspects.sort_unstable();
+    suspects
 }
 
-fn held(part: u64, is_ambiguous: bool, now: Instant) -> Quarantine {
+fn held(suspect: Suspect, is_ambiguous: bool, now: Instant) -> Quarantine {
     let mut quarantine = Quarantine::default();
     let conclusion = Conclusion {
-        part,
+        suspect,
         crashes: vec![(1, now), (2, now), (3, now)],
         is_ambiguous,
     };
@@ -59,11 +59,11 @@
             &mut evidence,
             process,
             ms,
-            &[SYSTEM, DOCUMENT + 10 * process, DEADLY],
+            &[SYSTEM, Suspect::Part(20 + process), DEADLY],
         );
     }
     evidence.record_answer(SYSTEM, at(400));
-    assert_eq!(concluded(&mut evidence, at(500)), [0_u64; 0]);
+    assert_eq!(concluded(&mut evidence, at(500)), []);
     assert_eq!(concluded(&mut evidence, at(1_100)), [DEADLY]);
 }
 
@@ -82,10 +82,10 @@
     let conclusions = evidence.conclude(at(0) + SETTLED);
     assert_eq!(conclusions.len(), 1);
     assert_eq!(
-        (conclusions[0].part, conclusions[0].is_ambiguous),
+        (conclusions[0].suspect, conclusions[0].is_ambiguous),
         (DEADLY, false)
     );
-    assert_eq!(concluded(&mut evidence, at(0) + SETTLED * 2), [0_u64; 0]);
+    assert_eq!(concluded(&mut evidence, at(0) + SETTLED * 2), []);
 }
 
 #[rstest]
@@ -112,7 +112,7 @@
     for outage in 0..6 {
         for engine in 0..6 {
             let (process, ms) = (outage * 10 + engine, outage * 1_800 + engine);
-            let parts: &[u64] = match engine < 2 {
+            let parts: &[Suspect] = match engine < 2 {
                 true => &[DOCUMENT],
                 false => &[SYSTEM],
             };
@@ -120,7 +120,7 @@
         }
     }
     // At four of six engines, which may not be chance, but is not the cause of all.
-    assert_eq!(concluded(&mut evidence, at(9_000) + SETTLED), [0_u64; 0]);
+    assert_eq!(concluded(&mut evidence, at(9_000) + SETTLED), []);
 }
 
 #[test]
@@ -130,7 +130,7 @@
         strike(&mut evidence, process, ms, &[DOCUMENT]);
     }
     assert!(evidence.record_answer(DOCUMENT, at(600)));
-    assert_eq!(concluded(&mut evidence, at(0) + SETTLED), [0_u64; 0]);
+    assert_eq!(concluded(&mut evidence, at(0) + SETTLED), []);
     assert!(evidence.is_proven(DOCUMENT) && !evidence.is_suspected(DOCUMENT, 9));
 }
 
@@ -143,7 +143,7 @@
     strike(&mut evidence, 4, 900, &[DOCUMENT]);
     let conclusions = evidence.conclude(at(0) + SETTLED);
     assert!(conclusions.iter().all(|conclusion| conclusion.is_ambiguous));
-    let mut parts: Vec<_> = conclusions.iter().map(|one| one.part).collect();
+    let mut parts: Vec<_> = conclusions.iter().map(|one| one.suspect).collect();
     parts.sort_unstable();
     assert_eq!(parts, [DOCUMENT, DEADLY]);
 }
@@ -152,13 +152,13 @@
 fn a_part_at_half_of_the_crashes_is_not_concluded_with_the_one_at_all() {
     let mut evidence = CrashEvidence::default();
     for process in 1..=6 {
-        let document = DOCUMENT + 100 * (process % 2);
+        let document = Suspect::Part(100 + process % 2);
         strike(&mut evidence, process, process * 200, &[document, DEADLY]);
     }
     let conclusions = evidence.conclude(at(0) + SETTLED);
     let parts: Vec<_> = conclusions
         .iter()
-        .map(|one| (one.part, one.is_ambiguous))
+        .map(|one| (one.suspect, one.is_ambiguous))
         .collect();
     assert_eq!(parts, [(DEADLY, false)]);
 }
@@ -167,17 +167,17 @@
 fn two_deadly_parts_are_both_concluded() {
     let mut evidence = CrashEvidence::default();
     for process in 1..=6 {
-        let deadly = DEADLY + process % 2;
+        let deadly = Suspect::Part(3 + process % 2);
         strike(
             &mut evidence,
             process,
             process * 200,
-            &[deadly, 100 + process],
+            &[deadly, Suspect::Part(100 + process)],
         );
     }
     assert_eq!(
         concluded(&mut evidence, at(0) + SETTLED),
-        [DEADLY, DEADLY + 1]
+        [DEADLY, Suspect::Part(4)]
     );
 }
 
@@ -187,7 +187,7 @@
     strike(&mut evidence, 1, 0, &[DEADLY]);
     strike(&mut evidence, 2, 200, &[DEADLY]);
     for part in 0..100_000 {
-        strike(&mut evidence, 3, 300, &[1_000 + part]);
+        strike(&mut evidence, 3, 300, &[Suspect::Part(1_000 + part)]);
     }
     strike(&mut evidence, 4, 400, &[DEADLY]);
     assert_eq!(concluded(&mut evidence, at(0) + SETTLED), [DEADLY]);
@@ -197,7 +197,7 @@
 fn a_request_with_two_held_parts_is_no_trial_for_a_minute() {
     let mut quarantine = held(DOCUMENT, true, at(0));
     let conclusion = Conclusion {
-        part: DEADLY,
+        suspect: DEADLY,
         crashes: Vec::new(),
         is_ambiguous: true,
     };
@@ -209,7 +209,10 @@
     let one = quarantine.verdict(&[SYSTEM, DOCUMENT], at(1));
     assert!(matches!(
         one,
-        QuarantineVerdict::TrialDue { part: DOCUMENT, .. }
+        QuarantineVerdict::TrialDue {
+            suspect: DOCUMENT,
+            ..
+        }
     ));
     assert_eq!(
         quarantine.verdict(&[SYSTEM], at(1)),
@@ -241,7 +244,7 @@
     quarantine.return_trial(DEADLY, 2, at(4_050)).unwrap();
     let verdict = quarantine.verdict(&[DEADLY], at(4_550));
     let due = QuarantineVerdict::TrialDue {
-        part: DEADLY,
+        suspect: DEADLY,
         round: 3,
     };
     assert_eq!(verdict, due);
@@ -282,9 +285,10 @@
 }
 
 fn any_record() -> impl Strategy<Value = QuarantineRecord> {
-    (0..4_u64, 1..4_u32, any::<bool>(), 0..50_u64).prop_map(|(part, round, is_held, age_ms)| {
+    (0..4_u64, 1..4_u32, any::<bool>(), 0..50_u64).prop_map(|(hash, round, is_held, age_ms)| {
         QuarantineRecord {
-            part,
+            hash,
+            kind: SuspectKind::Part,
             part_id: None,
             round,
             is_held,
@@ -305,14 +309,14 @@
     ) {
         let mut shuffled = records.clone();
         shuffled.sort_by_key(|record| {
-            record.part.wrapping_mul(seed) ^ u64::from(record.round).rotate_left(seed as u32 % 64)
+            record.hash.wrapping_mul(seed) ^ u64::from(record.round).rotate_left(seed as u32 % 64)
         });
         let held = |records: &[QuarantineRecord]| {
             let mut quarantine = Quarantine::default();
             for record in records {
                 quarantine.merge(record, at(0));
             }
-            let states = (0..4).map(|part| quarantine.record(part, at(0)));
+            let states = (0..4).map(|part| quarantine.record(Suspect::Part(part), at(0)));
             states
                 .map(|state| state.map(|state| (state.round, state.is_held)))
                 .collect::<Vec<_>>()
@@ -324,7 +328,7 @@
     fn the_table_stays_bounded(parts in prop::collection::vec(any::<u64>(), 0..600)) {
         let mut quarantine = Quarantine::default();
         for (number, part) in parts.iter().enumerate() {
-            let conclusion = Conclusion { part: *part, crashes: Vec::new(), is_ambiguous: false };
+            let conclusion = Conclusion { suspect: Suspect::Part(*part), crashes: Vec::new(), is_ambiguous: false };
             quarantine.hold(&conclusion, None, at(number as u64));
         }
         prop_assert!(quarantine.records(at(1_000)).len() <= 256);
