fix(gateway): name held parts that only another VM had at the crashes

On call could not tell which document was held: part_id was null in the log and in the store where the runs at the crashes had just ended, or were another VM's. The first request that is refused for a part names it, and the VM tells the others and the store.

The test could not be built on the code before, which had no such call; it asserts that the identifier is unknown first and told after. The line was null at all three VMs where a harmless part was held.

--- a/src/gateway/crash_guard/guard.rs
+++ b/src/gateway/crash_guard/guard.rs
@@ -137,6 +137,21 @@
         Some(QuarantineChange { record, crashes })
     }
 
+    /// Sets the identifier of a held part if it is not known, as where only another VM had requests
+    /// with it; returns the change.
+    pub fn name_held(
+        &mut self,
+        suspect: Suspect,
+        id: &str,
+        now: Instant,
+    ) -> Option<QuarantineChange> {
+        if !self.quarantine.name(suspect, id) {
+            return None;
+        }
+        self.tell_record(suspect);
+        self.change(suspect, now)
+    }
+
     /// Applies news of another VM and, if this VM forwards news, tells what it did not know.
     pub fn apply(
         &mut self,
--- a/src/gateway/crash_guard/quarantine.rs
+++ b/src/gateway/crash_guard/quarantine.rs
@@ -219,6 +219,19 @@
         self.entries.get(&suspect)?.part_id.as_deref()
     }
 
+    /// Sets the identifier of a held part if it is not known; returns whether it was not.
+    pub fn name(&mut self, suspect: Suspect, id: &str) -> bool {
+        let entry = self.entries.get_mut(&suspect);
+        let unnamed = entry.filter(|entry| entry.is_held && entry.part_id.is_none());
+        match unnamed.filter(|_| id.len() <= PART_ID_MAX_BYTES) {
+            Some(entry) => {
+                entry.part_id = Some(id.to_owned());
+                true
+            }
+            None => false,
+        }
+    }
+
     /// Holds a suspect; returns the new record, or `None` if it is held already.
     pub fn hold(
         &mut self,
--- a/src/gateway/crash_guard/quarantine_check.rs
+++ b/src/gateway/crash_guard/quarantine_check.rs
@@ -12,6 +12,7 @@
 use crate::gateway::dispatch::DispatchedRequest;
 use crate::gateway::event_log::LogEvent;
 use crate::gateway::process_hash::hash_process;
+use crate::gateway::prompt::hash_part;
 use crate::gateway::queued_placement::PlacementError;
 use crate::gateway::request::AdmittedRequest;
 use crate::gateway::state::Gateway;
@@ -87,10 +88,25 @@
             {
                 Ok(())
             }
-            _ => Err(PlacementError::Quarantined(held)),
+            _ => {
+                self.name_held(held);
+                Err(PlacementError::Quarantined(held))
+            }
         }
     }
 
+    /// Tells the identifier of a held part that this request has, if it is not known.
+    fn name_held(&self, held: Suspect) {
+        let mut names = self.shared_part_ids();
+        let Some(id) = names.find(|id| Suspect::Part(hash_part(id)) == held) else {
+            return;
+        };
+        let now = self.gateway.now();
+        let change = self.gateway.state().crash_guard.name_held(held, id, now);
+        self.gateway
+            .record_quarantine_changes(change.as_slice(), QuarantineSource::Own);
+    }
+
     /// Returns whether the request may crash another engine after its attempt at one broke.
     pub(in crate::gateway) fn is_suspected(&self, dispatched: &DispatchedRequest) -> bool {
         let suspects = &self.placement_request.suspects;
--- a/tests/gateway_pure/crashes.rs
+++ b/tests/gateway_pure/crashes.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use celerylever::gateway::{BrokenConnection, CrashWatch, InterruptedRun, Suspect};
+use celerylever::gateway::{BrokenConnection, CrashGuard, CrashWatch, InterruptedRun, Suspect};
 
 const PROCESS: u64 = 7;
 
@@ -68,3 +68,26 @@
     let requests = vec![run(Arc::new([Suspect::Request(7)])), run(parts(&[8]))];
     assert_eq!(watch.record_crash(PROCESS), Some((at(1_000), requests)));
 }
+
+/// Guards against held parts that the log does not name: only runs that had ended were at the crash,
+/// or another VM had the requests.
+#[test]
+fn a_held_part_is_named_by_the_first_request_that_is_refused() {
+    let mut guard = CrashGuard::default();
+    let part = Suspect::Part(8);
+    for process in 1..=3 {
+        let ms = process * 1_000;
+        guard.record_end(process, &run(parts(&[8])), at(ms - 100));
+        guard.record_broken(process, run(parts(&[])), std::iter::empty(), at(ms));
+        guard.record_crash(process);
+    }
+    let changes = guard.tick(at(9_000));
+    assert_eq!(changes.len(), 1);
+    assert_eq!(changes[0].record.part_id, None);
+    let named = guard.name_held(part, "document", at(9_100)).unwrap();
+    assert_eq!(named.record.part_id.as_deref(), Some("document"));
+    assert_eq!(guard.name_held(part, "document", at(9_200)), None);
+    // The others and the store are told.
+    let told = guard.next_news(at(9_200)).records;
+    assert_eq!(told[0].part_id.as_deref(), Some("document"));
+}
