fix(gateway): news of limits come to rest

Two representatives told each other the same limit 40 times in 40 rounds of a test, each time with a heartbeat sent early: a message takes some time, so what it says looked newer than what was known, and was forwarded again. A delayed repeat also replaced a limit that was named since.

Cause: any later time counted as news. News now have to be newer by half a second if they repeat a limit, by 200 ms if they change it, and by the time that ends a limit if they end it. Limits are told once a second, so that a change that falls short is known a second later.

Both tests failed before (40 messages; the older limit in force) and pass.

--- a/src/gateway/upstream_limit/limits.rs
+++ b/src/gateway/upstream_limit/limits.rs
@@ -17,6 +17,12 @@
 /// Time after which a limit that is still named is told again.
 const TELL_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Time by which news must be newer than what is known if they repeat a limit: a message takes some
+/// time, and what it says must not look newer at each VM that forwards it.
+const REPEAT_NEWER_MIN: Duration = Duration::from_millis(500);
+/// As [`REPEAT_NEWER_MIN`], for another limit: news may have been delayed by that time.
+const CHANGE_NEWER_MIN: Duration = Duration::from_millis(200);
+
 /// Change of the limit of an upstream, for the log.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LimitChange {
@@ -87,26 +93,26 @@
             let stated_at = now.saturating_sub(Duration::from_millis(item.age_ms.into()));
             let known = self.limits.get_mut(&item.process);
             let is_news = match known {
-                Some(known) if stated_at <= known.stated_at => {
-                    known.told_at = now;
-                    false
+                Some(known) => {
+                    let newer_min = match (item.rate, known.rate) {
+                        // Another response may have named it in between.
+                        (None, Some(rate)) => end_delay(rate),
+                        (rate, known) if rate == known => REPEAT_NEWER_MIN,
+                        _ => CHANGE_NEWER_MIN,
+                    };
+                    stated_at >= known.stated_at + newer_min
                 }
-                // Another response has named it in between.
-                Some(known) => match (item.rate, known.rate) {
-                    (None, Some(rate)) => stated_at >= known.stated_at + end_delay(rate),
-                    _ => true,
-                },
                 None => item.rate.is_some(),
             };
-            if !is_news {
-                continue;
+            if is_news {
+                changes.extend(self.set(item.process, item.rate, stated_at));
             }
-            changes.extend(self.set(item.process, item.rate, stated_at));
-            if forwards {
-                self.tell(item.process, now);
-            } else if let Some(known) = self.limits.get_mut(&item.process) {
+            if let Some(known) = self.limits.get_mut(&item.process) {
                 known.told_at = now;
             }
+            if is_news && forwards {
+                self.outbox.push(item.process);
+            }
         }
         changes
     }
--- a/tests/gateway_pure/permits.rs
+++ b/tests/gateway_pure/permits.rs
@@ -235,3 +235,36 @@
     limits.record_response(PROCESS, AnnouncedLimit::Absent, MS(3_000));
     assert_eq!(limits.waits_until(PROCESS, MS(3_100)), None);
 }
+
+/// Guards against representatives that tell each other the same news without end: a message takes
+/// some time, so what it says looks a little newer than what was told.
+#[test]
+fn news_of_a_limit_come_to_rest() {
+    let mut zones = [UpstreamLimits::default(), UpstreamLimits::default()];
+    zones[0].record_response(PROCESS, AnnouncedLimit::Rate(rate(2.7)), MS(1_000));
+    let mut now = MS(1_000);
+    let mut messages = 0;
+    for round in 0..40 {
+        let (sender, receiver) = (round % 2, (round + 1) % 2);
+        let news = zones[sender].next_news(now);
+        now += MS(3);
+        messages += usize::from(!news.is_empty());
+        zones[receiver].apply(&news, true, now);
+        now += MS(22);
+    }
+    assert!(messages <= 4, "{messages} messages");
+    // What is named a second later is told again.
+    zones[1].record_response(PROCESS, AnnouncedLimit::Rate(rate(2.7)), MS(2_100));
+    assert!(zones[1].has_news());
+}
+
+/// Guards against a delayed repeat of older news that replaces what was named since.
+#[test]
+fn delayed_news_do_not_replace_a_limit_that_was_named_since() {
+    let (mut one, mut other) = (UpstreamLimits::default(), UpstreamLimits::default());
+    one.record_response(PROCESS, AnnouncedLimit::Rate(rate(2.0)), MS(1_000));
+    let news = one.next_news(MS(1_000));
+    other.record_response(PROCESS, AnnouncedLimit::Rate(rate(4.0)), MS(1_010));
+    assert_eq!(other.apply(&news, true, MS(1_030)), []);
+    assert_eq!(other.rate(PROCESS), Some(rate(4.0)));
+}
