--- a/src/gateway/crash_guard/fingerprint.rs
+++ b/src/gateway/crash_guard/fingerprint.rs
@@ -5,6 +5,8 @@
 use http::Method;
 use xxhash_rust::xxh3::Xxh3;
 
+use crate::gateway::prompt::PromptPart;
+
 /// Hash that identifies copies of a request.
 pub type Fingerprint = u64;
 
@@ -20,6 +22,8 @@
     pub target: &'a str,
     /// Customer whose key the request carries; `None` if it needs no key.
     pub customer: Option<&'a str>,
+    /// Parts of the prompt that other prompts may share; the last one may be named anew for a copy.
+    pub shared_parts: &'a [PromptPart],
     /// Whole body.
     pub body: &'a [u8],
 }
@@ -39,6 +43,11 @@
             hasher.write_u8(0);
         }
         hasher.write_u8(u8::from(self.customer.is_some()));
+        for part in self.shared_parts {
+            hasher.write(part.id.as_bytes());
+            hasher.write_u8(0);
+        }
+        hasher.write_u8(0);
         hasher.write(self.body);
         hasher.finish()
     }
--- a/tests/gateway_pure/fingerprints.rs
+++ b/tests/gateway_pure/fingerprints.rs
@@ -1,6 +1,6 @@
 //! Fingerprints of requests.
 
-use celerylever::gateway::RequestContent;
+use celerylever::gateway::{PromptPart, RequestContent};
 use http::Method;
 
 use super::*;
@@ -10,9 +10,31 @@
     host: "depot.example",
     target: "/book/a?page=1",
     customer: Some("teifi"),
+    shared_parts: &[],
     body: b"slot=3",
 };
 
+fn parts(ids: &[&str]) -> Vec<PromptPart> {
+    let ids = ids.iter().map(|id| (*id).to_owned());
+    ids.map(|id| PromptPart { id, tokens: 100 }).collect()
+}
+
+/// Guards against sound prompts that are refused as copies where bodies do not carry the prompt.
+#[test]
+fn prompts_with_other_parts_are_no_copies() {
+    let fingerprint = |ids: &[&str]| {
+        let content = RequestContent {
+            shared_parts: &parts(ids),
+            ..CONTENT
+        };
+        content.fingerprint()
+    };
+    assert_eq!(fingerprint(&["sys", "doc"]), fingerprint(&["sys", "doc"]));
+    assert_ne!(fingerprint(&["sys", "doc"]), fingerprint(&["sys", "other"]));
+    assert_ne!(fingerprint(&["sys", "doc"]), fingerprint(&["sysdoc"]));
+    assert_ne!(fingerprint(&["sys"]), fingerprint(&[]));
+}
+
 #[rstest]
 #[case::method(RequestContent { method: &Method::PUT, ..CONTENT })]
 #[case::host(RequestContent { host: "other.example", ..CONTENT })]
