fix(gateway): recognise copies by their body where it carries the prompt

Cause: the shared parts of a prompt became part of every fingerprint, so that requests with one body and other parts were no copies any more. A body with at least as many bytes as the prompt has tokens tells prompts apart by itself; the parts count only beside a shorter one.

--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -11,7 +11,6 @@
 use super::model::{CostUnit, Customer, Route};
 use super::placement_request::{PlacementRequest, suspects};
 use super::platform_api::RequestHead;
-use super::prompt::Prompt;
 use super::request::{AdmittedRequest, AttemptProgress, ReceivedRequest};
 use super::response::{draining_refusal, retryable_refusal};
 use super::state::Gateway;
@@ -103,7 +102,7 @@
         host,
         target: target.map_or("/", PathAndQuery::as_str),
         customer: customer.as_ref().map(|customer| customer.id.as_str()),
-        shared_parts: prompt.as_deref().map_or(&[], Prompt::shared_parts),
+        prompt: prompt.as_deref(),
         body: &body,
     };
     let isolated = customer.as_ref().filter(|customer| customer.is_isolated);
--- a/src/gateway/crash_guard/fingerprint.rs
+++ b/src/gateway/crash_guard/fingerprint.rs
@@ -5,7 +5,7 @@
 use http::Method;
 use xxhash_rust::xxh3::Xxh3;
 
-use crate::gateway::prompt::PromptPart;
+use crate::gateway::prompt::{Prompt, PromptPart};
 
 /// Hash that identifies copies of a request.
 pub type Fingerprint = u64;
@@ -22,8 +22,8 @@
     pub target: &'a str,
     /// Customer whose key the request carries; `None` if it needs no key.
     pub customer: Option<&'a str>,
-    /// Parts of the prompt that other prompts may share; the last one may be named anew for a copy.
-    pub shared_parts: &'a [PromptPart],
+    /// Prompt, if the request is for a model.
+    pub prompt: Option<&'a Prompt>,
     /// Whole body.
     pub body: &'a [u8],
 }
@@ -43,7 +43,7 @@
             hasher.write_u8(0);
         }
         hasher.write_u8(u8::from(self.customer.is_some()));
-        for part in self.shared_parts {
+        for part in self.parts_beside_body() {
             hasher.write(part.id.as_bytes());
             hasher.write_u8(0);
         }
@@ -51,4 +51,13 @@
         hasher.write(self.body);
         hasher.finish()
     }
+
+    /// Returns the parts that tell prompts apart which the body does not contain: it has fewer bytes
+    /// than the prompt has tokens. The last part may be named anew for a copy.
+    fn parts_beside_body(&self) -> &[PromptPart] {
+        let prompt = self
+            .prompt
+            .filter(|prompt| prompt.prompt_tokens > self.body.len() as u64);
+        prompt.map_or(&[], Prompt::shared_parts)
+    }
 }
