--- /dev/null
+++ b/src/gateway/crash_guard/charges.rs
@@ -0,0 +1,89 @@
+//! What is held against one suspect, and whether it suffices.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use super::evidence::CrashThresholds;
+use crate::clock::Instant;
+use crate::gateway::process_hash::ProcessHash;
+
+/// One in this many crashes may lack a report of a suspect that was there.
+pub(super) const ALIKE_DIVISOR: usize = 4;
+
+/// Crash that is held against a suspect.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Charge {
+    pub(super) process: ProcessHash,
+    pub(super) at: Instant,
+    pub(super) began_at: Instant,
+}
+
+/// What is held against one suspect.
+#[derive(Debug, Default)]
+pub(super) struct Charges {
+    /// Crashes since the last complete answer, in order of time.
+    pub(super) crashes: Vec<Charge>,
+    pub(super) is_proven: bool,
+}
+
+impl Charges {
+    /// Returns whether the evidence has been sufficient for long enough.
+    ///
+    /// `processes` are all crashes that are not explained.
+    pub(super) fn is_ripe(
+        &self,
+        thresholds: CrashThresholds,
+        separate_after: Duration,
+        processes: &VecDeque<(ProcessHash, Instant)>,
+        now: Instant,
+    ) -> bool {
+        if self.crashes.len() < thresholds.crashes {
+            return false;
+        }
+        let mut events = 0;
+        let mut event_at = None;
+        let own = self
+            .crashes
+            .iter()
+            .filter(|charge| self.was_at_nearly_all(charge.at, separate_after, processes));
+        for (number, charge) in own.enumerate() {
+            // A request that was sent after a crash has not met the same event.
+            let is_separate =
+                |since: Instant| charge.at >= since + separate_after || charge.began_at >= since;
+            if event_at.is_none_or(is_separate) {
+                events += 1;
+                event_at = Some(charge.at);
+            }
+            if number + 1 >= thresholds.crashes && events >= thresholds.events {
+                return now >= charge.at + thresholds.settle_time;
+            }
+        }
+        false
+    }
+
+    /// Returns whether the suspect was at nearly all engines that crashed together with one of them.
+    fn was_at_nearly_all(
+        &self,
+        crashed_at: Instant,
+        separate_after: Duration,
+        processes: &VecDeque<(ProcessHash, Instant)>,
+    ) -> bool {
+        let is_together = |at: Instant| at.abs_diff(crashed_at) < separate_after;
+        let together = processes.iter().filter(|(_, at)| is_together(*at));
+        let all = together.clone().count();
+        let own = together
+            .filter(|(process, _)| self.was_at(*process))
+            .count();
+        all - own <= own / ALIKE_DIVISOR
+    }
+
+    pub(super) fn was_at(&self, process: ProcessHash) -> bool {
+        self.crashes.iter().any(|charge| charge.process == process)
+    }
+
+    /// Returns the number of crashes that both suspects were at.
+    pub(super) fn crashes_shared_with(&self, other: &Self) -> usize {
+        let shared = self.crashes.iter();
+        shared.filter(|charge| other.was_at(charge.process)).count()
+    }
+}
--- a/src/gateway/crash_guard/check.rs
+++ b/src/gateway/crash_guard/check.rs
@@ -7,7 +7,7 @@
 
 use tokio::net::TcpStream;
 
-use super::quarantine::QuarantineSource;
+use super::record::QuarantineSource;
 use super::suspect::{Suspect, SuspectKind};
 use super::watch::{BrokenConnection, InterruptedRun};
 use crate::gateway::attempt_failure::AttemptFailure;
--- a/src/gateway/crash_guard/gossip.rs
+++ b/src/gateway/crash_guard/gossip.rs
@@ -6,7 +6,7 @@
 use tokio::net::UdpSocket;
 
 use super::news::CrashNews;
-use super::quarantine::QuarantineSource;
+use super::record::QuarantineSource;
 use crate::gateway::datagram::{Message, send_to_all};
 use crate::gateway::state::Gateway;
 
--- a/src/gateway/crash_guard/guard.rs
+++ b/src/gateway/crash_guard/guard.rs
@@ -5,7 +5,8 @@
 
 use super::evidence::{Conclusion, CrashEvidence, Strike};
 use super::news::{CrashNews, Outbox, RECORDS_PER_MESSAGE_MAX};
-use super::quarantine::{Quarantine, QuarantineRecord, QuarantineVerdict};
+use super::quarantine::{Quarantine, QuarantineVerdict};
+use super::record::QuarantineRecord;
 use super::suspect::{Suspect, SuspectKind};
 use super::watch::{BrokenConnection, CrashWatch, InterruptedRun};
 use crate::clock::Instant;
--- a/src/gateway/crash_guard/mod.rs
+++ b/src/gateway/crash_guard/mod.rs
@@ -7,6 +7,7 @@
 //!
 //! [`CrashGuard`] and what it consists of perform no I/O, and the time is passed in.
 
+mod charges;
 mod check;
 mod evidence;
 mod fingerprint;
@@ -16,6 +17,7 @@
 mod quarantine;
 pub(in crate::gateway) mod quarantine_check;
 pub(in crate::gateway) mod quarantine_task;
+mod record;
 mod suspect;
 mod watch;
 
@@ -23,8 +25,7 @@
 pub use fingerprint::{Fingerprint, RequestContent};
 pub use guard::{CrashGuard, QuarantineChange};
 pub use news::{AnswerNews, CrashNews, StrikeNews};
-pub use quarantine::{
-    Quarantine, QuarantineRecord, QuarantineSettings, QuarantineSource, QuarantineVerdict,
-};
+pub use quarantine::{Quarantine, QuarantineSettings, QuarantineVerdict};
+pub use record::{QuarantineRecord, QuarantineSource};
 pub use suspect::{Suspect, SuspectKind};
 pub use watch::{BrokenConnection, CrashWatch, InterruptedRun};
--- a/src/gateway/crash_guard/news.rs
+++ b/src/gateway/crash_guard/news.rs
@@ -5,7 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 use super::evidence::Strike;
-use super::quarantine::{Quarantine, QuarantineRecord};
+use super::quarantine::Quarantine;
+use super::record::QuarantineRecord;
 use super::suspect::Suspect;
 use crate::clock::Instant;
 use crate::gateway::process_hash::ProcessHash;
--- a/src/gateway/crash_guard/quarantine_check.rs
+++ b/src/gateway/crash_guard/quarantine_check.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use super::guard::QuarantineChange;
-use super::quarantine::{QuarantineRecord, QuarantineSource, QuarantineVerdict};
+use super::quarantine::QuarantineVerdict;
+use super::record::{QuarantineRecord, QuarantineSource};
 use super::suspect::Suspect;
 use crate::clock::Instant;
 use crate::gateway::datagram::{Message, send};
--- a/src/gateway/crash_guard/quarantine_task.rs
+++ b/src/gateway/crash_guard/quarantine_task.rs
@@ -5,7 +5,7 @@
 
 use rand::Rng;
 
-use super::quarantine::{QuarantineRecord, QuarantineSource};
+use super::record::{QuarantineRecord, QuarantineSource};
 use crate::clock::Instant;
 use crate::gateway::event_log::LogEvent;
 use crate::gateway::platform_api::StoreCallFailure;
