fix(gateway): let crashes of a held request count against its parts

Cause: at equal crashes a request is concluded rather than the parts of its prompt, and the parts beside it were cleared of these crashes. They now keep them, and are concluded with the first crash of another request.

The test failed to conclude before by the code read (the strikes were removed; it was not run there).

--- a/src/gateway/crash_guard/charges.rs
+++ b/src/gateway/crash_guard/charges.rs
@@ -16,6 +16,8 @@
     pub(super) process: ProcessHash,
     pub(super) at: Instant,
     pub(super) began_at: Instant,
+    /// Whether a held request explains the crash as well.
+    pub(super) is_explained: bool,
 }
 
 /// What is held against one suspect.
@@ -37,7 +39,8 @@
         processes: &VecDeque<(ProcessHash, Instant)>,
         now: Instant,
     ) -> bool {
-        if self.crashes.len() < thresholds.crashes {
+        let is_only_explained = self.crashes.iter().all(|charge| charge.is_explained);
+        if self.crashes.len() < thresholds.crashes || is_only_explained {
             return false;
         }
         let mut events = 0;
--- a/src/gateway/crash_guard/evidence.rs
+++ b/src/gateway/crash_guard/evidence.rs
@@ -171,6 +171,7 @@
             process: strike.process,
             at: strike.at,
             began_at: strike.began_at,
+            is_explained: false,
         });
         crashes.sort_unstable_by_key(|charge| charge.at);
         true
@@ -232,6 +233,10 @@
         while let Some(group) = self.ripest_group(now) {
             let is_ambiguous = group.len() > 1;
             let mut explained = HashSet::new();
+            let kind = match group.iter().all(|one| one.kind() == SuspectKind::Request) {
+                true => SuspectKind::Request,
+                false => SuspectKind::Part,
+            };
             for suspect in group {
                 let charges = self.suspects.remove(&suspect).unwrap_or_default();
                 let crashes = charges.crashes.iter();
@@ -244,12 +249,41 @@
                 });
             }
             for process in explained {
-                self.record_explained(process);
+                match kind {
+                    SuspectKind::Part => self.record_explained(process),
+                    SuspectKind::Request => self.record_explained_by_request(process),
+                }
             }
         }
         conclusions
     }
 
+    /// Records that a held request was at a crash.
+    ///
+    /// The crash still counts against the parts beside it, which may have caused it, but they are
+    /// concluded only with another crash: copies of one request say nothing of others.
+    fn record_explained_by_request(&mut self, process: ProcessHash) {
+        self.processes.retain(|(known, _)| *known != process);
+        self.suspects.retain(|suspect, charges| {
+            if suspect.kind() == SuspectKind::Request {
+                charges.crashes.retain(|charge| charge.process != process);
+            }
+            let crashes = charges.crashes.iter_mut();
+            crashes
+                .filter(|charge| charge.process == process)
+                .for_each(|charge| charge.is_explained = true);
+            !charges.crashes.is_empty()
+        });
+    }
+
+    /// Records that another VM has concluded a request to crash engines.
+    pub fn record_held_request(&mut self, request: Suspect) {
+        let charges = self.suspects.remove(&request).unwrap_or_default();
+        for charge in charges.crashes {
+            self.record_explained_by_request(charge.process);
+        }
+    }
+
     fn ripest_group(&self, now: Instant) -> Option<Vec<Suspect>> {
         let ripe = self.suspects.iter().filter(|(suspect, charges)| {
             let thresholds = self.thresholds(**suspect, charges);
--- a/src/gateway/crash_guard/guard.rs
+++ b/src/gateway/crash_guard/guard.rs
@@ -350,6 +350,9 @@
         let is_newer = self.quarantine.merge(record, now);
         if is_newer {
             self.unstored.insert(record.suspect());
+            if record.is_held && record.kind == SuspectKind::Request {
+                self.evidence.record_held_request(record.suspect());
+            }
             if !record.is_held {
                 // The operator or a complete answer has cleared it.
                 self.evidence.record_answer(record.suspect(), now);
--- a/tests/gateway_pure/held_requests.rs
+++ b/tests/gateway_pure/held_requests.rs
@@ -121,6 +121,25 @@
     assert_eq!(concluded(&mut evidence, at(9_000) + SETTLED), []);
 }
 
+/// Guards against a part that is found late because one request with it, sent again and again, was
+/// held first.
+#[test]
+fn crashes_of_a_held_request_count_against_its_parts_beside_another_one() {
+    let mut evidence = CrashEvidence::default();
+    for process in 1..=3 {
+        strike(
+            &mut evidence,
+            process,
+            process * 500,
+            process * 500 + 80,
+            &[DEADLY, DOCUMENT],
+        );
+    }
+    assert_eq!(concluded(&mut evidence, at(3_000)), [(DEADLY, false)]);
+    strike(&mut evidence, 4, 3_100, 3_200, &[FREQUENT, DOCUMENT]);
+    assert_eq!(concluded(&mut evidence, at(4_000)), [(DOCUMENT, false)]);
+}
+
 #[test]
 fn a_part_is_concluded_rather_than_the_requests_with_it() {
     let mut evidence = CrashEvidence::default();
