fix(gateway): count an outage as one event, also where requests are sent on

Cause: the crash of an engine that got a suspect after another crash was a separate event, however soon. The rule is meant for copies of one request, which follow each other from engine to engine, and now holds for requests only.

The test failed before: all six crashes of one outage concluded the part.

--- a/src/gateway/crash_guard/charges.rs
+++ b/src/gateway/crash_guard/charges.rs
@@ -50,9 +50,10 @@
             .iter()
             .filter(|charge| self.was_at_nearly_all(charge.at, separate_after, processes));
         for (number, charge) in own.enumerate() {
-            // A request that was sent after a crash has not met the same event.
-            let is_separate =
-                |since: Instant| charge.at >= since + separate_after || charge.began_at >= since;
+            let is_separate = |since: Instant| {
+                let is_chained = thresholds.counts_chains && charge.began_at >= since;
+                charge.at >= since + separate_after || is_chained
+            };
             if event_at.is_none_or(is_separate) {
                 events += 1;
                 event_at = Some(charge.at);
--- a/src/gateway/crash_guard/evidence.rs
+++ b/src/gateway/crash_guard/evidence.rs
@@ -41,6 +41,11 @@
     pub crashes: usize,
     /// Separate events among them.
     pub events: usize,
+    /// Whether the crash of an engine that got the suspect after another crash is a separate event.
+    ///
+    /// Not for parts: in an outage, requests that fail are sent on to engines whose crash is not
+    /// known yet, and some of them have the part.
+    pub counts_chains: bool,
     /// Time after that in which a complete answer clears the suspect.
     pub settle_time: Duration,
 }
@@ -50,6 +55,7 @@
         let unproven = CrashThresholds {
             crashes: 3,
             events: 3,
+            counts_chains: false,
             settle_time: Duration::from_millis(700),
         };
         Self {
@@ -57,9 +63,13 @@
             proven: CrashThresholds {
                 crashes: 5,
                 events: 3,
+                counts_chains: false,
                 settle_time: Duration::from_millis(1_500),
             },
-            request: unproven,
+            request: CrashThresholds {
+                counts_chains: true,
+                ..unproven
+            },
             separate_after: Duration::from_millis(100),
             memory: Duration::from_secs(600),
             suspects_max: 4_096,
--- a/tests/gateway_pure/main.rs
+++ b/tests/gateway_pure/main.rs
@@ -10,6 +10,7 @@
 mod memory;
 mod mirrors;
 mod named_weights;
+mod outages;
 mod permits;
 mod placing;
 mod quarantines;
