fix(gateway): let connections wait while a gateway accepts none

Callers that connected in a burst, or while a gateway stood still, waited for a second or more: of 1,500 connections during a short pause, 129 were made within 0.9 s.

Cause: listeners had the runtime's default backlog of 128 connections. The kernel drops further attempts, and callers repeat them after 1, 3 and 7 s. All listeners now have a backlog of 4,096, within the kernel's own limit.

`callers_that_connect_during_a_short_pause_are_not_turned_away` failed three times of three before and passes four times of four.

--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use slog::{Logger, error, info, warn};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::runtime::{Builder, Handle, Runtime};
 use tokio::task::{JoinError, JoinSet};
 
@@ -76,8 +76,8 @@
     log: &Logger,
 ) -> Result<(), EntryError> {
     let process = &app.settings().process;
-    let callers = SharedListener::bind(process.caller_address).await?;
-    let operators = SharedListener::bind(process.operator_address).await?;
+    let callers = SharedListener::bind(process.caller_address)?;
+    let operators = SharedListener::bind(process.operator_address)?;
     let peers = PeerContext::bind(&app, log)?;
     info!(log, "listening";
         "vm" => &process.vm,
@@ -307,6 +307,11 @@
     tokio::time::sleep(app.settings().drain.listener_close_delay).await;
 }
 
+/// Maximum number of connections that wait to be accepted; the kernel lowers it to
+/// `net.core.somaxconn`. It drops further attempts, which callers repeat after a second at the
+/// earliest.
+const LISTEN_BACKLOG: u32 = 4_096;
+
 /// TCP listener that stays open when the task that serves it is restarted.
 pub(crate) struct SharedListener {
     address: SocketAddr,
@@ -314,8 +319,15 @@
 }
 
 impl SharedListener {
-    pub(crate) async fn bind(address: SocketAddr) -> io::Result<Self> {
-        let socket = TcpListener::bind(address).await?.into_std()?;
+    pub(crate) fn bind(address: SocketAddr) -> io::Result<Self> {
+        let socket = match address {
+            SocketAddr::V4(_) => TcpSocket::new_v4()?,
+            SocketAddr::V6(_) => TcpSocket::new_v6()?,
+        };
+        // A restarted process takes the address over while old connections linger.
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        let socket = socket.listen(LISTEN_BACKLOG)?.into_std()?;
         Ok(Self {
             address: socket.local_addr()?,
             socket,
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -112,10 +112,10 @@
         availability_zone: &settings.availability_zone,
         store: settings.store_address.to_string(),
     });
-    let callers = SharedListener::bind(settings.caller_address).await?;
-    let ready = SharedListener::bind(settings.ready_address).await?;
-    let metrics = SharedListener::bind(settings.metrics_address).await?;
-    let peers = SharedListener::bind(settings.peer_address).await?;
+    let callers = SharedListener::bind(settings.caller_address)?;
+    let ready = SharedListener::bind(settings.ready_address)?;
+    let metrics = SharedListener::bind(settings.metrics_address)?;
+    let peers = SharedListener::bind(settings.peer_address)?;
     let socket = Arc::new(UdpSocket::bind(settings.peer_address).await?);
     // Set once, before any task sends datagrams.
     let _ = gateway.peer_socket.set(socket.clone());
