fix(gateway): accept the connections that wait before a listener is closed

Requests on connections that waited to be accepted when a stopping gateway closed its listener were reset without an answer: of 600 that came while it stood still around that moment, 128 were answered.

Cause: the accept loop was ended as soon as the time to close came. It accepts at most 128 connections between two other tasks, and the kernel resets those that wait when the socket is shut down. The loop now goes on, for up to 300 ms, until no connection waits. The entry daemon does the same; the listeners have a file of their own.

`requests_that_wait_to_be_accepted_at_a_stop_are_answered` failed three times of three before and passes three times of three; the tests of stops and the soak of stops pass.

--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -1,18 +1,18 @@
 //! Entry daemon, with one thread for control tasks and a thread pool for callers' requests.
 
 use std::io;
-use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::time::Duration;
 
 use slog::{Logger, error, info, warn};
-use tokio::net::{TcpListener, TcpSocket};
+use tokio::net::TcpListener;
 use tokio::runtime::{Builder, Handle, Runtime};
 use tokio::task::{JoinError, JoinSet};
 
 use super::DaemonArgs;
 use super::launch::{launch, wait_for_stop_signal};
+use super::listener::{SharedListener, wait_until_accepted};
 use super::peers::PeerContext;
 use crate::clock::SystemClock;
 use crate::config::{self, FollowerContext};
@@ -246,8 +246,10 @@
             accept_loop.spawn_on(accept_callers(listener.try_clone()?, app.clone()), &traffic);
             tokio::select! {
                 ended = accept_loop.join_next() => return Err(accept_loop_error(ended)),
-                () = stop.raised() => accept_loop.shutdown().await,
+                () = stop.raised() => {}
             }
+            wait_until_accepted(&listener).await?;
+            accept_loop.shutdown().await;
             stop_listening(&listener)?;
             app.drain().close_idle_connections();
             drain_requests(&app, drain_timeout, &log).await;
@@ -306,35 +308,3 @@
     info!(log, "draining"; "requests" => app.drain().request_count());
     tokio::time::sleep(app.settings().drain.listener_close_delay).await;
 }
-
-/// Maximum number of connections that wait to be accepted; the kernel lowers it to
-/// `net.core.somaxconn`. It drops further attempts, which callers repeat after a second at the
-/// earliest.
-const LISTEN_BACKLOG: u32 = 4_096;
-
-/// TCP listener that stays open when the task that serves it is restarted.
-pub(crate) struct SharedListener {
-    address: SocketAddr,
-    socket: std::net::TcpListener,
-}
-
-impl SharedListener {
-    pub(crate) fn bind(address: SocketAddr) -> io::Result<Self> {
-        let socket = match address {
-            SocketAddr::V4(_) => TcpSocket::new_v4()?,
-            SocketAddr::V6(_) => TcpSocket::new_v6()?,
-        };
-        // A restarted process takes the address over while old connections linger.
-        socket.set_reuseaddr(true)?;
-        socket.bind(address)?;
-        let socket = socket.listen(LISTEN_BACKLOG)?.into_std()?;
-        Ok(Self {
-            address: socket.local_addr()?,
-            socket,
-        })
-    }
-
-    pub(crate) fn duplicate(&self) -> io::Result<std::net::TcpListener> {
-        self.socket.try_clone()
-    }
-}
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -3,10 +3,12 @@
 mod args;
 mod entry;
 mod launch;
+mod listener;
 mod peers;
 
 pub use args::DaemonArgs;
 pub use entry::run_entry;
-pub(crate) use entry::{SharedListener, run_until_stopped};
+pub(crate) use entry::run_until_stopped;
 pub use launch::{EXIT_INVALID_SETTINGS, EXIT_RUNTIME_FAILURE};
 pub(crate) use launch::{launch, wait_for_stop_signal};
+pub(crate) use listener::{SharedListener, wait_until_accepted};
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -20,7 +20,7 @@
 use super::state::Gateway;
 use super::{catch_up, gossip, lease_task, membership, rollout_task, server, store_watch};
 use crate::clock::SystemClock;
-use crate::daemon::{SharedListener, run_until_stopped, wait_for_stop_signal};
+use crate::daemon::{SharedListener, run_until_stopped, wait_for_stop_signal, wait_until_accepted};
 use crate::entry::stop_listening;
 use crate::ids::new_incarnation;
 use crate::supervisor::{
@@ -331,8 +331,10 @@
             accepting.spawn_on(accept, &traffic);
             tokio::select! {
                 _ = accepting.join_next() => return Err("the listener for callers ended".into()),
-                () = stop.raised() => accepting.shutdown().await,
+                () = stop.raised() => {}
             }
+            wait_until_accepted(&listener).await?;
+            accepting.shutdown().await;
             stop_listening(&listener)?;
             let plan = ShutdownPlan::within(shutdown_timeout);
             let bound = plan
