fix(gateway): let a holder that stops go on with its rollout

Cause: a holder released the lease as soon as its stop began. Where engines check no fencing numbers, the next holder may order only one lease duration after the last order, and the log shows what followed: an order at 18.61 s, the stop of its holder at 18.70 s, and four holders that had 0.5 s each until they were stopped themselves; the next order was sent at 25.42 s. A process that stops runs for seconds more. It now keeps the lease while it orders in that term, until nothing is left to order or the time for the release comes. Where engines check fencing numbers, nothing changes.

--- a/src/gateway/lease_task.rs
+++ b/src/gateway/lease_task.rs
@@ -8,6 +8,7 @@
 use super::event_log::LogEvent;
 use super::heartbeat::HeldLease;
 use super::platform_api::WriteResult;
+use super::shutdown::ShutdownPlan;
 use super::state::Gateway;
 use crate::ids::FencingNumber;
 use crate::steward::{
@@ -19,8 +20,11 @@
 const CANDIDATE_CHECK_DIVISOR: u32 = 6;
 /// Timeout of releasing the lease at shutdown.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(800);
+/// Interval between two checks whether the lease is still kept during a shutdown.
+const SHUTDOWN_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Acquires and renews the lease until the shutdown begins, then releases it.
+/// Acquires and renews the lease until the shutdown begins, then releases it, in the middle of a
+/// rollout only if another VM can go on with it at once.
 ///
 /// Publishes the lease through `held` while this VM holds it. `ordering` names the term in which
 /// this VM is to send orders.
@@ -42,8 +46,7 @@
         incarnation: gateway.incarnation,
     };
     let mut core = LeaseCore::new(settings, holder);
-    // The lease is released when the shutdown starts, so that another VM can acquire it at once.
-    while !stop.is_raised() && !gateway.drain.is_started() {
+    while !stop.is_raised() && keeps_lease(&gateway, &core, *ordering.borrow()) {
         let now = gateway.now();
         core.observe_era(gateway.observe_store_era(gateway.platform.store.era()), now);
         apply_peer_leases(&gateway, &mut core);
@@ -78,10 +81,15 @@
                     .time_until_next_action(now)
                     .max(Duration::from_millis(1));
                 let wait = until_lapse.map_or(wait, |lapse| lapse.min(wait));
+                let is_stopping = gateway.drain.is_started();
+                let wait = match is_stopping {
+                    true => wait.min(SHUTDOWN_CHECK_INTERVAL),
+                    false => wait,
+                };
                 tokio::select! {
                     () = tokio::time::sleep(wait) => {}
                     () = gateway.lease_received.notified() => {}
-                    () = gateway.drain.wait_for_start() => {}
+                    () = gateway.drain.wait_for_start(), if !is_stopping => {}
                     // An error means that the rollout has ended, as it does at the same stop.
                     Ok(()) = ordering.changed() => {}
                     () = stop.clone().raised() => {}
@@ -111,6 +119,22 @@
     }
 }
 
+/// Returns whether the lease is kept: until the shutdown begins, so that another VM can acquire it at
+/// once, or longer while this VM sends orders that a successor would have to pause before.
+fn keeps_lease(gateway: &Gateway, core: &LeaseCore, ordering_term: Option<FencingNumber>) -> bool {
+    if !gateway.drain.is_started() {
+        return true;
+    }
+    let bounds = &gateway.settings.bounds;
+    let plan = ShutdownPlan::within(bounds.shutdown_timeout);
+    let time_since_stop = gateway.time_since_stop().unwrap_or_default();
+    let has_time_left = time_since_stop + RELEASE_TIMEOUT < plan.abort_after;
+    let is_ordering = core
+        .held(gateway.now())
+        .is_some_and(|held| held.idle.is_none() && ordering_term == Some(held.fencing_number));
+    !bounds.engines_check_fencing && is_ordering && has_time_left
+}
+
 /// Applies the renewals that the holder announces in heartbeats, which saves reads of the store.
 fn apply_peer_leases(gateway: &Gateway, core: &mut LeaseCore) {
     let now = gateway.now();
--- a/src/gateway/rollout_task.rs
+++ b/src/gateway/rollout_task.rs
@@ -56,7 +56,7 @@
 
 /// Rolls out the target weights whenever the lease is held, until dropped.
 ///
-/// Names the term in which orders are due through `ordering`.
+/// Names the term in which orders are due through `ordering`, while they are.
 pub(super) async fn run_rollouts(
     gateway: Arc<Gateway>,
     mut held: watch::Receiver<Option<HeldTerm>>,
@@ -74,6 +74,7 @@
         let Some(held_lease) = current.filter(|held| held.valid_until > now) else {
             rollouts.clear();
             publish_engines_in_rollout(&gateway, &rollouts);
+            publish_ordering(&ordering, None);
             if held.changed().await.is_err() {
                 return;
             }
@@ -90,18 +91,15 @@
             _ => Vec::new(),
         };
         let is_behind = models.iter().any(ModelView::is_behind);
-        match window.is_open(held_lease, now) {
-            true => start_calls(
+        publish_ordering(&ordering, is_behind.then_some(term));
+        if window.is_open(held_lease, now) {
+            start_calls(
                 &gateway,
                 &mut rollouts,
                 (term, &held),
                 &models,
                 &result_sender,
-            ),
-            false if is_behind => {
-                ordering.send_replace(Some(term));
-            }
-            false => {}
+            );
         }
         publish_engines_in_rollout(&gateway, &rollouts);
         let interval = if is_behind {
@@ -309,6 +307,10 @@
     }
 }
 
+fn publish_ordering(ordering: &watch::Sender<Option<FencingNumber>>, term: Option<FencingNumber>) {
+    ordering.send_if_modified(|published| std::mem::replace(published, term) != term);
+}
+
 fn publish_engines_in_rollout(gateway: &Gateway, rollouts: &HashMap<ModelId, RolloutSchedule>) {
     let engines_in_rollout: Vec<_> = rollouts
         .values()
