--- a/src/gateway/lease_task.rs
+++ b/src/gateway/lease_task.rs
@@ -8,6 +8,7 @@
 use super::event_log::LogEvent;
 use super::heartbeat::HeldLease;
 use super::platform_api::WriteResult;
+use super::rollout_task::order_window;
 use super::shutdown::ShutdownPlan;
 use super::state::Gateway;
 use crate::ids::FencingNumber;
@@ -120,19 +121,17 @@
 }
 
 /// Returns whether the lease is kept: until the shutdown begins, so that another VM can acquire it at
-/// once, or longer while this VM sends orders that a successor would have to pause before.
+/// once, or longer while this VM goes on with its orders.
 fn keeps_lease(gateway: &Gateway, core: &LeaseCore, ordering_term: Option<FencingNumber>) -> bool {
     if !gateway.drain.is_started() {
         return true;
     }
-    let bounds = &gateway.settings.bounds;
-    let plan = ShutdownPlan::within(bounds.shutdown_timeout);
+    let plan = ShutdownPlan::within(gateway.settings.bounds.shutdown_timeout);
     let time_since_stop = gateway.time_since_stop().unwrap_or_default();
     let has_time_left = time_since_stop + RELEASE_TIMEOUT < plan.abort_after;
-    let is_ordering = core
-        .held(gateway.now())
-        .is_some_and(|held| held.idle.is_none() && ordering_term == Some(held.fencing_number));
-    !bounds.engines_check_fencing && is_ordering && has_time_left
+    let held = core.held(gateway.now());
+    let window = order_window(gateway);
+    has_time_left && held.is_some_and(|held| window.is_kept_while_stopping(held, ordering_term))
 }
 
 /// Applies the renewals that the holder announces in heartbeats, which saves reads of the store.
--- a/src/gateway/order_window.rs
+++ b/src/gateway/order_window.rs
@@ -3,11 +3,13 @@
 //! Load pattern: the holder is paused, cut off, stopped or killed while weights are set, and another
 //! VM takes over. Engines that check fencing numbers refuse the orders of the earlier holder.
 //! Engines that do not check them may still receive one, so the next holder waits until none can be
-//! on its way. Holders that are stopped in turn before their first order do not prolong that wait.
+//! on its way. Holders that are stopped in turn before their first order do not prolong that wait,
+//! and one that is stopped after it goes on with its orders.
 
 use std::time::Duration;
 
 use crate::clock::Instant;
+use crate::ids::FencingNumber;
 use crate::steward::HeldTerm;
 
 /// An order is sent only if at least the lease duration divided by this number is left, as it may
@@ -46,6 +48,17 @@
         }
     }
 
+    /// Returns whether a holder that stops goes on as such: it sends orders in the term named by
+    /// `ordering_term`, and its successor would have to pause first.
+    pub fn is_kept_while_stopping(
+        &self,
+        held: HeldTerm,
+        ordering_term: Option<FencingNumber>,
+    ) -> bool {
+        let is_ordering = held.idle.is_none() && ordering_term == Some(held.fencing_number);
+        !self.engines_check_fencing && is_ordering
+    }
+
     /// Returns whether enough of the term is left to send an order that was prepared before.
     pub fn has_time_left(&self, held: HeldTerm, now: Instant) -> bool {
         held.valid_until.saturating_sub(now) >= self.lease_ttl / LEASE_LEFT_DIVISOR
--- a/src/gateway/rollout_task.rs
+++ b/src/gateway/rollout_task.rs
@@ -125,7 +125,8 @@
     }
 }
 
-fn order_window(gateway: &Gateway) -> OrderWindow {
+/// Returns the rules for the time of orders.
+pub(super) fn order_window(gateway: &Gateway) -> OrderWindow {
     let bounds = &gateway.settings.bounds;
     OrderWindow {
         lease_ttl: bounds.lease_ttl,
