refactor(gateway): give the outbox of news of upstreams a file of its own

The outbox of limits keeps process hashes and how often each is still to be told, which holds for other news of upstreams as well.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -48,6 +48,7 @@
 mod pool;
 mod prefix_cache_index;
 mod process_hash;
+mod process_outbox;
 mod prompt;
 mod queued_placement;
 mod request;
--- a/src/gateway/upstream_limit/limits.rs
+++ b/src/gateway/upstream_limit/limits.rs
@@ -4,9 +4,10 @@
 use std::time::Duration;
 
 use super::announced::{AnnouncedLimit, RequestRate};
-use super::news::{ITEMS_PER_MESSAGE_MAX, LimitNews, Outbox};
+use super::news::LimitNews;
 use crate::clock::Instant;
 use crate::gateway::process_hash::ProcessHash;
+use crate::gateway::process_outbox::{ITEMS_PER_MESSAGE_MAX, ProcessOutbox};
 
 /// Minimum time since a limit was last named from which a response that names none ends it.
 const END_DELAY_MIN: Duration = Duration::from_secs(1);
@@ -36,7 +37,7 @@
 #[derive(Debug, Default)]
 pub struct UpstreamLimits {
     limits: HashMap<ProcessHash, KnownLimit>,
-    outbox: Outbox,
+    outbox: ProcessOutbox,
 }
 
 #[derive(Debug, Clone, Copy)]
