feat(gateway): tell the other VMs of upstreams that announce their leaving

Each VM learned of an engine's leaving from a request of its own, although another VM had heard it: with two VMs, the engine got two requests after it had begun to leave, and with 295 it would get as many.

A VM that hears it, or is told what it did not know, passes the hash of the process on with its heartbeats, like limits. Another process of the same engine has another hash, so late news does not concern it.

--- a/src/gateway/announcements.rs
+++ b/src/gateway/announcements.rs
@@ -45,12 +45,17 @@
         if let Some(time) = hold_off {
             upstream.record_hold_off(time, now);
         }
+        let process = hash_process(instance);
         let limits = &mut state.upstream_limits;
-        let limit_change = limits.record_response(hash_process(instance), head.limit, now);
+        let limit_change = limits.record_response(process, head.limit, now);
+        if is_news {
+            state.leaving_outbox.push(process);
+        }
         drop(state);
         let upstream = &instance.id;
         if is_news {
             self.event_log.log(&LogEvent::UpstreamLeaving { upstream });
+            self.heartbeat_due.notify_one();
         }
         if let Some(time) = hold_off {
             let for_ms = time.as_millis() as u64;
--- a/src/gateway/datagram.rs
+++ b/src/gateway/datagram.rs
@@ -49,6 +49,8 @@
     PermitReply(PermitReply),
     /// Notice of a call that counts toward the limit of an upstream and needed no permit.
     PermitSpent(ProcessHash),
+    /// News of upstreams that have announced their leaving.
+    LeavingNews(Vec<ProcessHash>),
 }
 
 /// Sends a message; returns whether the socket accepted it.
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -11,6 +11,7 @@
 use super::datagram::{DATAGRAM_MAX_BYTES, Message, send_to_all};
 use super::event_log::LogEvent;
 use super::heartbeat::{CompactLoad, Heartbeat, HeartbeatScope, StoreRevisions};
+use super::leaving_news::send_leaving_news;
 use super::name_hash::hash_name;
 use super::state::{Gateway, GatewayState};
 use super::upstream_limit::permit_exchange::{send_all_limits, send_limit_news};
@@ -48,6 +49,7 @@
         let receivers = send_heartbeat(&gateway, &socket, sequence, false);
         send_crash_news(&gateway, &socket, sequence);
         send_limit_news(&gateway, &socket, sequence);
+        send_leaving_news(&gateway, &socket, sequence);
         sequence += 1;
         let interval_min = HEARTBEAT_INTERVAL_MIN * (1 + receivers as u32 / EARLY_HEARTBEAT_VMS);
         // The next heartbeat has been announced for the end of the regular interval.
@@ -104,6 +106,7 @@
             Ok(Message::PermitCall(call)) => gateway.handle_permit_call(call, from),
             Ok(Message::PermitReply(reply)) => gateway.pending_permits.complete(reply.id, reply),
             Ok(Message::PermitSpent(process)) => gateway.handle_permit_spent(process),
+            Ok(Message::LeavingNews(processes)) => gateway.apply_leaving_news(&processes),
             Err(error) => {
                 let reason = format!("datagram cannot be decoded: {error}");
                 gateway.event_log.log(&LogEvent::BeatFailed { reason });
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -30,6 +30,7 @@
 mod gossip;
 mod heartbeat;
 mod lease_task;
+mod leaving_news;
 mod log_event;
 mod membership;
 mod metrics;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -27,6 +27,7 @@
 use super::pool::ConnectionPool;
 use super::prefix_cache_index::PrefixCacheIndex;
 use super::process_hash::{ProcessHash, hash_process};
+use super::process_outbox::ProcessOutbox;
 use super::queued_placement::ServiceQueue;
 use super::response_memory::ResponseMemory;
 use super::retry_budgets::{RetryBudgetBounds, RetryBudgets};
@@ -88,6 +89,8 @@
 #[derive(Debug)]
 pub(super) struct GatewayState {
     pub(super) upstreams: UpstreamRegistry,
+    /// Upstreams that have announced their leaving, to be told to other VMs.
+    pub(super) leaving_outbox: ProcessOutbox,
     pub(super) upstream_limits: UpstreamLimits,
     pub(super) permit_accounts: PermitAccounts,
     pub(super) peers: Peers,
@@ -162,6 +165,7 @@
         allowances.record_start(clock.now());
         let state = GatewayState {
             upstreams: UpstreamRegistry::new(UpstreamRegistrySettings::default()),
+            leaving_outbox: ProcessOutbox::default(),
             upstream_limits: UpstreamLimits::default(),
             permit_accounts: PermitAccounts::default(),
             peers,
