--- a/tests/gateway_pure/held_requests.rs
+++ b/tests/gateway_pure/held_requests.rs
@@ -1,51 +1,16 @@
 //! Requests as a whole that crash engines: evidence against them, and their trials.
 
 use celerylever::gateway::{
-    Conclusion, CrashEvidence, CrashGuard, InterruptedRun, Quarantine, QuarantineVerdict, Strike,
-    Suspect,
+    Conclusion, CrashEvidence, CrashGuard, InterruptedRun, Quarantine, QuarantineVerdict, Suspect,
 };
 
+use super::strikes::{SETTLED, at, concluded, strike_begun};
 use super::*;
 
 const DEADLY: Suspect = Suspect::Request(7);
 const FREQUENT: Suspect = Suspect::Request(8);
 const DOCUMENT: Suspect = Suspect::Part(2);
 
-/// Time after which any evidence has settled.
-const SETTLED: Duration = Duration::from_secs(5);
-
-fn at(ms: u64) -> Instant {
-    MS(100_000 + ms)
-}
-
-/// Holds a crash of a process against suspects, whose request was sent at another time.
-fn strike(
-    evidence: &mut CrashEvidence,
-    process: u64,
-    began_ms: u64,
-    ms: u64,
-    suspects: &[Suspect],
-) {
-    for suspect in suspects {
-        evidence.record_strike(Strike {
-            suspect: *suspect,
-            process,
-            at: at(ms),
-            began_at: at(began_ms),
-            is_proven: false,
-        });
-    }
-}
-
-fn concluded(evidence: &mut CrashEvidence, now: Instant) -> Vec<(Suspect, bool)> {
-    let conclusions = evidence.conclude(now).into_iter();
-    let mut concluded: Vec<_> = conclusions
-        .map(|conclusion| (conclusion.suspect, conclusion.is_ambiguous))
-        .collect();
-    concluded.sort_unstable();
-    concluded
-}
-
 fn held(suspect: Suspect, crashes: u64, is_ambiguous: bool) -> Quarantine {
     let mut quarantine = Quarantine::default();
     let conclusion = Conclusion {
@@ -74,9 +39,9 @@
 #[test]
 fn engines_that_fall_one_after_the_other_under_one_request_are_separate_events() {
     let mut evidence = CrashEvidence::default();
-    strike(&mut evidence, 1, 0, 84, &[DEADLY]);
-    strike(&mut evidence, 2, 85, 165, &[DEADLY]);
-    strike(&mut evidence, 3, 170, 250, &[DEADLY]);
+    strike_begun(&mut evidence, 1, 0, 84, &[DEADLY]);
+    strike_begun(&mut evidence, 2, 85, 165, &[DEADLY]);
+    strike_begun(&mut evidence, 3, 170, 250, &[DEADLY]);
     assert_eq!(concluded(&mut evidence, at(900)), []);
     assert_eq!(concluded(&mut evidence, at(950)), [(DEADLY, false)]);
 }
@@ -86,10 +51,10 @@
     let mut evidence = CrashEvidence::default();
     for outage in 0..5 {
         let ms = outage * 2_000 + 1_000;
-        strike(&mut evidence, outage * 3, ms - 10, ms, &[FREQUENT]);
+        strike_begun(&mut evidence, outage * 3, ms - 10, ms, &[FREQUENT]);
         for engine in 1..3 {
             let other = Suspect::Request(100 + outage * 3 + engine);
-            strike(
+            strike_begun(
                 &mut evidence,
                 outage * 3 + engine,
                 ms - 20,
@@ -106,7 +71,7 @@
 fn a_request_is_concluded_rather_than_the_parts_of_its_prompt() {
     let mut evidence = CrashEvidence::default();
     for process in 1..=3 {
-        strike(
+        strike_begun(
             &mut evidence,
             process,
             process * 500,
@@ -127,7 +92,7 @@
 fn crashes_of_a_held_request_count_against_its_parts_beside_another_one() {
     let mut evidence = CrashEvidence::default();
     for process in 1..=3 {
-        strike(
+        strike_begun(
             &mut evidence,
             process,
             process * 500,
@@ -136,7 +101,7 @@
         );
     }
     assert_eq!(concluded(&mut evidence, at(3_000)), [(DEADLY, false)]);
-    strike(&mut evidence, 4, 3_100, 3_200, &[FREQUENT, DOCUMENT]);
+    strike_begun(&mut evidence, 4, 3_100, 3_200, &[FREQUENT, DOCUMENT]);
     assert_eq!(concluded(&mut evidence, at(4_000)), [(DOCUMENT, false)]);
 }
 
@@ -145,7 +110,7 @@
     let mut evidence = CrashEvidence::default();
     for process in 1..=4 {
         let request = Suspect::Request(100 + process / 2);
-        strike(
+        strike_begun(
             &mut evidence,
             process,
             process * 500,
@@ -163,7 +128,7 @@
 fn requests_that_nothing_tells_apart_are_concluded_together() {
     let mut evidence = CrashEvidence::default();
     for process in 1..=3 {
-        strike(
+        strike_begun(
             &mut evidence,
             process,
             process * 500,
@@ -182,7 +147,7 @@
     let mut evidence = CrashEvidence::default();
     for process in 1..=8 {
         let ms = process * 1_000;
-        strike(&mut evidence, process, ms, ms + 80, &[DEADLY, FREQUENT]);
+        strike_begun(&mut evidence, process, ms, ms + 80, &[DEADLY, FREQUENT]);
         if process % 2 == 0 {
             evidence.record_answer(FREQUENT, at(ms + 500));
         }
--- a/tests/gateway_pure/main.rs
+++ b/tests/gateway_pure/main.rs
@@ -20,6 +20,7 @@
 mod shutdown;
 mod stalls;
 mod streams;
+mod strikes;
 mod upstream_limits;
 mod upstreams;
 mod waiting;
--- a/tests/gateway_pure/outages.rs
+++ b/tests/gateway_pure/outages.rs
@@ -1,48 +1,18 @@
 //! Outages of several engines at once beside a part that crashes them one at a time.
 
-use celerylever::gateway::{
-    Conclusion, CrashEvidence, Quarantine, QuarantineVerdict, Strike, Suspect,
-};
+use celerylever::gateway::{CrashEvidence, Quarantine, QuarantineVerdict, Suspect};
 
+use super::strikes::{SETTLED, at, concluded_suspects, strike, strike_begun};
 use super::*;
 
 const SYSTEM: Suspect = Suspect::Part(1);
 const DEADLY: Suspect = Suspect::Part(2);
 const ENGINES: u64 = 6;
-/// Time after which any evidence has settled.
-const SETTLED: Duration = Duration::from_secs(5);
-
-fn at(ms: u64) -> Instant {
-    MS(100_000 + ms)
-}
 
 fn document(number: u64) -> Suspect {
     Suspect::Part(100 + number)
 }
 
-fn strike(evidence: &mut CrashEvidence, process: u64, ms: u64, suspects: &[Suspect]) {
-    strike_begun(evidence, process, ms - 80, ms, suspects);
-}
-
-/// Holds a crash of a process against suspects, whose latest request was sent at another time.
-fn strike_begun(
-    evidence: &mut CrashEvidence,
-    process: u64,
-    began_ms: u64,
-    ms: u64,
-    suspects: &[Suspect],
-) {
-    for suspect in suspects {
-        evidence.record_strike(Strike {
-            suspect: *suspect,
-            process,
-            at: at(ms),
-            began_at: at(began_ms),
-            is_proven: false,
-        });
-    }
-}
-
 /// Crashes all engines at once; requests with the deadly part are at some of them.
 fn outage(evidence: &mut CrashEvidence, first_process: u64, ms: u64) {
     for engine in 0..ENGINES {
@@ -54,12 +24,6 @@
     }
 }
 
-fn conclusions(evidence: &mut CrashEvidence, now: Instant) -> Vec<Conclusion> {
-    let mut conclusions = evidence.conclude(now);
-    conclusions.sort_unstable_by_key(|conclusion| conclusion.suspect);
-    conclusions
-}
-
 /// Guards against a system prompt that is held because requests of an engine that went down were
 /// sent on to engines that had gone down with it.
 #[test]
@@ -69,7 +33,7 @@
         let ms = 1_000 + 2 * engine;
         strike_begun(&mut evidence, engine, ms - 1, ms, &[SYSTEM]);
     }
-    assert!(conclusions(&mut evidence, at(1_000) + SETTLED).is_empty());
+    assert_eq!(concluded_suspects(&mut evidence, at(1_000) + SETTLED), []);
 }
 
 /// Guards against a system prompt that is held for the crashes of a part beside it, because all
@@ -85,7 +49,8 @@
     strike(&mut evidence, 50, 3_000, &[SYSTEM, DEADLY, document(1)]);
     strike(&mut evidence, 51, 3_500, &[SYSTEM, DEADLY, document(7)]);
     let now = at(3_500) + SETTLED;
-    let conclusions = conclusions(&mut evidence, now);
+    let mut conclusions = evidence.conclude(now);
+    conclusions.sort_unstable_by_key(|conclusion| conclusion.suspect);
     let concluded: Vec<_> = conclusions
         .iter()
         .map(|conclusion| (conclusion.suspect, conclusion.is_ambiguous))
@@ -121,7 +86,8 @@
             &[SYSTEM, document(process % 2)],
         );
     }
-    let concluded = conclusions(&mut evidence, at(5_000) + SETTLED);
-    let suspects: Vec<_> = concluded.iter().map(|one| one.suspect).collect();
-    assert_eq!(suspects, [SYSTEM]);
+    assert_eq!(
+        concluded_suspects(&mut evidence, at(5_000) + SETTLED),
+        [SYSTEM]
+    );
 }
--- a/tests/gateway_pure/quarantines.rs
+++ b/tests/gateway_pure/quarantines.rs
@@ -1,45 +1,17 @@
 //! Evidence against parts of prompts, and the quarantine that follows from it.
 
-use std::time::Duration;
-
-use celerylever::clock::Instant;
 use celerylever::gateway::{
     Conclusion, CoordinatorTerm, CrashEvidence, Quarantine, QuarantineRecord, QuarantineVerdict,
-    Strike, Suspect, SuspectKind,
+    Suspect, SuspectKind,
 };
-use proptest::prelude::*;
-use rstest::rstest;
+
+use super::strikes::{SETTLED, at, concluded_suspects, strike};
+use super::*;
 
 const SYSTEM: Suspect = Suspect::Part(1);
 const DOCUMENT: Suspect = Suspect::Part(2);
 const DEADLY: Suspect = Suspect::Part(3);
 
-/// Time after which any evidence has settled.
-const SETTLED: Duration = Duration::from_secs(5);
-
-fn at(ms: u64) -> Instant {
-    Duration::from_secs(100) + Duration::from_millis(ms)
-}
-
-fn strike(evidence: &mut CrashEvidence, process: u64, ms: u64, suspects: &[Suspect]) {
-    for suspect in suspects {
-        evidence.record_strike(Strike {
-            suspect: *suspect,
-            process,
-            at: at(ms),
-            began_at: at(ms) - Duration::from_millis(80),
-            is_proven: false,
-        });
-    }
-}
-
-fn concluded(evidence: &mut CrashEvidence, now: Instant) -> Vec<Suspect> {
-    let conclusions = evidence.conclude(now).into_iter();
-    let mut suspects: Vec<_> = conclusions.map(|conclusion| conclusion.suspect).collect();
-    suspects.sort_unstable();
-    suspects
-}
-
 fn held(suspect: Suspect, is_ambiguous: bool, now: Instant) -> Quarantine {
     let mut quarantine = Quarantine::default();
     let conclusion = Conclusion {
@@ -63,8 +35,8 @@
         );
     }
     evidence.record_answer(SYSTEM, at(400));
-    assert_eq!(concluded(&mut evidence, at(500)), []);
-    assert_eq!(concluded(&mut evidence, at(1_100)), [DEADLY]);
+    assert_eq!(concluded_suspects(&mut evidence, at(500)), []);
+    assert_eq!(concluded_suspects(&mut evidence, at(1_100)), [DEADLY]);
 }
 
 #[test]
@@ -85,7 +57,7 @@
         (conclusions[0].suspect, conclusions[0].is_ambiguous),
         (DEADLY, false)
     );
-    assert_eq!(concluded(&mut evidence, at(0) + SETTLED * 2), []);
+    assert_eq!(concluded_suspects(&mut evidence, at(0) + SETTLED * 2), []);
 }
 
 #[rstest]
@@ -100,7 +72,7 @@
         strike(&mut evidence, *process, *ms, &[DOCUMENT]);
     }
     assert_eq!(
-        concluded(&mut evidence, at(2_000) + SETTLED).len(),
+        concluded_suspects(&mut evidence, at(2_000) + SETTLED).len(),
         expected
     );
 }
@@ -120,7 +92,7 @@
         }
     }
     // At four of six engines, which may not be chance, but is not the cause of all.
-    assert_eq!(concluded(&mut evidence, at(9_000) + SETTLED), []);
+    assert_eq!(concluded_suspects(&mut evidence, at(9_000) + SETTLED), []);
 }
 
 #[test]
@@ -130,7 +102,7 @@
         strike(&mut evidence, process, ms, &[DOCUMENT]);
     }
     assert!(evidence.record_answer(DOCUMENT, at(600)));
-    assert_eq!(concluded(&mut evidence, at(0) + SETTLED), []);
+    assert_eq!(concluded_suspects(&mut evidence, at(0) + SETTLED), []);
     assert!(evidence.is_proven(DOCUMENT) && !evidence.is_suspected(DOCUMENT, 9));
 }
 
@@ -176,7 +148,7 @@
         );
     }
     assert_eq!(
-        concluded(&mut evidence, at(0) + SETTLED),
+        concluded_suspects(&mut evidence, at(0) + SETTLED),
         [DEADLY, Suspect::Part(4)]
     );
 }
@@ -190,7 +162,7 @@
         strike(&mut evidence, 3, 300, &[Suspect::Part(1_000 + part)]);
     }
     strike(&mut evidence, 4, 400, &[DEADLY]);
-    assert_eq!(concluded(&mut evidence, at(0) + SETTLED), [DEADLY]);
+    assert_eq!(concluded_suspects(&mut evidence, at(0) + SETTLED), [DEADLY]);
 }
 
 #[test]
