--- a/src/daemon/listener.rs
+++ b/src/daemon/listener.rs
@@ -13,7 +13,7 @@
 const LISTEN_BACKLOG: u32 = 4_096;
 
 /// Maximum time for accepting the connections that wait when a listener is to close.
-const ACCEPT_TIMEOUT: Duration = Duration::from_millis(300);
+const ACCEPT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Interval between two checks for connections that wait.
 const ACCEPT_CHECK_INTERVAL: Duration = Duration::from_millis(2);
 
