fix(gateway): send a stream back to the engine that was closed for another one

Cause: a silent engine is closed 0.25 s after another one has the request, as two may not have it for longer. That one rejected the request after 0.64 s, and two more, which were loading weights, at once. With these the four sends of a request were used up, while the first engine went on 0.15 s later. The last send after such a close now goes to the engine that was closed, if it is still eligible: it has run the request before, and has its weights.

--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -115,6 +115,7 @@
         service,
         is_final_run: false,
         tried_upstreams: Vec::new(),
+        preferred_upstream: None,
     };
     let mut headers = std::mem::take(&mut received.headers);
     strip_hop_by_hop(&mut headers);
--- a/src/gateway/candidates.rs
+++ b/src/gateway/candidates.rs
@@ -219,7 +219,12 @@
         let seed = prefixes
             .and_then(PromptPrefixes::longest_shared_prefix)
             .unwrap_or_else(rand::random);
-        let recent_enough: Vec<&Upstream> = recent_enough.collect();
+        let mut recent_enough: Vec<&Upstream> = recent_enough.collect();
+        let preferred = request.preferred_upstream.as_ref();
+        let is_preferred = |upstream: &&Upstream| Some(&upstream.instance.id) == preferred;
+        if let Some(upstream) = recent_enough.iter().copied().find(is_preferred) {
+            recent_enough = vec![upstream];
+        }
         let sources = prefixes.map(|prefixes| {
             let weights = recent_enough
                 .iter()
--- a/src/gateway/placement_request.rs
+++ b/src/gateway/placement_request.rs
@@ -27,6 +27,8 @@
     pub(super) is_final_run: bool,
     /// Upstreams that the request was sent to before.
     pub(super) tried_upstreams: Vec<UpstreamId>,
+    /// Upstream that the request is sent to if it is eligible.
+    pub(super) preferred_upstream: Option<UpstreamId>,
 }
 
 /// Returns what a request may crash an engine with.
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -23,7 +23,7 @@
 use crate::clock::Instant;
 use crate::entry::RequestGuard;
 use crate::error::{Code, Refusal};
-use crate::ids::RequestId;
+use crate::ids::{RequestId, UpstreamId};
 
 /// Maximum number of sends of one request, including those that the upstream did not run.
 const SENDS_MAX: u32 = 4;
@@ -79,6 +79,9 @@
     /// Whether the next attempts must be made even if the retry budget is exhausted: this VM has
     /// closed an engine that was alive, and no other one has the request yet.
     pub(super) must_retry: bool,
+    /// Upstream that was closed while it could have gone on, in favor of one that rejected the
+    /// request. It may still do so if all others reject it too.
+    pub(super) closed_upstream: Option<UpstreamId>,
     /// What is held and the request is the trial of.
     pub(super) trial: Option<TrialPermit>,
     /// Whether another attempt could crash another engine.
@@ -134,6 +137,10 @@
                 "the maximum number of attempts failed",
             ));
         }
+        self.placement_request.preferred_upstream = match self.progress.sends + 1 {
+            SENDS_MAX => self.progress.closed_upstream.clone(),
+            _ => None,
+        };
         self.try_trial().await;
         let gateway = self.gateway.clone();
         let may_refuse_as_draining = !self.progress.may_have_run;
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -270,6 +270,7 @@
             .log_request(&self.admitted.id, &event);
         let (_, engine) = split_response(received, dispatched, &self.admitted);
         self.admitted.progress.must_retry = false;
+        self.admitted.progress.closed_upstream = None;
         self.splitter = EventSplitter::after(after_event);
         self.source = StreamSource::Engine(Box::new(engine));
     }
--- a/src/gateway/takeover.rs
+++ b/src/gateway/takeover.rs
@@ -186,7 +186,9 @@
                     closed.filter(|(_, failure)| failure.cause() == FailureCause::Stalled);
                 if let Some((dispatched, _)) = was_alive {
                     // Closed only because two engines may not have the request for longer.
-                    self.admitted.progress.must_retry = true;
+                    let progress = &mut self.admitted.progress;
+                    progress.must_retry = true;
+                    progress.closed_upstream = Some(dispatched.instance.id.clone());
                     self.admitted.allow_again(dispatched);
                 }
                 self.record_replaced(silent.closed);
