revert: hold what only an outage tells apart together

Suspected: parts at two crashes of single engines are held with the one at all of them. Where few documents are popular and no answers are known yet, each sound request may then have two held parts, and its trial waits for a minute. The fault that mended was found by reading only; no process run showed it.

--- a/src/gateway/crash_guard/charges.rs
+++ b/src/gateway/crash_guard/charges.rs
@@ -72,29 +72,15 @@
         separate_after: Duration,
         processes: &VecDeque<(ProcessHash, Instant)>,
     ) -> bool {
-        let together = crashes_together(crashed_at, separate_after, processes);
+        let is_together = |at: Instant| at.abs_diff(crashed_at) < separate_after;
+        let together = processes.iter().filter(|(_, at)| is_together(*at));
         let all = together.clone().count();
-        let own = together.filter(|process| self.was_at(*process)).count();
+        let own = together
+            .filter(|(process, _)| self.was_at(*process))
+            .count();
         all - own <= own / ALIKE_DIVISOR
     }
 
-    /// Returns whether only outages tell the suspect from `other`: the other one was at nearly all
-    /// engines that crashed alone under this one, and at two or more.
-    pub(super) fn is_told_by_outages_only(
-        &self,
-        other: &Self,
-        separate_after: Duration,
-        processes: &VecDeque<(ProcessHash, Instant)>,
-    ) -> bool {
-        let alone = self.crashes.iter().filter(|charge| {
-            let mut together = crashes_together(charge.at, separate_after, processes);
-            together.all(|process| process == charge.process)
-        });
-        let count = alone.clone().count();
-        let shared = alone.filter(|charge| other.was_at(charge.process)).count();
-        shared >= 2 && shared >= count - count / ALIKE_DIVISOR
-    }
-
     pub(super) fn was_at(&self, process: ProcessHash) -> bool {
         self.crashes.iter().any(|charge| charge.process == process)
     }
@@ -105,15 +91,3 @@
         shared.filter(|charge| other.was_at(charge.process)).count()
     }
 }
-
-/// Returns the processes that crashed together with one that crashed at a moment.
-fn crashes_together(
-    crashed_at: Instant,
-    separate_after: Duration,
-    processes: &VecDeque<(ProcessHash, Instant)>,
-) -> impl Iterator<Item = ProcessHash> + Clone {
-    let together = processes
-        .iter()
-        .filter(move |(_, at)| at.abs_diff(crashed_at) < separate_after);
-    together.map(|(process, _)| *process)
-}
--- a/src/gateway/crash_guard/evidence.rs
+++ b/src/gateway/crash_guard/evidence.rs
@@ -7,7 +7,7 @@
 //! engines at once, unless the suspect was at nearly all of them: their cause is elsewhere.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::time::Duration;
 
 use super::charges::{ALIKE_DIVISOR, Charge, Charges};
@@ -236,8 +236,8 @@
     ///
     /// The suspect at most crashes comes first, one without any known answer before others, and a
     /// request before a part that was at the same crashes: others share the part. Suspects at nearly
-    /// all of its crashes cannot be told from it and are concluded with it, and so are those at nearly
-    /// all of its crashes but outages; those at fewer would need a second cause.
+    /// all of its crashes cannot be told from it and are concluded with it; those at fewer would
+    /// need a second cause.
     pub fn conclude(&mut self, now: Instant) -> Vec<Conclusion> {
         let mut conclusions = Vec::new();
         while let Some(group) = self.ripest_group(now) {
@@ -294,7 +294,7 @@
         }
     }
 
-    fn ripest_group(&self, now: Instant) -> Option<BTreeSet<Suspect>> {
+    fn ripest_group(&self, now: Instant) -> Option<Vec<Suspect>> {
         let ripe = self.suspects.iter().filter(|(suspect, charges)| {
             let thresholds = self.thresholds(**suspect, charges);
             let separate_after = self.settings.separate_after;
@@ -305,24 +305,16 @@
             (charges.is_proven, Reverse(charges.crashes.len()), **suspect)
         })?;
         let shared_min = best.crashes.len() - best.crashes.len() / ALIKE_DIVISOR;
-        let alike = ripe.iter().copied().filter(|(_, charges)| {
-            charges.is_proven == best.is_proven && charges.crashes_shared_with(best) >= shared_min
-        });
-        // An outage may have a cause elsewhere, so it does not tell the two apart.
-        let told_by_outages = self.suspects.iter().filter(|(_, charges)| {
-            let separate_after = self.settings.separate_after;
-            charges.is_proven <= best.is_proven
-                && best.is_told_by_outages_only(charges, separate_after, &self.processes)
-        });
-        let group: BTreeSet<_> = alike
-            .chain(told_by_outages)
-            .map(|(suspect, _)| *suspect)
-            // Nobody else is refused for a request.
-            .filter(|suspect| {
-                first.kind() == SuspectKind::Part || suspect.kind() == SuspectKind::Request
-            })
-            .collect();
-        Some(group)
+        let is_alike = |suspect: Suspect, charges: &Charges| {
+            charges.is_proven == best.is_proven
+                && charges.crashes_shared_with(best) >= shared_min
+                // Nobody else is refused for a request.
+                && (first.kind() == SuspectKind::Part || suspect.kind() == SuspectKind::Request)
+        };
+        let group = ripe
+            .iter()
+            .filter(|(suspect, charges)| is_alike(**suspect, charges));
+        Some(group.map(|(suspect, _)| **suspect).collect())
     }
 
     fn thresholds(&self, suspect: Suspect, charges: &Charges) -> CrashThresholds {
