fix(gateway): let no signal end the wait for connections at a stop

Cause: a poll that a signal interrupts returns an error, which would have ended the task that finishes the requests in flight, as in a series of SIGHUP during a stop. The poll is repeated. Found by reading; no test shows it. The 15 tests of accepting, stopping and the end of a stop pass.

--- a/src/daemon/listener.rs
+++ b/src/daemon/listener.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
+use rustix::io::retry_on_intr;
 use tokio::net::TcpSocket;
 
 /// Maximum number of connections that wait to be accepted; the kernel lowers it to
@@ -61,5 +62,7 @@
         tv_sec: 0,
         tv_nsec: 0,
     };
-    Ok(poll(&mut sockets, Some(&at_once))? > 0)
+    // A signal must not end the task that finishes the requests in flight.
+    let ready = retry_on_intr(|| poll(&mut sockets, Some(&at_once)))?;
+    Ok(ready > 0)
 }
