feat(gateway): log the software of upstreams and which stream a caller takes up

upstream_listed has software and born_ms, admitted has resumes and after_event. Nothing else reads the new fields yet.

--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -92,6 +92,8 @@
         customer: customer.as_ref().map(|customer| customer.id.as_str()),
         cost,
         left_ms: deadline.saturating_sub(gateway.now()).as_millis() as u64,
+        resumes: head.resumes.as_deref(),
+        after_event: head.last_event_id,
         config: table.version,
     };
     let id = head.id.clone().unwrap_or_default();
--- a/src/gateway/log_event.rs
+++ b/src/gateway/log_event.rs
@@ -74,6 +74,8 @@
     UpstreamListed {
         upstream: &'a str,
         service: &'a str,
+        software: Option<&'a str>,
+        born_ms: u64,
         is_ready: bool,
         #[serde(serialize_with = "serialize_position")]
         revision: ObjectVersion,
@@ -149,6 +151,9 @@
         /// Units deducted from the customer's allowance; `None` if the customer has no allowance.
         cost: Option<u64>,
         left_ms: u64,
+        /// Request that brought the first event of the stream that the caller takes up.
+        resumes: Option<&'a str>,
+        after_event: Option<u64>,
         config: ObjectVersion,
     },
     Queued {
--- a/src/gateway/mirror_updates.rs
+++ b/src/gateway/mirror_updates.rs
@@ -121,6 +121,8 @@
                     self.event_log.log(&LogEvent::UpstreamListed {
                         upstream: name,
                         service: &entry.service,
+                        software: entry.software.as_deref(),
+                        born_ms: entry.born_ms,
                         is_ready,
                         revision,
                     });
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -98,7 +98,7 @@
 pub use heartbeat::{CompactLoad, Heartbeat, HeartbeatScope, HeldLease, StoreRevisions};
 pub use model::{
     Allowance, CacheStore, CostUnit, Customer, EngineProfile, LoadedModel, Member, Route,
-    RouteKind, RoutingConfig, Service, ServiceId, TargetWeights, UpstreamEntry, UpstreamStage,
+    RouteKind, RoutingConfig, Service, ServiceId, SoftwareVersion, TargetWeights, UpstreamEntry, UpstreamStage,
     WeightNumber,
 };
 pub use object_mirror::ObjectMirror;
--- a/src/gateway/model.rs
+++ b/src/gateway/model.rs
@@ -11,6 +11,9 @@
 /// Name of a service.
 pub type ServiceId = String;
 
+/// Name of a version of the software that an upstream runs. Versions have no order.
+pub type SoftwareVersion = String;
+
 /// Version number of a model's weights; newer weights have higher numbers.
 pub type WeightNumber = u64;
 
@@ -191,6 +194,9 @@
     pub availability_zone: AvailabilityZoneId,
     /// Number of requests that it runs concurrently.
     pub slots: u32,
+    /// Version of its software; `None` if a VM that does not know of versions has passed the entry on.
+    #[serde(default)]
+    pub software: Option<SoftwareVersion>,
     /// Stage, which determines whether it accepts new requests.
     pub stage: UpstreamStage,
     /// Loaded models with their weights.
--- a/src/gateway/platform_api.rs
+++ b/src/gateway/platform_api.rs
@@ -183,6 +183,8 @@
     pub prompt: Option<Prompt>,
     /// Id of the event after which a stream is to be resumed.
     pub last_event_id: Option<u64>,
+    /// Id of the caller's earlier request that brought the first event of that stream.
+    pub resumes: Option<RequestId>,
 }
 
 /// Gateway-specific headers of an upstream's response.
--- a/tests/gateway_pure/main.rs
+++ b/tests/gateway_pure/main.rs
@@ -54,6 +54,7 @@
         address: SocketAddr::from(([10, 0, 0, 1], 80)),
         availability_zone: "a".into(),
         slots: 4,
+        software: Some("v1".into()),
         stage,
         models: vec![LoadedModel {
             model: "m".into(),
