--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -98,8 +98,8 @@
 pub use heartbeat::{CompactLoad, Heartbeat, HeartbeatScope, HeldLease, StoreRevisions};
 pub use model::{
     Allowance, CacheStore, CostUnit, Customer, EngineProfile, LoadedModel, Member, Route,
-    RouteKind, RoutingConfig, Service, ServiceId, SoftwareVersion, TargetWeights, UpstreamEntry, UpstreamStage,
-    WeightNumber,
+    RouteKind, RoutingConfig, Service, ServiceId, SoftwareVersion, TargetWeights, UpstreamEntry,
+    UpstreamStage, WeightNumber,
 };
 pub use object_mirror::ObjectMirror;
 pub use order_window::OrderWindow;
