feat(gateway): tell all zones the addresses of a zone's VMs

In a large fleet a VM learns the addresses of other zones' VMs from the list in the store, which it reads every few minutes, and forgets them after 30 s. What all VMs have to choose alike, such as the VMs that keep a record, cannot follow from what each happens to know.

Every twentieth sum of a zone lists twelve of the VMs that its representative hears, one part after the other; the others keep an address for as long as it is listed.

--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -27,6 +27,9 @@
 const EARLY_HEARTBEAT_VMS: u32 = 24;
 /// One in this many heartbeats lists the addresses of known VMs.
 const KNOWN_VMS_EVERY_HEARTBEATS: u64 = 10;
+/// One in this many sums of a zone lists addresses of its VMs. All VMs of a zone are listed before
+/// other zones forget them.
+const ZONE_VMS_EVERY_HEARTBEATS: u64 = 20;
 /// Maximum number of addresses in one heartbeat.
 const KNOWN_VMS_MAX: usize = 12;
 /// Maximum number of newly cached prompt prefixes in one heartbeat.
@@ -288,7 +291,13 @@
 /// Aggregates the latest heartbeats of the VMs of this zone.
 fn zone_heartbeat(state: &mut GatewayState, own: &Heartbeat, now: Instant) -> Heartbeat {
     let mut heartbeat = Heartbeat {
-        known_vms: Vec::new(),
+        known_vms: match own.sequence % ZONE_VMS_EVERY_HEARTBEATS {
+            0 => {
+                let part = own.sequence / ZONE_VMS_EVERY_HEARTBEATS;
+                state.peers.heard_in_zone(KNOWN_VMS_MAX, part as usize, now)
+            }
+            _ => Vec::new(),
+        },
         new_cached_prefixes: state
             .prefix_cache_index
             .take_unannounced_to_zones(CACHED_PREFIXES_PER_HEARTBEAT_MAX),
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -129,13 +129,12 @@
             return false;
         }
         self.add_address(heartbeat.address, heartbeat.availability_zone.clone(), now);
+        let is_sum = matches!(heartbeat.scope, HeartbeatScope::Zone { .. });
         for (address, zone) in &heartbeat.known_vms {
-            self.addresses
-                .entry(*address)
-                .or_insert_with(|| KnownAddress {
-                    zone: zone.clone(),
-                    added_at: now,
-                });
+            // The representative of a zone names VMs that it hears.
+            if is_sum || !self.addresses.contains_key(address) {
+                self.add_address(*address, zone.clone(), now);
+            }
         }
         let is_own_zone = heartbeat.availability_zone == self.zone;
         match heartbeat.scope {
@@ -305,6 +304,40 @@
             .collect()
     }
 
+    /// Returns one part of the addresses of this zone's VMs that are heard, of `max` addresses; the
+    /// parts follow each other without an end.
+    pub fn heard_in_zone(
+        &self,
+        max: usize,
+        part: usize,
+        now: Instant,
+    ) -> Vec<(SocketAddr, AvailabilityZoneId)> {
+        let heard = self.fresh_in_zone(now).map(|peer| peer.heartbeat.address);
+        let mut heard: Vec<_> = heard.collect();
+        heard.sort_unstable();
+        let parts = heard.chunks(max);
+        let part = parts.clone().nth(part % parts.len().max(1));
+        let addresses = part.unwrap_or_default().iter();
+        addresses
+            .map(|address| (*address, self.zone.clone()))
+            .collect()
+    }
+
+    /// Returns the addresses of all known VMs, this one included, with their zones.
+    pub fn fleet_addresses(
+        &self,
+        own_address: SocketAddr,
+    ) -> impl Iterator<Item = (SocketAddr, AvailabilityZoneId)> {
+        let own = std::iter::once((own_address, self.zone.clone()));
+        let heard = self.vms.values().map(|peer| {
+            let heartbeat = &peer.heartbeat;
+            (heartbeat.address, heartbeat.availability_zone.clone())
+        });
+        let listed = self.addresses.iter();
+        let listed = listed.map(|(address, listed)| (*address, listed.zone.clone()));
+        own.chain(heard).chain(listed)
+    }
+
     /// Returns the VMs of this zone and the representatives of all zones with fresh heartbeats.
     pub fn fresh_peers(&self, now: Instant) -> impl Iterator<Item = &Peer> {
         let representatives = self.zone_representatives.values().chain(&self.zone_sum);
--- a/tests/gateway_peers.rs
+++ b/tests/gateway_peers.rs
@@ -274,3 +274,39 @@
         })
     );
 }
+
+/// Guards against zones that forget each other's VMs between two reads of the list in the store.
+#[test]
+fn the_vms_of_another_zone_are_known_while_their_representative_hears_them() {
+    let (mut representative, mut other) = (peers("a", 1), peers("b", 100));
+    let vms: Vec<u8> = (2..=50).collect();
+    let mut told = 0;
+    for second in 0..60 {
+        let now = MS(second * 1_000);
+        for vm in &vms {
+            // One of them is gone from here on.
+            if *vm != 7 || second < 20 {
+                representative.record_heartbeat(heartbeat("a", *vm, second + 1), now);
+            }
+        }
+        if second % 4 == 0 {
+            let sum = Heartbeat {
+                known_vms: representative.heard_in_zone(12, told, now),
+                ..zone_heartbeat("a", 1, second + 1, 50)
+            };
+            told += 1;
+            other.record_heartbeat(sum, now);
+        }
+        representative.sweep(now);
+        other.sweep(now);
+    }
+    let known: Vec<SocketAddr> = other
+        .fleet_addresses(address(100))
+        .map(|(address, _)| address)
+        .collect();
+    let missing: Vec<_> = vms
+        .iter()
+        .filter(|vm| !known.contains(&address(**vm)))
+        .collect();
+    assert_eq!(missing, [&7]);
+}
