fix(gateway): bind streams to the software version that began them

No VM read which software an engine runs, so a stream went on at any engine: after a break, beside a silent engine, and when its caller took it up, mostly at another VM, which knew nothing of it.

A stream is bound by its first event to the service and software of the engine that sent it. Other upstreams are no candidates for it. While more than one version may have begun streams of a route, the VM tells two others before the first event leaves; they follow from the request id and are in different zones. The VM at which a caller takes a stream up asks the first four in that order. Without a record it goes on only at the version that was the only one, and only if the keepers would have the record; otherwise the request is refused as 3014. The key of a record depends on the customer.

Ruled out: asking all VMs (VMs x breaks), telling all VMs (VMs x streams), writing each stream to the store (its rate of writes), choosing the version by the request id (versions join and leave while streams run).

--- a/src/error/code.rs
+++ b/src/error/code.rs
@@ -110,6 +110,7 @@
     IdempotencyConflict = 3011, "idempotency_conflict", CONFLICT, Unknown, "The idempotency key was used by an earlier request.";
     UpstreamRejected = 3012, "upstream_rejected", BAD_REQUEST, NotRun, "The upstream rejected the request as invalid.";
     PromptQuarantined = 3013, "prompt_quarantined", SERVICE_UNAVAILABLE, NotRun, "The request, or a part of its prompt, crashes the upstreams that run it.";
+    StreamOriginUnknown = 3014, "stream_origin_unknown", SERVICE_UNAVAILABLE, NotRun, "It is not known which software began the stream that is to go on.";
     StoreUnreachable = 4001, "store_unreachable", SERVICE_UNAVAILABLE, Unknown, "The platform's store cannot be reached.";
     VersionConflict = 4002, "version_conflict", CONFLICT, NotRun, "The object has another version than expected.";
     WriteUnknown = 4003, "write_unknown", BAD_GATEWAY, Unknown, "It is not known whether the write took effect.";
--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -19,7 +19,7 @@
 use crate::error::{Code, Refusal};
 
 /// Timeout of a request whose caller sets none.
-const REQUEST_TIMEOUT_DEFAULT: Duration = Duration::from_secs(30);
+pub(super) const REQUEST_TIMEOUT_DEFAULT: Duration = Duration::from_secs(30);
 /// Retry delay returned to the caller while no configuration is known.
 const CONFIG_RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -117,6 +117,7 @@
         service,
         is_final_run: false,
         tried_upstreams: Vec::new(),
+        origin: None,
         preferred_upstream: None,
     };
     let mut headers = std::mem::take(&mut received.headers);
--- a/src/gateway/announcements.rs
+++ b/src/gateway/announcements.rs
@@ -80,7 +80,7 @@
         let untried = self
             .upstreams
             .ready(&request.service)
-            .filter(|upstream| !request.tried_upstreams.contains(&upstream.instance.id));
+            .filter(|upstream| request.permits(upstream));
         let returns: Option<Vec<Instant>> = untried
             .map(|upstream| self.unavailable_until(upstream, now))
             .collect();
--- a/src/gateway/candidates.rs
+++ b/src/gateway/candidates.rs
@@ -202,7 +202,7 @@
         let untried = self
             .upstreams
             .ready(&request.service)
-            .filter(|upstream| !request.tried_upstreams.contains(&upstream.instance.id));
+            .filter(|upstream| request.permits(upstream));
         let upstreams: Vec<&Upstream> = untried.collect();
         if upstreams.is_empty() {
             return Err(Placement::NoCandidate);
--- a/src/gateway/datagram.rs
+++ b/src/gateway/datagram.rs
@@ -11,6 +11,7 @@
 use super::heartbeat::Heartbeat;
 use super::process_hash::ProcessHash;
 use super::state::Gateway;
+use super::stream_origin::{KeeperAnswer, OriginLookup, OriginRecord};
 use super::upstream_limit::{LimitNews, PermitCall, PermitReply};
 
 /// Maximum size of a datagram. The sums of a zone can exceed the usual MTU; a lost fragment only
@@ -51,6 +52,14 @@
     PermitSpent(ProcessHash),
     /// News of upstreams that have announced their leaving.
     LeavingNews(Vec<ProcessHash>),
+    /// Request to keep the origin of a stream.
+    OriginRecord(OriginRecord),
+    /// Reply to the request to keep the origin of a stream.
+    OriginKept { id: u64, is_kept: bool },
+    /// Request for the origin of a stream.
+    OriginLookup(OriginLookup),
+    /// Reply to the request for the origin of a stream.
+    OriginAnswer { id: u64, answer: KeeperAnswer },
 }
 
 /// Sends a message; returns whether the socket accepted it.
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -7,7 +7,7 @@
 
 use http::StatusCode;
 
-use super::model::WeightNumber;
+use super::model::{ServiceId, SoftwareVersion, WeightNumber};
 use super::placement::PlacementSettings;
 use super::platform_api::ResponseHead;
 use super::state::Gateway;
@@ -33,6 +33,9 @@
     gateway: Arc<Gateway>,
     pub(super) instance: UpstreamInstance,
     pub(super) address: SocketAddr,
+    pub(super) service: ServiceId,
+    /// Software that the upstream has for as long as its process runs.
+    pub(super) software: Option<SoftwareVersion>,
     /// Weights that the engine is assumed to have, and that must serve the request.
     pub(super) weights: Option<WeightNumber>,
     /// Prompt tokens that the engine is assumed to have cached.
@@ -68,6 +71,8 @@
             gateway: gateway.clone(),
             instance: upstream.instance.clone(),
             address: upstream.entry.address,
+            service: upstream.entry.service.clone(),
+            software: upstream.entry.software.clone(),
             weights,
             cached_tokens: 0,
             fetch_from: None,
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -110,6 +110,14 @@
             Ok(Message::PermitReply(reply)) => gateway.pending_permits.complete(reply.id, reply),
             Ok(Message::PermitSpent(process)) => gateway.handle_permit_spent(process),
             Ok(Message::LeavingNews(processes)) => gateway.apply_leaving_news(&processes),
+            Ok(Message::OriginRecord(record)) => gateway.handle_origin_record(&record, from),
+            Ok(Message::OriginKept { id, is_kept }) => {
+                gateway.pending_origin_records.complete(id, is_kept);
+            }
+            Ok(Message::OriginLookup(lookup)) => gateway.handle_origin_lookup(lookup, from),
+            Ok(Message::OriginAnswer { id, answer }) => {
+                gateway.pending_origin_lookups.complete(id, answer);
+            }
             Err(error) => {
                 let reason = format!("datagram cannot be decoded: {error}");
                 gateway.event_log.log(&LogEvent::BeatFailed { reason });
--- a/src/gateway/log_event.rs
+++ b/src/gateway/log_event.rs
@@ -228,6 +228,11 @@
         /// Requests of this VM that it had.
         requests: usize,
     },
+    /// A caller takes up a stream that this began.
+    TakenUp {
+        service: &'a str,
+        software: Option<&'a str>,
+    },
     Resumed {
         upstream: &'a str,
         after_event: Option<u64>,
@@ -289,7 +294,7 @@
             Self::Placed { .. } => "placed",
             Self::Answered { .. } => "answered",
             Self::Refused { .. } => "refused",
-            Self::AttemptFailed { .. } | Self::Resumed { .. } => "failed",
+            Self::AttemptFailed { .. } | Self::TakenUp { .. } | Self::Resumed { .. } => "failed",
             // Not suppressed by the attempts that fail at the same time.
             Self::StreamBroken { .. } | Self::Aborted { .. } => "broken",
             Self::OlderWeightsUsed { .. } => "older_weights_used",
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -27,6 +27,8 @@
     limited_upstreams: Gauge<u64>,
     reports: Counter<u64>,
     permits: Counter<u64>,
+    origin_records: Counter<u64>,
+    origin_lookups: Counter<u64>,
     aborts: Counter<u64>,
     responses: Counter<u64>,
     orders: Counter<u64>,
@@ -83,6 +85,14 @@
                 "gateway_permits",
                 "Permits requested for limited upstreams, by outcome",
             ),
+            origin_records: counter(
+                "gateway_stream_records",
+                "Streams whose origin other VMs were told of, by outcome",
+            ),
+            origin_lookups: counter(
+                "gateway_stream_lookups",
+                "Streams that callers took up, by what their origin is known from",
+            ),
             aborts: counter(
                 "gateway_aborts",
                 "Requests ended by the shutdown, by what the caller had received",
@@ -141,6 +151,16 @@
         self.permits.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    pub(super) fn count_origin_record(&self, outcome: &'static str) {
+        self.origin_records
+            .add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    pub(super) fn count_origin_lookup(&self, source: &'static str) {
+        self.origin_lookups
+            .add(1, &[KeyValue::new("source", source)]);
+    }
+
     pub(super) fn count_report(&self) {
         self.reports.add(1, &[]);
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -72,6 +72,8 @@
 mod store_relay;
 mod store_watch;
 mod stream;
+mod stream_binding;
+mod stream_origin;
 mod table;
 mod takeover;
 mod throughput;
@@ -126,6 +128,10 @@
 pub use shutdown::ShutdownPlan;
 pub use stall::{SilentStream, StallSettings};
 pub use status::FleetStatus;
+pub use stream_origin::{
+    KEEPERS, KeeperAnswer, LookupResult, OriginHistory, STREAM_LIFETIME, StreamKey, StreamOrigin,
+    StreamRecords, StreamRecordsSettings, conclude, rank_keepers, stream_key,
+};
 pub use table::RoutingTable;
 pub use upstream_limit::{
     AnnouncedLimit, LimitChange, LimitNews, PermitAccounts, PermitDecision, PermitRequest,
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -28,7 +28,7 @@
 /// Maximum number of sends of one request, including those that the upstream did not run.
 const SENDS_MAX: u32 = 4;
 /// Retry delay returned to the caller after upstreams refused or could not be reached.
-const UPSTREAM_RETRY_AFTER: Duration = Duration::from_millis(150);
+pub(super) const UPSTREAM_RETRY_AFTER: Duration = Duration::from_millis(150);
 /// Fraction of the remaining time that a request may spend in the queue; the rest is for its
 /// response.
 const QUEUE_TIME_FRACTION: f64 = 0.5;
@@ -342,6 +342,13 @@
 
     fn refuse_unplaced(&self, error: PlacementError) -> Refusal {
         match error {
+            // Without a time after which to return: upstreams of that software seldom join.
+            PlacementError::NoUpstream if self.is_bound() && !self.progress.may_have_run => {
+                Refusal::new(
+                    Code::UpstreamNone,
+                    "no upstream runs the software that began the stream",
+                )
+            }
             PlacementError::NoUpstream => self.refuse(
                 Code::UpstreamNone,
                 "the service has no upstream left to try",
@@ -372,6 +379,10 @@
         }
     }
 
+    fn is_bound(&self) -> bool {
+        self.placement_request.origin.is_some()
+    }
+
     pub(super) fn priority(&self) -> u8 {
         let customer = self
             .customer
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -32,6 +32,7 @@
 use super::response_memory::ResponseMemory;
 use super::retry_budgets::{RetryBudgetBounds, RetryBudgets};
 use super::settings::GatewaySettings;
+use super::stream_origin::{KeeperAnswer, StreamOrigins};
 use super::table::RoutingTable;
 use super::upstream_limit::{PermitAccounts, PermitReply, UpstreamLimits};
 use super::upstream_registry::{
@@ -77,6 +78,8 @@
     pub(super) pending_charges: PendingReplies<ChargeResponse>,
     pub(super) pending_trials: PendingReplies<bool>,
     pub(super) pending_permits: PendingReplies<PermitReply>,
+    pub(super) pending_origin_records: PendingReplies<bool>,
+    pub(super) pending_origin_lookups: PendingReplies<KeeperAnswer>,
     /// Socket for datagrams between VMs; set at start-up.
     pub(super) peer_socket: OnceLock<Arc<UdpSocket>>,
     /// Time at which the process was requested to stop.
@@ -123,6 +126,7 @@
     pub(super) placement_settings: PlacementSettings,
     pub(super) crash_guard: CrashGuard,
     pub(super) coordinator_term: CoordinatorTerm,
+    pub(super) stream_origins: StreamOrigins,
 }
 
 /// What a received heartbeat means for this VM.
@@ -194,6 +198,7 @@
             placement_settings: PlacementSettings::default(),
             crash_guard: CrashGuard::default(),
             coordinator_term: CoordinatorTerm::default(),
+            stream_origins: StreamOrigins::new(clock.now()),
         };
         Self {
             connections: Connections::new(&limits, clock.clone(), drain.clone()),
@@ -211,6 +216,8 @@
             pending_charges: PendingReplies::default(),
             pending_trials: PendingReplies::default(),
             pending_permits: PendingReplies::default(),
+            pending_origin_records: PendingReplies::default(),
+            pending_origin_lookups: PendingReplies::default(),
             peer_socket: OnceLock::new(),
             stop_requested_at: OnceLock::new(),
             table: ArcSwapOption::empty(),
@@ -258,6 +265,9 @@
         let current = self.table().map_or(0, |table| table.version);
         if table.version > current {
             let version = table.version;
+            if let Some(current) = self.table() {
+                self.record_moved_routes(&current, &table);
+            }
             let mut state = self.state();
             state.engine_profiles = table.engine_profiles();
             state.cache_store = table.cache_store();
@@ -345,6 +355,7 @@
         state.upstreams.sweep(now);
         state.sweep_limits(now);
         state.refresh_peer_view(now);
+        state.sweep_stream_origins(now);
         state.prefix_cache_index.sweep(now);
         let is_coordinator = state.peers.is_complete(now) && state.peers.coordinator(now).is_none();
         state.coordinator_term.record_check(is_coordinator, now);
@@ -389,6 +400,10 @@
             .retain(|process| listed.contains(&process));
     }
 
+    fn sweep_stream_origins(&mut self, now: Instant) {
+        self.stream_origins.sweep(self.upstreams.iter(), now);
+    }
+
     /// Updates the sums over the peers' heartbeats if they are too old.
     pub(super) fn refresh_peer_view(&mut self, now: Instant) {
         self.peer_view
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -50,6 +50,7 @@
     mut admitted: AdmittedRequest,
     request_guard: RequestGuard,
 ) -> Result<Response<Body>, Refusal> {
+    admitted.bind_taken_up().await?;
     loop {
         let dispatched = admitted.next_upstream().await?;
         let last_event_id = admitted.head.last_event_id;
@@ -73,6 +74,9 @@
                 continue;
             }
         };
+        if first_events.is_some() {
+            admitted.bind_begun(&engine.dispatched).await;
+        }
         admitted
             .gateway
             .metrics
--- /dev/null
+++ b/src/gateway/stream_origin/messages.rs
@@ -0,0 +1,23 @@
+//! Messages about the origins of streams.
+
+use serde::{Deserialize, Serialize};
+
+use super::origin::{StreamKey, StreamOrigin};
+
+/// Request to keep the origin of a stream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub(in crate::gateway) struct OriginRecord {
+    pub(super) id: u64,
+    pub(super) key: StreamKey,
+    pub(super) origin: StreamOrigin,
+    pub(super) kept_ms: u32,
+}
+
+/// Request for the origin of a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub(in crate::gateway) struct OriginLookup {
+    pub(super) id: u64,
+    pub(super) key: StreamKey,
+}
--- /dev/null
+++ b/src/gateway/stream_origin/mod.rs
@@ -0,0 +1,36 @@
+//! What a stream is bound to once its first event may have reached the caller.
+//!
+//! Events of two software versions do not fit together. A stream goes on only at upstreams of the
+//! service and software that began it: after a break, beside a silent engine, and when its caller
+//! takes it up at another VM.
+//!
+//! A VM that begins a stream tells two others of its origin before the first event leaves, unless
+//! only one software version can have begun any stream of the route. The keepers follow from the
+//! request id, so the VM at which the caller takes the stream up asks a few VMs, however many there
+//! are. Where the origin is not certain, the request is refused.
+//!
+//! [`OriginHistory`] (what may have begun streams lately), [`StreamRecords`] (what this VM keeps),
+//! [`rank_keepers`] and [`conclude`] perform no I/O; the time is passed in.
+
+mod exchange;
+mod history;
+mod keepers;
+mod lookup;
+mod messages;
+mod origin;
+mod origins;
+mod records;
+
+pub(super) use exchange::UnknownOrigin;
+pub use history::OriginHistory;
+pub use keepers::{KEEPERS, rank_keepers};
+pub use lookup::{KeeperAnswer, LookupResult, conclude};
+pub(super) use messages::{OriginLookup, OriginRecord};
+pub use origin::{StreamKey, StreamOrigin, stream_key};
+pub(super) use origins::StreamOrigins;
+pub use records::{StreamRecords, StreamRecordsSettings};
+
+use std::time::Duration;
+
+/// Time after which a stream is no longer taken up, unless its caller has stated a longer timeout.
+pub const STREAM_LIFETIME: Duration = Duration::from_secs(30);
--- a/src/gateway/table.rs
+++ b/src/gateway/table.rs
@@ -66,14 +66,18 @@
             .find(|route| path.starts_with(&route.path_prefix))
     }
 
+    /// Returns all routes.
+    pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
+        self.routes_by_host.values().flatten()
+    }
+
     /// Returns the shortest objective among the routes of a service that are at least as urgent as
     /// the given route.
     ///
     /// If a longer objective limited the work queued at an engine, the other routes would miss
     /// theirs.
     pub fn shortest_objective(&self, service: &str, route: &Route) -> Duration {
-        let routes = self.routes_by_host.values().flatten();
-        let urgent = routes.filter(|other| {
+        let urgent = self.routes().filter(|other| {
             let is_of_service = other.services.iter().any(|(id, _)| id == service);
             is_of_service && other.priority <= route.priority
         });
--- a/tests/gateway_pure/main.rs
+++ b/tests/gateway_pure/main.rs
@@ -19,6 +19,7 @@
 mod routing;
 mod shutdown;
 mod stalls;
+mod stream_origins;
 mod streams;
 mod strikes;
 mod upstream_limits;
--- /dev/null
+++ b/tests/gateway_pure/stream_origins.rs
@@ -0,0 +1,229 @@
+//! Origins of streams: what may have begun them, who keeps the record, and what answers prove.
+
+use std::net::SocketAddr;
+
+use celerylever::gateway::{
+    KEEPERS, KeeperAnswer, LookupResult, OriginHistory, STREAM_LIFETIME, StreamOrigin,
+    StreamRecords, StreamRecordsSettings, conclude, rank_keepers, stream_key,
+};
+
+use super::*;
+
+fn route(services: &[&str]) -> Route {
+    Route {
+        name: "r".into(),
+        host: "h".into(),
+        path_prefix: "/a/".into(),
+        kind: RouteKind::Streaming,
+        timeout: MS(15_000),
+        objective: MS(500),
+        priority: 1,
+        services: services
+            .iter()
+            .map(|service| ((*service).into(), 1))
+            .collect(),
+        attempts: 2,
+        is_public: false,
+        is_resumable: true,
+    }
+}
+
+fn origin(software: &str) -> StreamOrigin {
+    StreamOrigin {
+        service: "notes".into(),
+        software: Some(software.into()),
+    }
+}
+
+fn observe(history: &mut OriginHistory, software: &str, at: Instant) {
+    history.observe("notes", Some(&software.into()), at);
+}
+
+fn at(ms: u64) -> Instant {
+    Instant::ZERO + MS(ms)
+}
+
+const LIFETIME_MS: u64 = STREAM_LIFETIME.as_millis() as u64;
+
+#[test]
+fn the_only_software_is_certain_once_older_streams_have_ended() {
+    let mut history = OriginHistory::new(at(0));
+    observe(&mut history, "v1", at(10));
+    assert_eq!(history.only_origin(&route(&["notes"]), at(20)), None);
+    assert_eq!(
+        history.only_seen_origin(&route(&["notes"]), at(20)),
+        Some(origin("v1"))
+    );
+    observe(&mut history, "v1", at(LIFETIME_MS));
+    assert_eq!(
+        history.only_origin(&route(&["notes"]), at(LIFETIME_MS)),
+        Some(origin("v1"))
+    );
+}
+
+#[test]
+fn a_stream_without_a_record_began_before_another_software_joined() {
+    let route = route(&["notes"]);
+    let mut history = OriginHistory::new(at(0));
+    observe(&mut history, "v1", at(LIFETIME_MS));
+    observe(&mut history, "v2", at(LIFETIME_MS + 10));
+    let soon = at(LIFETIME_MS + 1_000);
+    assert_eq!(history.only_origin(&route, soon), None);
+    assert_eq!(history.unrecorded_origin(&route, soon), Some(origin("v1")));
+    observe(&mut history, "v3", soon);
+    assert_eq!(history.unrecorded_origin(&route, soon), Some(origin("v1")));
+    for software in ["v1", "v2"] {
+        observe(&mut history, software, at(2 * LIFETIME_MS + 10));
+    }
+    assert_eq!(
+        history.unrecorded_origin(&route, at(2 * LIFETIME_MS + 10)),
+        None
+    );
+}
+
+#[test]
+fn a_vm_that_started_while_two_versions_served_takes_neither_for_the_only_one() {
+    let route = route(&["notes"]);
+    let mut history = OriginHistory::new(at(0));
+    observe(&mut history, "v1", at(10));
+    observe(&mut history, "v2", at(20));
+    assert_eq!(history.unrecorded_origin(&route, at(30)), None);
+    // The last upstream with the first version has left; its streams may go on for a time.
+    let after = at(LIFETIME_MS + 15);
+    observe(&mut history, "v2", after);
+    assert_eq!(history.only_origin(&route, after), Some(origin("v2")));
+    assert_eq!(history.only_origin(&route, at(LIFETIME_MS + 5)), None);
+}
+
+#[test]
+fn a_route_of_several_services_or_another_one_is_not_certain() {
+    let mut history = OriginHistory::new(at(0));
+    let now = at(LIFETIME_MS);
+    observe(&mut history, "v1", now);
+    assert_eq!(history.only_origin(&route(&["notes", "more"]), now), None);
+    history.record_move(&route(&["notes"]), now);
+    assert_eq!(history.only_origin(&route(&["notes"]), now), None);
+    assert_eq!(history.unrecorded_origin(&route(&["notes"]), now), None);
+    let later = at(2 * LIFETIME_MS);
+    observe(&mut history, "v1", later);
+    assert!(history.only_origin(&route(&["notes"]), later).is_some());
+}
+
+#[test]
+fn other_software_another_service_and_unknown_software_do_not_go_on() {
+    let entry = entry(1, UpstreamStage::Ready);
+    assert!(origin("v1").is_continued_by(&entry));
+    assert!(!origin("v2").is_continued_by(&entry));
+    let elsewhere = StreamOrigin {
+        service: "more".into(),
+        ..origin("v1")
+    };
+    assert!(!elsewhere.is_continued_by(&entry));
+    let unknown = StreamOrigin {
+        software: None,
+        ..origin("v1")
+    };
+    let unversioned = UpstreamEntry {
+        software: None,
+        ..entry
+    };
+    assert!(!unknown.is_continued_by(&unversioned));
+}
+
+#[test]
+fn records_are_bounded_and_expire() {
+    let mut records = StreamRecords::new(StreamRecordsSettings {
+        records_max: 2,
+        ..StreamRecordsSettings::default()
+    });
+    let key = |id: &str| stream_key(id, Some("teifi"));
+    assert!(records.insert(key("a"), &origin("v1"), MS(100), at(0)));
+    assert!(records.insert(key("b"), &origin("v2"), MS(300), at(0)));
+    assert!(!records.insert(key("c"), &origin("v1"), MS(100), at(50)));
+    assert!(records.insert(key("c"), &origin("v1"), MS(100), at(150)));
+    assert_eq!(records.get(key("a"), at(150)), None);
+    assert_eq!(
+        records.get(key("b"), at(150)).map(|kept| (**kept).clone()),
+        Some(origin("v2"))
+    );
+    // A record is not replaced: the first event came from one upstream.
+    assert!(!records.insert(key("b"), &origin("v1"), MS(300), at(150)));
+    assert_eq!(records.get(stream_key("b", Some("small")), at(150)), None);
+}
+
+fn answer(kept_since_ms: u64) -> Option<KeeperAnswer> {
+    Some(KeeperAnswer {
+        origin: None,
+        kept_since: MS(kept_since_ms),
+    })
+}
+
+#[test]
+fn no_record_is_concluded_only_if_its_keepers_would_have_it() {
+    let old = || answer(LIFETIME_MS);
+    let young = || answer(LIFETIME_MS - 1);
+    assert_eq!(
+        conclude(&[old(), old(), None, None]),
+        LookupResult::NotRecorded
+    );
+    assert_eq!(
+        conclude(&[old(), young(), old()]),
+        LookupResult::NotRecorded
+    );
+    assert_eq!(
+        conclude(&[old(), young(), None, old()]),
+        LookupResult::Unknown
+    );
+    assert_eq!(conclude(&[old(), None]), LookupResult::NotRecorded);
+    assert_eq!(conclude(&[young()]), LookupResult::Unknown);
+    assert_eq!(conclude(&[]), LookupResult::Unknown);
+    let found = Some(KeeperAnswer {
+        origin: Some(origin("v1")),
+        kept_since: MS(1),
+    });
+    assert_eq!(
+        conclude(&[old(), old(), None, found]),
+        LookupResult::Found(origin("v1"))
+    );
+}
+
+fn fleet(vms: u8) -> Vec<(SocketAddr, String)> {
+    let vm = |number| {
+        let address = SocketAddr::from(([10, 0, 0, number], 80));
+        (address, format!("zone-{}", number % 3))
+    };
+    (1..=vms).map(vm).collect()
+}
+
+#[test]
+fn the_first_two_keepers_are_in_different_zones_whatever_the_order_of_vms() {
+    let vms = fleet(60);
+    let mut reversed = vms.clone();
+    reversed.reverse();
+    let zone = |address: SocketAddr| vms.iter().find(|vm| vm.0 == address).unwrap().1.clone();
+    let mut kept = std::collections::HashMap::new();
+    for number in 0..6_000 {
+        let key = stream_key(&format!("r{number}"), None);
+        let ranked = rank_keepers(key, vms.clone());
+        assert_eq!(ranked, rank_keepers(key, reversed.clone()));
+        assert_ne!(zone(ranked[0]), zone(ranked[1]));
+        for address in &ranked[..KEEPERS] {
+            *kept.entry(*address).or_insert(0) += 1;
+        }
+    }
+    let most = kept.values().max().unwrap();
+    assert!(*most < 2 * 6_000 * KEEPERS / 60, "{most} records at one VM");
+}
+
+#[test]
+fn the_loss_of_one_vm_leaves_the_order_of_the_others() {
+    let vms = fleet(9);
+    for number in 0..200 {
+        let key = stream_key(&format!("r{number}"), None);
+        let ranked = rank_keepers(key, vms.clone());
+        let without = vms.iter().filter(|vm| vm.0 != ranked[0]).cloned();
+        let left = rank_keepers(key, without);
+        let asked = &left[..2 * KEEPERS];
+        assert!(asked.contains(&ranked[1]));
+    }
+}
