fix(gateway): let another VM handle requests of callers of a VM that is cut

Callers of VMs that had lost their links to all engines were served 10 of 141 requests, those of other VMs 793 of 802. A VM that reached no engine had no other way: it tried up to four, each for half a second, until the callers' time was over, beside VMs that reached all of them.

A VM is cut from a service if new connections to three of its upstreams fail and none succeeds. It then passes requests as they came, with the time left, to the peer listener of another VM, which judges the key, the rate and the choice as for its own callers, never passes them on, and says at once if it cannot help. A request that may have run is not passed on, and a hop that breaks after the request was sent is reported as unknown. Two probes a second find the end. A VM that is cut does not report upstreams as unreachable to others.

Ruled out: a shorter timeout of connections (no later attempt at a cut VM succeeded either), and trust in what the asking VM has checked (the ports between VMs are open to whatever reaches them).

--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -9,6 +9,7 @@
 use super::crash_guard::RequestContent;
 use super::event_log::LogEvent;
 use super::model::{CostUnit, Customer, Route};
+use super::peer_forward::FORWARD_HEADER;
 use super::placement_request::{PlacementRequest, suspects};
 use super::platform_api::RequestHead;
 use super::request::{AdmittedRequest, AttemptProgress, ReceivedRequest};
@@ -75,17 +76,21 @@
         return Err(draining_refusal());
     }
     let prompt = head.prompt.clone().map(Arc::new);
-    let cost = match &customer {
-        Some(customer) => charge(gateway, customer, &head).await?,
-        None => None,
-    };
     let service = draw_service(&route).ok_or_else(|| {
         Refusal::new(
             Code::UpstreamNone,
             format!("route {} has no service", route.name),
         )
     })?;
-    gateway.count_request(&service);
+    // The VM that handles the request charges the customer.
+    let is_charge_due = !received.is_forwarded && gateway.is_cut_from(&service);
+    let cost = match &customer {
+        Some(customer) if !is_charge_due => charge(gateway, customer, &head).await?,
+        _ => None,
+    };
+    if !is_charge_due {
+        gateway.count_request(&service);
+    }
     let event = LogEvent::Admitted {
         route: &route.name,
         service: &service,
@@ -122,6 +127,7 @@
     };
     let mut headers = std::mem::take(&mut received.headers);
     strip_hop_by_hop(&mut headers);
+    headers.remove(FORWARD_HEADER);
     Ok(AdmittedRequest {
         gateway: gateway.clone(),
         route,
@@ -136,6 +142,8 @@
         uri: received.uri.clone(),
         headers,
         body,
+        is_forwarded: received.is_forwarded,
+        is_charge_due,
     })
 }
 
@@ -157,7 +165,7 @@
 /// Deducts the cost of a request from its customer's allowance.
 ///
 /// Returns the deducted units, or `None` if the customer has no allowance.
-async fn charge(
+pub(super) async fn charge(
     gateway: &Gateway,
     customer: &Customer,
     head: &RequestHead,
--- a/src/gateway/announcements.rs
+++ b/src/gateway/announcements.rs
@@ -45,6 +45,8 @@
         if let Some(time) = hold_off {
             upstream.record_hold_off(time, now);
         }
+        let service = upstream.entry.service.clone();
+        state.upstream_paths.record_response(&service, now);
         let process = hash_process(instance);
         let limits = &mut state.upstream_limits;
         let limit_change = limits.record_response(process, head.limit, now);
--- a/src/gateway/buffered.rs
+++ b/src/gateway/buffered.rs
@@ -1,5 +1,7 @@
 //! Forwarding of requests whose response is read completely before it is returned.
 
+use std::sync::Arc;
+
 use bytes::{Bytes, BytesMut};
 use gotham::helpers::http::Body;
 use http::Response;
@@ -12,7 +14,7 @@
 use super::model::RouteKind;
 use super::request::AdmittedRequest;
 use super::response_memory::{HeldBody, ResponseShare};
-use crate::entry::strip_hop_by_hop;
+use crate::entry::{RequestGuard, strip_hop_by_hop};
 use crate::error::Refusal;
 
 /// Maximum size of a response body.
@@ -27,9 +29,15 @@
     /// # Errors
     ///
     /// Returns the refusal for the caller if no upstream returned a response.
-    pub(super) async fn respond_buffered(mut self) -> Result<Response<Body>, Refusal> {
+    pub(super) async fn respond_buffered(
+        mut self,
+        request_guard: &Arc<RequestGuard>,
+    ) -> Result<Response<Body>, Refusal> {
         let mut error_response = None;
         loop {
+            if let Some(result) = self.forward_if_cut(request_guard).await {
+                return result;
+            }
             let mut dispatched = match self.next_upstream().await {
                 Ok(dispatched) => dispatched,
                 Err(refusal) => return error_response.ok_or(refusal),
--- a/src/gateway/engine_reports.rs
+++ b/src/gateway/engine_reports.rs
@@ -2,6 +2,7 @@
 
 use super::model::WeightNumber;
 use super::name_hash::NameHash;
+use super::peer_forward::PathState;
 use super::state::GatewayState;
 use crate::clock::Instant;
 
@@ -23,7 +24,11 @@
     /// Returns the engines that this VM finds unreachable.
     pub(super) fn unreachable_engines(&self, now: Instant) -> Vec<(NameHash, u16)> {
         let upstreams = self.upstreams.iter();
-        let unreachable = upstreams.filter(|upstream| upstream.is_unreachable(now));
+        // A path of this VM alone says nothing about the engines.
+        let unreachable = upstreams.filter(|upstream| {
+            upstream.is_unreachable(now)
+                && self.upstream_paths.state(&upstream.entry.service, now) == PathState::Open
+        });
         unreachable
             .map(|upstream| (upstream.name_hash, 1))
             .collect()
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -9,8 +9,9 @@
 
 use super::attempt_failure::{AttemptFailure, FailureCause};
 use super::dispatch::DispatchedRequest;
+use super::peer_forward::PathState;
 use super::platform_api::{ResponseHead, UpstreamHeaders};
-use super::pool::{Connection, SendFailure};
+use super::pool::{Connection, SendFailure, connect};
 use super::prompt::cache_salt;
 use super::request::AdmittedRequest;
 
@@ -52,12 +53,24 @@
         &self,
         dispatched: &DispatchedRequest,
     ) -> Result<Connection, AttemptFailure> {
-        let left = self.deadline.saturating_sub(self.gateway.now());
-        let pool = &self.gateway.pool;
-        let connect = pool.connection(&dispatched.instance, dispatched.address);
-        match tokio::time::timeout(left, connect).await {
-            Ok(connection) => {
-                connection.map_err(|failure| AttemptFailure::NotSent(failure.to_string()))
+        let (gateway, service) = (&self.gateway, &dispatched.service);
+        let pool = &gateway.pool;
+        if let Some(connection) = pool.take_idle(&dispatched.instance) {
+            return Ok(connection);
+        }
+        if gateway.path_state(service) != PathState::Open && self.may_ask_for_help() {
+            let reason = "new connections to the service fail";
+            return Err(AttemptFailure::NotSent(reason.into()));
+        }
+        let left = self.deadline.saturating_sub(gateway.now());
+        match tokio::time::timeout(left, connect(dispatched.address)).await {
+            Ok(Ok(connection)) => {
+                gateway.record_connected(service);
+                Ok(connection)
+            }
+            Ok(Err(failure)) => {
+                gateway.record_connect_failed(service, &dispatched.instance.id);
+                Err(AttemptFailure::NotSent(failure.to_string()))
             }
             Err(_) => Err(AttemptFailure::Timeout),
         }
--- a/src/gateway/log_event.rs
+++ b/src/gateway/log_event.rs
@@ -85,6 +85,14 @@
         #[serde(serialize_with = "serialize_position")]
         revision: ObjectVersion,
     },
+    /// New connections to upstreams of a service fail.
+    PathLost {
+        service: &'a str,
+    },
+    PathRestored {
+        service: &'a str,
+        after_ms: u64,
+    },
     UpstreamLeaving {
         upstream: &'a str,
     },
@@ -228,6 +236,11 @@
         /// Requests of this VM that it had.
         requests: usize,
     },
+    /// Another VM was asked to handle the request.
+    Forwarded {
+        helper: String,
+        outcome: &'static str,
+    },
     /// A caller takes up a stream that this began.
     TakenUp {
         service: &'a str,
@@ -292,6 +305,7 @@
             Self::Admitted { .. } => "admitted",
             Self::Queued { .. } => "queued",
             Self::Placed { .. } => "placed",
+            Self::Forwarded { .. } => "forwarded",
             Self::Answered { .. } => "answered",
             Self::Refused { .. } => "refused",
             Self::AttemptFailed { .. } | Self::TakenUp { .. } | Self::Resumed { .. } => "failed",
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -29,6 +29,8 @@
     permits: Counter<u64>,
     origin_records: Counter<u64>,
     origin_lookups: Counter<u64>,
+    forwards: Counter<u64>,
+    helped: Counter<u64>,
     aborts: Counter<u64>,
     responses: Counter<u64>,
     orders: Counter<u64>,
@@ -93,6 +95,14 @@
                 "gateway_stream_lookups",
                 "Streams that callers took up, by what their origin is known from",
             ),
+            forwards: counter(
+                "gateway_forwarded",
+                "Requests that other VMs were asked to handle, by outcome",
+            ),
+            helped: counter(
+                "gateway_helped",
+                "Requests of other VMs, by whether this one handled them",
+            ),
             aborts: counter(
                 "gateway_aborts",
                 "Requests ended by the shutdown, by what the caller had received",
@@ -161,6 +171,14 @@
             .add(1, &[KeyValue::new("source", source)]);
     }
 
+    pub(super) fn count_forward(&self, outcome: &'static str) {
+        self.forwards.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    pub(super) fn count_helped(&self, is_handled: bool) {
+        self.helped.add(1, &[KeyValue::new("handled", is_handled)]);
+    }
+
     pub(super) fn count_report(&self) {
         self.reports.add(1, &[]);
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -39,6 +39,7 @@
 mod name_hash;
 mod object_mirror;
 mod order_window;
+mod peer_forward;
 mod peer_view;
 mod peers;
 mod pending_call;
@@ -105,6 +106,9 @@
 };
 pub use object_mirror::ObjectMirror;
 pub use order_window::OrderWindow;
+pub use peer_forward::{
+    Helpers, HelpersSettings, KnownVm, PathChange, PathState, UpstreamPaths, UpstreamPathsSettings,
+};
 pub use peer_view::PeerView;
 pub use peers::{Peers, PeersSettings};
 pub use pending_call::PendingCall;
--- a/src/gateway/platform_api.rs
+++ b/src/gateway/platform_api.rs
@@ -280,6 +280,8 @@
     fn read_request_head(&self, headers: &HeaderMap) -> RequestHead;
     /// Removes headers that an upstream must not receive, and sets those of the gateway.
     fn set_upstream_headers(&self, headers: &mut HeaderMap, upstream_headers: &UpstreamHeaders<'_>);
+    /// Sets the time for which the caller still waits, in a request that another VM is to handle.
+    fn set_timeout(&self, headers: &mut HeaderMap, timeout: Duration);
     /// Parses the headers of an upstream's response.
     fn read_response_head(&self, headers: &HeaderMap) -> ResponseHead;
     /// Sets the headers that assign a refusal of the gateway to its request.
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -204,7 +204,8 @@
         });
     }
 
-    fn take_idle(&self, instance: &UpstreamInstance) -> Option<Connection> {
+    /// Returns an idle connection to an upstream.
+    pub(super) fn take_idle(&self, instance: &UpstreamInstance) -> Option<Connection> {
         let now = self.clock.now();
         let mut idle = self.lock();
         let connections = idle.get_mut(instance)?;
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -7,12 +7,13 @@
 use gotham::helpers::http::Body;
 use http::{HeaderMap, Method, Response, Uri};
 
-use super::admit::admit;
+use super::admit::{admit, charge};
 use super::attempt_failure::{AttemptFailure, FailureCause};
 use super::crash_guard::quarantine_check::TrialPermit;
 use super::dispatch::DispatchedRequest;
 use super::event_log::LogEvent;
 use super::model::{Customer, Route, RouteKind};
+use super::peer_forward::{ForwardedRequest, PathState};
 use super::placement_request::PlacementRequest;
 use super::platform_api::RequestHead;
 use super::queued_placement::PlacementError;
@@ -44,6 +45,8 @@
     pub(super) uri: Uri,
     pub(super) headers: HeaderMap,
     pub(super) body: Body,
+    /// Whether another VM has passed it on.
+    pub(super) is_forwarded: bool,
 }
 
 /// Request that passed admission and may be sent to upstreams.
@@ -62,6 +65,11 @@
     pub(super) uri: Uri,
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
+    /// Whether another VM has passed it on, so that no further one is asked.
+    pub(super) is_forwarded: bool,
+    /// Whether the customer is to be charged before an upstream is chosen, as the request was
+    /// expected to be handled by another VM.
+    pub(super) is_charge_due: bool,
 }
 
 /// Counts and outcomes of the attempts so far.
@@ -101,9 +109,12 @@
     request_guard: RequestGuard,
 ) -> Result<Response<Body>, Refusal> {
     let admitted = admit(&gateway, received, head).await?;
+    let request_guard = Arc::new(request_guard);
     match admitted.route.kind {
         RouteKind::Streaming => stream::respond(admitted, request_guard).await,
-        RouteKind::Idempotent | RouteKind::NonIdempotent => admitted.respond_buffered().await,
+        RouteKind::Idempotent | RouteKind::NonIdempotent => {
+            admitted.respond_buffered(&request_guard).await
+        }
     }
 }
 
@@ -117,12 +128,58 @@
 }
 
 impl AdmittedRequest {
+    /// Lets another VM handle the request if this one is cut from the service's upstreams; returns
+    /// `None` if this VM is to handle it.
+    pub(super) async fn forward_if_cut(
+        &self,
+        request_guard: &Arc<RequestGuard>,
+    ) -> Option<Result<Response<Body>, Refusal>> {
+        let gateway = &self.gateway;
+        let is_cut = match gateway.path_state(&self.placement_request.service) {
+            PathState::Open => false,
+            // An open connection may be found.
+            PathState::ClosedToNew => self.progress.unreachable_upstreams > 0,
+            PathState::Cut => true,
+        };
+        if !is_cut || self.progress.may_have_run || !self.may_ask_for_help() {
+            return None;
+        }
+        let target = self.uri.path_and_query();
+        let request = ForwardedRequest {
+            id: self.id.clone(),
+            method: self.method.clone(),
+            target: target.map_or("/", |target| target.as_str()).to_owned(),
+            headers: self.headers.clone(),
+            body: self.body.clone(),
+            deadline: self.deadline,
+        };
+        gateway.forward(&request, request_guard).await
+    }
+
+    /// Returns whether another VM may be asked to handle the request.
+    pub(super) fn may_ask_for_help(&self) -> bool {
+        !self.is_forwarded && self.gateway.may_ask_for_help()
+    }
+
+    /// Charges the customer if that was put off.
+    async fn charge_if_due(&mut self) -> Result<(), Refusal> {
+        if !std::mem::take(&mut self.is_charge_due) {
+            return Ok(());
+        }
+        if let Some(customer) = &self.customer {
+            charge(&self.gateway, customer, &self.head).await?;
+        }
+        self.gateway.count_request(&self.placement_request.service);
+        Ok(())
+    }
+
     /// Chooses the upstream of the next attempt, waiting in the queue if necessary.
     ///
     /// # Errors
     ///
     /// Returns the refusal for the caller if no further attempt may follow.
     pub(super) async fn next_upstream(&mut self) -> Result<DispatchedRequest, Refusal> {
+        self.charge_if_due().await?;
         let now = self.gateway.now();
         let left = self.deadline.saturating_sub(now);
         if left < TIME_LEFT_MIN {
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -10,11 +10,13 @@
 use gotham::state::{FromState, State, client_addr};
 use http::header::CONNECTION;
 use http::{HeaderMap, HeaderValue, Method, Response, Uri};
+use http_body_util::BodyExt;
 use hyper::body::Body as _;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::{TcpListener, TcpStream};
 
 use super::event_log::{AbortStage, LogEvent};
+use super::peer_forward::{FORWARD_HEADER, HelpReply, mark_reply};
 use super::request::{self, ReceivedRequest};
 use super::response;
 use super::state::Gateway;
@@ -53,15 +55,22 @@
         let gateway = Arc::clone(&gateway);
         Ok(move |state: State| {
             async move {
-                let uri = Uri::borrow_from(&state).clone();
-                let response = respond_fleet(&gateway, &uri).await;
+                let mut state = state;
+                let headers = HeaderMap::borrow_from(&state);
+                let response = match headers.contains_key(FORWARD_HEADER) {
+                    true => respond_forwarded(&gateway, &mut state).await,
+                    false => {
+                        let uri = Uri::borrow_from(&state).clone();
+                        respond_fleet(&gateway, &uri).await
+                    }
+                };
                 Ok((state, response))
             }
             .boxed()
         })
     };
     gotham::bind_server(listener, new_handler, |stream: TcpStream| {
-        std::future::ready(Ok::<_, ()>(stream))
+        std::future::ready(configure(&stream).map(|()| stream).map_err(drop))
     })
     .await;
 }
@@ -75,12 +84,7 @@
     let request = request.map(Arc::new);
     async move {
         let mut state = state;
-        let mut received = ReceivedRequest {
-            method: Method::take_from(&mut state),
-            uri: Uri::take_from(&mut state),
-            headers: HeaderMap::take_from(&mut state),
-            body: Body::take_from(&mut state),
-        };
+        let mut received = take_request(&mut state, false);
         let response = handle_request(gateway, &mut received).await;
         if !received.body.is_end_stream() {
             tokio::spawn(discard_body(received.body, request.clone()));
@@ -94,6 +98,45 @@
     .boxed()
 }
 
+fn take_request(state: &mut State, is_forwarded: bool) -> ReceivedRequest {
+    ReceivedRequest {
+        method: Method::take_from(state),
+        uri: Uri::take_from(state),
+        headers: HeaderMap::take_from(state),
+        body: Body::take_from(state),
+        is_forwarded,
+    }
+}
+
+/// Handles a request that another VM has passed on like one of this VM's own callers.
+async fn respond_forwarded(gateway: &Arc<Gateway>, state: &mut State) -> Response<Body> {
+    let mut received = take_request(state, true);
+    let helped = match gateway.can_help(&received.headers, &received.uri) {
+        true => gateway.accept_forwarded(),
+        false => None,
+    };
+    gateway.metrics.count_helped(helped.is_some());
+    let Some(helped) = helped else {
+        tokio::spawn(discard_body(received.body, None));
+        let message = "this VM cannot help";
+        let mut response = response::text_response(503, "text/plain", message.to_owned());
+        mark_reply(response.headers_mut(), HelpReply::Unable);
+        return response;
+    };
+    let mut response = handle_request(gateway.clone(), &mut received).await;
+    if !received.body.is_end_stream() {
+        tokio::spawn(discard_body(received.body, None));
+    }
+    mark_reply(response.headers_mut(), HelpReply::Handled);
+    response.map(|body| {
+        let held = move |frame| {
+            let _ = &helped;
+            frame
+        };
+        body.map_frame(held).boxed_unsync()
+    })
+}
+
 async fn handle_request(gateway: Arc<Gateway>, received: &mut ReceivedRequest) -> Response<Body> {
     let head = gateway
         .platform
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -1,7 +1,7 @@
 //! State shared by the tasks and requests of a gateway.
 
 use std::collections::{HashMap, HashSet};
-use std::sync::atomic::AtomicU64;
+use std::sync::atomic::{AtomicU64, AtomicUsize};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
@@ -19,6 +19,7 @@
 use super::metrics::GatewayMetrics;
 use super::model::{CacheStore, EngineProfile, ServiceId};
 use super::object_mirror::ObjectMirror;
+use super::peer_forward::{Helpers, HelpersSettings, UpstreamPaths, UpstreamPathsSettings};
 use super::peer_view::PeerView;
 use super::peers::{Peers, PeersSettings};
 use super::pending_replies::PendingReplies;
@@ -80,6 +81,8 @@
     pub(super) pending_permits: PendingReplies<PermitReply>,
     pub(super) pending_origin_records: PendingReplies<bool>,
     pub(super) pending_origin_lookups: PendingReplies<KeeperAnswer>,
+    /// Requests of other VMs in flight at this one.
+    pub(super) helped_requests: AtomicUsize,
     /// Socket for datagrams between VMs; set at start-up.
     pub(super) peer_socket: OnceLock<Arc<UdpSocket>>,
     /// Time at which the process was requested to stop.
@@ -127,6 +130,8 @@
     pub(super) crash_guard: CrashGuard,
     pub(super) coordinator_term: CoordinatorTerm,
     pub(super) stream_origins: StreamOrigins,
+    pub(super) upstream_paths: UpstreamPaths,
+    pub(super) helpers: Helpers,
 }
 
 /// What a received heartbeat means for this VM.
@@ -199,6 +204,8 @@
             crash_guard: CrashGuard::default(),
             coordinator_term: CoordinatorTerm::default(),
             stream_origins: StreamOrigins::new(clock.now()),
+            upstream_paths: UpstreamPaths::new(UpstreamPathsSettings::default()),
+            helpers: Helpers::new(HelpersSettings::default()),
         };
         Self {
             connections: Connections::new(&limits, clock.clone(), drain.clone()),
@@ -218,6 +225,7 @@
             pending_permits: PendingReplies::default(),
             pending_origin_records: PendingReplies::default(),
             pending_origin_lookups: PendingReplies::default(),
+            helped_requests: AtomicUsize::new(0),
             peer_socket: OnceLock::new(),
             stop_requested_at: OnceLock::new(),
             table: ArcSwapOption::empty(),
@@ -356,6 +364,7 @@
         state.sweep_limits(now);
         state.refresh_peer_view(now);
         state.sweep_stream_origins(now);
+        state.helpers.sweep(now);
         state.prefix_cache_index.sweep(now);
         let is_coordinator = state.peers.is_complete(now) && state.peers.coordinator(now).is_none();
         state.coordinator_term.record_check(is_coordinator, now);
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -1,6 +1,7 @@
 //! Forwarding of event streams, which are resumed at another engine if one fails.
 
 use std::io;
+use std::sync::Arc;
 
 use bytes::{Bytes, BytesMut};
 use futures_util::stream;
@@ -32,7 +33,7 @@
     pub(super) status: http::StatusCode,
     /// Wait for the next event that comments have interrupted.
     silence: Option<Silence>,
-    _request_guard: RequestGuard,
+    _request_guard: Arc<RequestGuard>,
 }
 
 /// Source of the events that have not been forwarded yet.
@@ -48,10 +49,16 @@
 /// Returns the refusal for the caller if no engine sent a first event.
 pub(super) async fn respond(
     mut admitted: AdmittedRequest,
-    request_guard: RequestGuard,
+    request_guard: Arc<RequestGuard>,
 ) -> Result<Response<Body>, Refusal> {
+    if let Some(result) = admitted.forward_if_cut(&request_guard).await {
+        return result;
+    }
     admitted.bind_taken_up().await?;
     loop {
+        if let Some(result) = admitted.forward_if_cut(&request_guard).await {
+            return result;
+        }
         let dispatched = admitted.next_upstream().await?;
         let last_event_id = admitted.head.last_event_id;
         let received = match admitted.send(&dispatched, last_event_id).await {
--- a/tests/gateway_pure/main.rs
+++ b/tests/gateway_pure/main.rs
@@ -11,6 +11,7 @@
 mod mirrors;
 mod named_weights;
 mod outages;
+mod paths_to_upstreams;
 mod permits;
 mod placing;
 mod quarantines;
