refactor(gateway): give addresses, heartbeats, attempts and forwarding files of their own

Code is moved, not changed. Measured: the tests of the platform crate named software_versions, cut_paths, streams and soak_stops, and gateway_pure, gateway_peers and gateway_zone pass.

--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -6,13 +6,14 @@
 use http::uri::PathAndQuery;
 
 use super::allowance::AllowanceExceeded;
+use super::attempt_progress::AttemptProgress;
 use super::crash_guard::RequestContent;
 use super::event_log::LogEvent;
 use super::model::{CostUnit, Customer, Route};
 use super::peer_forward::FORWARD_HEADER;
 use super::placement_request::{PlacementRequest, suspects};
 use super::platform_api::RequestHead;
-use super::request::{AdmittedRequest, AttemptProgress, ReceivedRequest};
+use super::request::{AdmittedRequest, ReceivedRequest};
 use super::response::{draining_refusal, retryable_refusal};
 use super::state::Gateway;
 use super::table::RoutingTable;
@@ -196,6 +197,20 @@
     })
 }
 
+impl AdmittedRequest {
+    /// Charges the customer if that was put off.
+    pub(super) async fn charge_if_due(&mut self) -> Result<(), Refusal> {
+        if !std::mem::take(&mut self.is_charge_due) {
+            return Ok(());
+        }
+        if let Some(customer) = &self.customer {
+            charge(&self.gateway, customer, &self.head).await?;
+        }
+        self.gateway.count_request(&self.placement_request.service);
+        Ok(())
+    }
+}
+
 /// Draws a service of a route at random, in proportion to the weights.
 fn draw_service(route: &Route) -> Option<String> {
     let total: u32 = route.services.iter().map(|(_, weight)| weight).sum();
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -7,13 +7,12 @@
 use gotham::helpers::http::Body;
 use http::{HeaderMap, Method, Response, Uri};
 
-use super::admit::{admit, charge};
+use super::admit::admit;
 use super::attempt_failure::{AttemptFailure, FailureCause};
-use super::crash_guard::quarantine_check::TrialPermit;
+use super::attempt_progress::AttemptProgress;
 use super::dispatch::DispatchedRequest;
 use super::event_log::LogEvent;
 use super::model::{Customer, Route, RouteKind};
-use super::peer_forward::{ForwardedRequest, PathState};
 use super::placement_request::PlacementRequest;
 use super::platform_api::RequestHead;
 use super::queued_placement::PlacementError;
@@ -24,7 +23,7 @@
 use crate::clock::Instant;
 use crate::entry::RequestGuard;
 use crate::error::{Code, Refusal};
-use crate::ids::{RequestId, UpstreamId};
+use crate::ids::RequestId;
 
 /// Maximum number of sends of one request, including those that the upstream did not run.
 const SENDS_MAX: u32 = 4;
@@ -72,31 +71,6 @@
     pub(super) is_charge_due: bool,
 }
 
-/// Counts and outcomes of the attempts so far.
-#[derive(Debug, Default)]
-pub(super) struct AttemptProgress {
-    /// Number of sends.
-    pub(super) sends: u32,
-    /// Number of upstreams that ran the request or may have run it.
-    pub(super) runs: u32,
-    /// Outcome label of the last failed attempt.
-    pub(super) last_failure: Option<&'static str>,
-    /// Whether an upstream may have run the request, so that a refusal must not state that it did
-    /// not run.
-    pub(super) may_have_run: bool,
-    /// Whether the next attempts must be made even if the retry budget is exhausted: this VM has
-    /// closed an engine that was alive, and no other one has the request yet.
-    pub(super) must_retry: bool,
-    /// Upstream that was closed while it could have gone on, in favor of one that rejected the
-    /// request. It may still do so if all others reject it too.
-    pub(super) closed_upstream: Option<UpstreamId>,
-    /// What is held and the request is the trial of.
-    pub(super) trial: Option<TrialPermit>,
-    /// Whether another attempt could crash another engine.
-    is_suspected: bool,
-    unreachable_upstreams: u32,
-}
-
 /// Admits a request, forwards it and returns the response.
 ///
 /// # Errors
@@ -118,61 +92,7 @@
     }
 }
 
-impl AttemptProgress {
-    /// Records whether an engine may have the request, if it is a trial.
-    pub(super) fn record_trial(&mut self, is_sent: bool) {
-        if let Some(trial) = &mut self.trial {
-            trial.is_sent = is_sent;
-        }
-    }
-}
-
 impl AdmittedRequest {
-    /// Lets another VM handle the request if this one is cut from the service's upstreams; returns
-    /// `None` if this VM is to handle it.
-    pub(super) async fn forward_if_cut(
-        &self,
-        request_guard: &Arc<RequestGuard>,
-    ) -> Option<Result<Response<Body>, Refusal>> {
-        let gateway = &self.gateway;
-        let is_cut = match gateway.path_state(&self.placement_request.service) {
-            PathState::Open => false,
-            // An open connection may be found.
-            PathState::ClosedToNew => self.progress.unreachable_upstreams > 0,
-            PathState::Cut => true,
-        };
-        if !is_cut || self.progress.may_have_run || !self.may_ask_for_help() {
-            return None;
-        }
-        let target = self.uri.path_and_query();
-        let request = ForwardedRequest {
-            id: self.id.clone(),
-            method: self.method.clone(),
-            target: target.map_or("/", |target| target.as_str()).to_owned(),
-            headers: self.headers.clone(),
-            body: self.body.clone(),
-            deadline: self.deadline,
-        };
-        gateway.forward(&request, request_guard).await
-    }
-
-    /// Returns whether another VM may be asked to handle the request.
-    pub(super) fn may_ask_for_help(&self) -> bool {
-        !self.is_forwarded && self.gateway.may_ask_for_help()
-    }
-
-    /// Charges the customer if that was put off.
-    async fn charge_if_due(&mut self) -> Result<(), Refusal> {
-        if !std::mem::take(&mut self.is_charge_due) {
-            return Ok(());
-        }
-        if let Some(customer) = &self.customer {
-            charge(&self.gateway, customer, &self.head).await?;
-        }
-        self.gateway.count_request(&self.placement_request.service);
-        Ok(())
-    }
-
     /// Chooses the upstream of the next attempt, waiting in the queue if necessary.
     ///
     /// # Errors
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -15,7 +15,7 @@
 use super::coordinator_term::CoordinatorTerm;
 use super::crash_guard::{CrashGuard, QuarantineSource};
 use super::event_log::{AbortStage, EventLog, LogEvent};
-use super::heartbeat::{CompactLoad, Heartbeat, HeartbeatScope, HeldLease, StoreRevisions};
+use super::heartbeat::{CompactLoad, HeldLease, StoreRevisions};
 use super::metrics::GatewayMetrics;
 use super::model::{CacheStore, EngineProfile, ServiceId};
 use super::object_mirror::ObjectMirror;
@@ -43,7 +43,6 @@
 use crate::clock::{Instant, SharedClock};
 use crate::entry::{Connections, Drain};
 use crate::ids::{Incarnation, ModelId, StoreEra, UpstreamId};
-use crate::platform::era_of;
 use crate::settings::LimitSettings;
 use crate::telemetry::Telemetry;
 
@@ -134,17 +133,6 @@
     pub(super) helpers: Helpers,
 }
 
-/// What a received heartbeat means for this VM.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub(super) struct HeartbeatNews {
-    /// Whether it is newer than the recorded one.
-    pub(super) is_newer: bool,
-    /// Whether the sender has seen newer revisions of the store than this VM.
-    pub(super) is_ahead: bool,
-    /// Whether the sender is a process of this zone that this VM did not know.
-    pub(super) is_new_process: bool,
-}
-
 impl Gateway {
     pub(super) fn new(
         settings: GatewaySettings,
@@ -310,51 +298,6 @@
         }
     }
 
-    /// Applies a heartbeat of a peer.
-    pub(super) fn apply_heartbeat(&self, heartbeat: Heartbeat) -> HeartbeatNews {
-        let revisions = heartbeat.revisions;
-        self.observe_store_era(era_of(revisions.upstreams.max(revisions.weights)));
-        let own_revisions = self.revisions();
-        let now = self.now();
-        let mut state = self.state();
-        if state.peers.is_urgent(&heartbeat) && state.peers.is_zone_representative(now) {
-            self.heartbeat_due.notify_one();
-        }
-        state.record_peer_weights(&heartbeat.unlisted_weights);
-        // The representative has announced to the other zones what its own zone's sums contain.
-        let is_for_zones = heartbeat.availability_zone == self.settings.availability_zone
-            && heartbeat.scope == HeartbeatScope::Vm;
-        for cached_prefix in &heartbeat.new_cached_prefixes {
-            state
-                .prefix_cache_index
-                .record_from_peer(*cached_prefix, is_for_zones, now);
-        }
-        let is_new_process = heartbeat.scope == HeartbeatScope::Vm
-            && !heartbeat.is_leaving
-            && heartbeat.availability_zone == self.settings.availability_zone
-            && !state
-                .peers
-                .knows_process(&heartbeat.vm, heartbeat.incarnation);
-        if !state.peers.record_heartbeat(heartbeat, now) {
-            return HeartbeatNews::default();
-        }
-        state.peer_view.record_heartbeat();
-        let seen = |tracked| {
-            state
-                .mirrors
-                .get(&tracked)
-                .map_or(0, ObjectMirror::revision)
-        };
-        let is_ahead = revisions.config > own_revisions.config
-            || revisions.upstreams > seen(TrackedKind::Upstreams)
-            || revisions.weights > seen(TrackedKind::Weights);
-        HeartbeatNews {
-            is_newer: true,
-            is_ahead,
-            is_new_process,
-        }
-    }
-
     /// Removes expired entries, recomputes the load of peers and places queued requests.
     pub(super) fn tick(self: &Arc<Self>) {
         let now = self.now();
