--- a/src/gateway/announcements.rs
+++ b/src/gateway/announcements.rs
@@ -47,6 +47,10 @@
         }
         let service = upstream.entry.service.clone();
         state.upstream_paths.record_response(&service, now);
+        let rejections_max_per_s = head.rejections_max_per_s;
+        state
+            .brittle_services
+            .record_response(&service, rejections_max_per_s);
         let process = hash_process(instance);
         let limits = &mut state.upstream_limits;
         let limit_change = limits.record_response(process, head.limit, now);
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -179,8 +179,14 @@
     /// Records that the upstream rejected the request without running it.
     pub(super) fn record_rejection(&self) {
         let now = self.gateway.now();
-        if let Some(upstream) = self.gateway.state().upstreams.instance_mut(&self.instance) {
+        let mut state = self.gateway.state();
+        let fleet_size = state.fleet_size();
+        let hold_off = state.brittle_services.hold_off(&self.service, fleet_size);
+        if let Some(upstream) = state.upstreams.instance_mut(&self.instance) {
             upstream.record_rejection(now);
+            if let Some(time) = hold_off {
+                upstream.record_hold_off(time, now);
+            }
         }
     }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -142,8 +142,8 @@
 };
 pub use table::RoutingTable;
 pub use upstream_limit::{
-    AnnouncedLimit, LimitChange, LimitNews, PermitAccounts, PermitDecision, PermitRequest,
-    RequestRate, UpstreamLimits,
+    AnnouncedLimit, BrittleServices, LimitChange, LimitNews, PermitAccounts, PermitDecision,
+    PermitRequest, RequestRate, UpstreamLimits,
 };
 pub use upstream_registry::{
     Upstream, UpstreamInstance, UpstreamLoad, UpstreamRegistry, UpstreamRegistrySettings,
--- a/src/gateway/platform_api.rs
+++ b/src/gateway/platform_api.rs
@@ -188,7 +188,7 @@
 }
 
 /// Gateway-specific headers of an upstream's response.
-#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, PartialEq, Default)]
 pub struct ResponseHead {
     /// Id of the request that the response belongs to.
     pub request_id: Option<RequestId>,
@@ -204,6 +204,8 @@
     pub retry_after: Option<Duration>,
     /// Requests that the upstream takes from all VMs together.
     pub limit: AnnouncedLimit,
+    /// Rejections a second beyond which the upstream falls over.
+    pub rejections_max_per_s: Option<f64>,
 }
 
 /// Headers that the gateway sets on a request to an upstream.
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -35,7 +35,7 @@
 use super::settings::GatewaySettings;
 use super::stream_origin::{KeeperAnswer, StreamOrigins};
 use super::table::RoutingTable;
-use super::upstream_limit::{PermitAccounts, PermitReply, UpstreamLimits};
+use super::upstream_limit::{BrittleServices, PermitAccounts, PermitReply, UpstreamLimits};
 use super::upstream_registry::{
     Upstream, UpstreamLoad, UpstreamRegistry, UpstreamRegistrySettings,
 };
@@ -97,6 +97,7 @@
     /// Upstreams that have announced their leaving, to be told to other VMs.
     pub(super) leaving_outbox: ProcessOutbox,
     pub(super) upstream_limits: UpstreamLimits,
+    pub(super) brittle_services: BrittleServices,
     pub(super) permit_accounts: PermitAccounts,
     pub(super) peers: Peers,
     pub(super) allowances: Allowances,
@@ -164,6 +165,7 @@
             upstreams: UpstreamRegistry::new(UpstreamRegistrySettings::default()),
             leaving_outbox: ProcessOutbox::default(),
             upstream_limits: UpstreamLimits::default(),
+            brittle_services: BrittleServices::default(),
             permit_accounts: PermitAccounts::default(),
             peers,
             allowances,
--- a/src/gateway/upstream_limit/mod.rs
+++ b/src/gateway/upstream_limit/mod.rs
@@ -10,6 +10,7 @@
 
 mod accounts;
 mod announced;
+mod brittle;
 mod limits;
 mod news;
 pub(super) mod permit_exchange;
@@ -17,6 +18,7 @@
 
 pub use accounts::{PermitAccounts, PermitDecision, PermitRequest};
 pub use announced::{AnnouncedLimit, RequestRate};
+pub use brittle::BrittleServices;
 pub use limits::{LimitChange, UpstreamLimits};
 pub use news::LimitNews;
 pub(super) use news::{PermitCall, PermitReply};
--- a/tests/gateway_pure/upstream_limits.rs
+++ b/tests/gateway_pure/upstream_limits.rs
@@ -81,3 +81,15 @@
     limits.retain(|process| process != PROCESS);
     assert!(limits.is_empty());
 }
+
+#[test]
+fn rejections_of_a_whole_fleet_stay_below_what_a_brittle_upstream_bears() {
+    let mut brittle = BrittleServices::default();
+    assert_eq!(brittle.hold_off("app", 6), None);
+    brittle.record_response("app", Some(4.0));
+    assert_eq!(brittle.hold_off("app", 6), Some(MS(1_500)));
+    assert_eq!(brittle.hold_off("app", 295), Some(MS(5_000)));
+    assert!(!brittle.is_brittle("notes"));
+    brittle.record_response("app", None);
+    assert!(!brittle.is_brittle("app"));
+}
