--- a/src/gateway/stream_origin/exchange.rs
+++ b/src/gateway/stream_origin/exchange.rs
@@ -138,6 +138,11 @@
             state.observe_software(service, now);
         }
         let origin = state.stream_origins.history.only_seen_origin(route, now);
+        drop(state);
+        self.metrics.count_origin_lookup(match origin {
+            Some(_) => "only_version",
+            None => "unknown",
+        });
         origin.ok_or(UnknownOrigin::Everywhere)
     }
 
