docs(gateway): give the reason for the bound on requests of other VMs

The comment on the maximum number of requests that a VM handles for others stood apart from the other bounds and did not say what it is a fraction of. The constant is moved beside them; no behaviour changes.

--- a/src/gateway/peer_forward/forward.rs
+++ b/src/gateway/peer_forward/forward.rs
@@ -28,6 +28,9 @@
     HeaderName::from_static("celerylever-forward");
 /// Maximum number of VMs that are asked for one request.
 const HELPERS_MAX: usize = 3;
+/// Maximum number of requests of other VMs in flight, a fraction of what this VM takes from its own
+/// callers, who come first.
+const HELPED_REQUESTS_MAX: usize = 450;
 /// Timeout of a connection to another VM, which takes a few milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 /// Time after the deadline in which the helper's own refusal may arrive.
@@ -231,9 +234,6 @@
     }
 }
 
-/// Maximum number of requests of other VMs in flight; further callers of this VM come first.
-const HELPED_REQUESTS_MAX: usize = 450;
-
 /// Request of another VM in flight.
 #[derive(Debug)]
 pub(in crate::gateway) struct HelpedRequest {
