fix(gateway): take several crashed upstreams not for a cut of this VM

When connections to several upstreams have failed, three to others are opened. The service counts as cut only if these fail too; one that succeeds ends the suspicion.

--- a/src/gateway/peer_forward/mod.rs
+++ b/src/gateway/peer_forward/mod.rs
@@ -1,8 +1,8 @@
 //! Help between VMs: a VM that is cut from the upstreams of a service passes its callers' requests
 //! to another VM.
 //!
-//! A VM is cut from a service if its new connections to several upstreams fail and none has
-//! succeeded since. It then sends requests on as its callers sent them, with the time that is left,
+//! A VM is cut from a service if its new connections to several upstreams fail, those to a few
+//! others as well, and none has succeeded since. It then sends requests on as its callers sent them, with the time that is left,
 //! to the listener of another VM for its peers. That VM handles them like those of its own callers:
 //! it checks the key, charges the customer and chooses the upstream. It never passes them on again,
 //! and says at once if it cannot help. What it answers is returned unchanged.
--- a/src/gateway/peer_forward/paths.rs
+++ b/src/gateway/peer_forward/paths.rs
@@ -1,7 +1,8 @@
 //! Which services this VM is cut from.
 //!
-//! A single upstream that cannot be reached may be down. If new connections to several fail and
-//! none succeeds, it is the path that is gone, or all upstreams are; only another VM can tell.
+//! Upstreams that cannot be reached may be down. If new connections to several fail and none
+//! succeeds, connections to others are tried. If these fail as well, it is the path that is gone, or
+//! nearly all upstreams are; only another VM can tell.
 
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
@@ -17,6 +18,8 @@
     pub failed_min: usize,
     /// Time for which a failure counts.
     pub failure_memory: Duration,
+    /// Minimum time between two checks of other upstreams.
+    pub check_interval: Duration,
     /// Time since the last response in which connections count as alive.
     pub response_memory: Duration,
 }
@@ -26,6 +29,8 @@
         Self {
             failed_min: 3,
             failure_memory: Duration::from_secs(5),
+            // A check takes as long as a connection may take to open.
+            check_interval: Duration::from_millis(600),
             response_memory: Duration::from_millis(1_000),
         }
     }
@@ -45,6 +50,8 @@
 /// Change of the path to a service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PathChange {
+    /// Connections to several upstreams have failed; those to others are to be tried.
+    Suspected,
     /// New connections fail from now on.
     Lost,
     /// A connection was opened after this time.
@@ -64,6 +71,8 @@
     failed: BTreeSet<UpstreamId>,
     failed_at: Instant,
     responded_at: Option<Instant>,
+    /// Time at which connections to other upstreams were begun.
+    suspected_at: Option<Instant>,
     lost_at: Option<Instant>,
 }
 
@@ -87,13 +96,34 @@
     ) -> Option<PathChange> {
         let failed_min = self.settings.failed_min.min(upstreams).max(1);
         let failure_memory = self.settings.failure_memory;
+        let check_interval = self.settings.check_interval;
         let path = self.services.entry(service.to_owned()).or_default();
         if path.lost_at.is_none() && now.saturating_sub(path.failed_at) >= failure_memory {
             path.failed.clear();
         }
         path.failed_at = now;
         path.failed.insert(upstream.to_owned());
-        let is_lost = path.lost_at.is_none() && path.failed.len() >= failed_min;
+        let is_checked = path
+            .suspected_at
+            .is_some_and(|at| now.saturating_sub(at) < check_interval);
+        let is_suspected = path.lost_at.is_none() && !is_checked && path.failed.len() >= failed_min;
+        is_suspected.then(|| {
+            path.suspected_at = Some(now);
+            PathChange::Suspected
+        })
+    }
+
+    /// Returns whether a connection to an upstream has failed since one to the service succeeded.
+    pub fn has_failed(&self, service: &str, upstream: &str) -> bool {
+        let path = self.services.get(service);
+        path.is_some_and(|path| path.failed.contains(upstream))
+    }
+
+    /// Records that connections to other upstreams of a suspected service have failed as well.
+    pub fn record_check_failed(&mut self, service: &str, now: Instant) -> Option<PathChange> {
+        let path = self.services.get_mut(service)?;
+        // A connection may have been opened meanwhile.
+        let is_lost = path.suspected_at.take().is_some() && path.lost_at.is_none();
         is_lost.then(|| {
             path.lost_at = Some(now);
             PathChange::Lost
@@ -104,6 +134,7 @@
     pub fn record_connected(&mut self, service: &str, now: Instant) -> Option<PathChange> {
         let path = self.services.get_mut(service)?;
         path.failed.clear();
+        path.suspected_at = None;
         let lost_at = path.lost_at.take()?;
         Some(PathChange::Restored(now.saturating_sub(lost_at)))
     }
--- a/src/gateway/peer_forward/probe.rs
+++ b/src/gateway/peer_forward/probe.rs
@@ -1,8 +1,9 @@
-//! Probes that find when the path to a service is restored.
+//! Connections that find whether the path to a service is lost, and when it is restored.
 
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_util::future::join_all;
 use rand::seq::IteratorRandom;
 
 use super::paths::{PathChange, PathState};
@@ -10,6 +11,8 @@
 use crate::gateway::pool;
 use crate::gateway::state::Gateway;
 
+/// Number of upstreams to which connections are tried before a service counts as cut.
+const CHECKED_UPSTREAMS: usize = 3;
 /// Time between two probes of a service.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -43,10 +46,42 @@
         let paths = &mut state.upstream_paths;
         let change = paths.record_failed(service, upstream, upstreams, now);
         drop(state);
+        if change == Some(PathChange::Suspected) {
+            let (gateway, service) = (self.clone(), service.to_owned());
+            tokio::spawn(async move { gateway.check_path(&service).await });
+        }
+    }
+
+    /// Opens connections to a few upstreams of a service, which is cut if all fail.
+    async fn check_path(&self, service: &str) {
+        let addresses = {
+            let state = self.state();
+            let paths = &state.upstream_paths;
+            let upstreams = state.upstreams.ready(service).map(|upstream| {
+                let has_failed = paths.has_failed(service, &upstream.instance.id);
+                (has_failed, rand::random::<u32>(), upstream.entry.address)
+            });
+            // Those that have not failed come first.
+            let mut upstreams: Vec<_> = upstreams.collect();
+            upstreams.sort_unstable();
+            upstreams.truncate(CHECKED_UPSTREAMS);
+            upstreams
+        };
+        let connections = addresses.into_iter().map(|(_, _, address)| async move {
+            let connected = pool::connect(address).await;
+            if connected.is_ok() {
+                self.record_connected(service);
+            }
+        });
+        join_all(connections).await;
+        let now = self.now();
+        let change = self
+            .state()
+            .upstream_paths
+            .record_check_failed(service, now);
         if change == Some(PathChange::Lost) {
             self.event_log.log(&LogEvent::PathLost { service });
-            let (gateway, service) = (self.clone(), service.to_owned());
-            tokio::spawn(async move { gateway.probe_until_restored(&service).await });
+            self.probe_until_restored(service).await;
         }
     }
 
