review: an engine that is taken away makes half a stream look complete

Cause: check_end_by_close skips its check for an engine that drains or is no longer listed, and takes the close of its connections for the end of answers that have no length.

--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -7,6 +7,7 @@
 mod gateway;
 mod http;
 mod json;
+mod leaving;
 mod record;
 mod spoiled;
 mod store;
@@ -74,6 +75,7 @@
     let args: Vec<String> = std::env::args().collect();
     let words: Vec<&str> = args.iter().map(String::as_str).collect();
     let (case, folder) = match words.as_slice() {
+        [_, "engine-process", id] => return leaving::run_engine(id),
         [_, case, folder] => (*case, Path::new(folder)),
         _ => return ExitCode::from(2),
     };
@@ -94,6 +96,7 @@
         .line(format!("case {case}, {trouble} the disruption"));
     give_up_in_time();
     let verdict = match case {
+        "leaving" => leaving::run(&setting),
         "spoiled" => spoiled::run(&setting),
         _ => Verdict::NotRun("there is no such case"),
     };
