review: a tenant that is isolated shares what it cached before

Cause: the text under which prompts are cached depends on the weights alone for all tenants that are not isolated, so a tenant's earlier parts stay within reach of the others once it is isolated.

--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -6,6 +6,7 @@
 mod engine;
 mod gateway;
 mod http;
+mod isolated;
 mod json;
 mod leaving;
 mod record;
@@ -98,6 +99,7 @@
     let verdict = match case {
         "leaving" => leaving::run(&setting),
         "spoiled" => spoiled::run(&setting),
+        "isolated" => isolated::run(&setting),
         _ => Verdict::NotRun("there is no such case"),
     };
     let _ = std::fs::remove_dir_all(&setting.scratch);
