review: requests without Token-Count are cached under the text shared by all

Cause: parse_prompt returns no prompt without the header, and the text and the weights are set only for requests with a prompt.

--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -12,6 +12,7 @@
 mod record;
 mod spoiled;
 mod store;
+mod uncounted;
 
 use std::path::{Path, PathBuf};
 use std::process::{Command, ExitCode};
@@ -100,6 +101,7 @@
         "leaving" => leaving::run(&setting),
         "spoiled" => spoiled::run(&setting),
         "isolated" => isolated::run(&setting),
+        "uncounted" => uncounted::run(&setting),
         _ => Verdict::NotRun("there is no such case"),
     };
     let _ = std::fs::remove_dir_all(&setting.scratch);
