--- a/review/standins/leaving.rs
+++ b/review/standins/leaving.rs
@@ -148,9 +148,10 @@
     };
     let callers: Vec<_> = (0..18)
         .map(|number| {
-            let route = ["note", "check", "book"][number % 3];
+            let route = ["book", "note", "check"][number / 6];
             let (id, to) = (format!("{route}-{number}"), deployment.gateway.callers);
             let record = setting.record.clone();
+            std::thread::sleep(Duration::from_millis(10));
             std::thread::spawn(move || {
                 record.line(format!("caller sends {id}"));
                 let answer = ask(to, route, &id);
