review: after a rolling restart no stream can be taken up

Cause: gateways that have seen one software version make no record of the streams that they begin, and one that started less than 30 s ago does not take that version for the only one. Change: case 3 with its script; the stand-ins start several gateways and restart them. The cases are numbered by gravity: half answers are 1, the lost event 2, the isolated tenant 4, Token-Count 5.

--- a/review/standins/gateway.rs
+++ b/review/standins/gateway.rs
@@ -1,6 +1,6 @@
 //! Gateway processes, started with the command and the template of the deploy file.
 
-use std::io::Write;
+use std::fs::OpenOptions;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -30,20 +30,45 @@
     child: Child,
 }
 
-impl Gateway {
-    /// Starts a gateway in `folder`, which is a folder of its own.
-    pub fn start(root: &Path, folder: &Path, number: u8, store: SocketAddr) -> Self {
+/// Addresses of a gateway, which it keeps when it starts again.
+pub struct Place {
+    number: u8,
+    folder: PathBuf,
+    callers: SocketAddr,
+    ready: SocketAddr,
+    peers: SocketAddr,
+}
+
+impl Place {
+    /// Finds free ports for a gateway with a folder of its own in `scratch`.
+    pub fn new(scratch: &Path, number: u8) -> Self {
         let ip = own_ip(number);
-        let (callers, ready, peers) = (free_port(ip), free_port(ip), free_port(ip));
+        Self {
+            number,
+            folder: scratch.join(format!("front-{number}")),
+            callers: free_port(ip),
+            ready: free_port(ip),
+            peers: free_port(ip),
+        }
+    }
+
+    pub fn log(&self) -> PathBuf {
+        self.folder.join("log")
+    }
+
+    /// Writes the settings as the platform does; `seeds` are other gateways.
+    fn write_settings(&self, root: &Path, store: SocketAddr, seeds: &[&Place]) -> PathBuf {
+        let seeds = [self].into_iter().chain(seeds.iter().copied());
+        let seeds: Vec<String> = seeds.map(|place| place.peers.to_string()).collect();
         let mut values = vec![
-            ("NodeName", format!("front-{number}")),
+            ("NodeName", format!("front-{}", self.number)),
             ("Zone", "cymru-south-a".to_owned()),
-            ("Ip", ip.to_string()),
-            ("Listen.Front", callers.to_string()),
-            ("Listen.Ready", ready.to_string()),
-            ("Listen.Control", peers.to_string()),
+            ("Ip", self.peers.ip().to_string()),
+            ("Listen.Front", self.callers.to_string()),
+            ("Listen.Ready", self.ready.to_string()),
+            ("Listen.Control", self.peers.to_string()),
             ("Platform.Address", store.to_string()),
-            ("Seeds", peers.to_string()),
+            ("Seeds", seeds.join(",")),
         ];
         values.extend(
             BOUNDS
@@ -51,12 +76,21 @@
                 .map(|(name, value)| (*name, (*value).to_owned())),
         );
         let template = std::fs::read_to_string(root.join("deploy/gateway.ini")).expect("template");
-        std::fs::create_dir_all(folder).expect("a folder for the gateway");
-        let settings = folder.join("boot.ini");
-        let mut file = std::fs::File::create(&settings).expect("a settings file");
-        file.write_all(render(&template, &values).as_bytes())
-            .expect("settings");
-        let log = std::fs::File::create(folder.join("log")).expect("a log");
+        std::fs::create_dir_all(&self.folder).expect("a folder for the gateway");
+        let settings = self.folder.join("boot.ini");
+        std::fs::write(&settings, render(&template, &values)).expect("settings");
+        settings
+    }
+}
+
+impl Gateway {
+    pub fn start(root: &Path, place: &Place, store: SocketAddr, seeds: &[&Place]) -> Self {
+        let settings = place.write_settings(root, store, seeds);
+        let log = OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(place.log())
+            .expect("a log");
         let child = Command::new(program(root))
             .arg("--settings")
             .arg(&settings)
@@ -69,12 +103,23 @@
             .expect("the gateway, built by the command of the deploy file");
         crate::PROCESSES.lock().unwrap().push(child.id());
         Self {
-            callers,
-            ready,
+            callers: place.callers,
+            ready: place.ready,
             child,
         }
     }
 
+    /// Sends SIGTERM and waits for the end of the process.
+    pub fn stop(&mut self) -> bool {
+        let id = self.child.id().to_string();
+        let sent = Command::new("kill").args(["-TERM", &id]).status();
+        let is_sent = sent.is_ok_and(|status| status.success());
+        is_sent
+            && wait_until(Duration::from_secs(9), || {
+                matches!(self.child.try_wait(), Ok(Some(_)))
+            })
+    }
+
     /// Waits until the gateway says that it is ready.
     pub fn is_ready(&mut self) -> bool {
         let address = self.ready;
--- a/review/standins/http.rs
+++ b/review/standins/http.rs
@@ -140,6 +140,7 @@
 /// Answer as a caller receives it, piece by piece.
 pub struct Answer {
     pub status: u16,
+    headers: Vec<(String, String)>,
     reader: BufReader<TcpStream>,
     left: Option<usize>,
     is_chunked: bool,
@@ -174,12 +175,17 @@
         status: status.ok_or_else(broken)?,
         left: find(&headers, "content-length").and_then(|text| text.parse().ok()),
         is_chunked: find(&headers, "transfer-encoding").is_some(),
+        headers,
         reader,
         is_complete: false,
     })
 }
 
 impl Answer {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        find(&self.headers, name)
+    }
+
     /// Returns the next bytes, or `None` at the end, complete or not.
     pub fn next(&mut self) -> Option<Vec<u8>> {
         if self.is_complete {
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -10,6 +10,7 @@
 mod json;
 mod leaving;
 mod record;
+mod rolling;
 mod spoiled;
 mod store;
 mod uncounted;
@@ -20,7 +21,7 @@
 use std::time::Duration;
 
 use deployment::{config, entry, weights};
-use gateway::Gateway;
+use gateway::{Gateway, Place};
 use http::wait_until;
 use record::Record;
 use store::Store;
@@ -62,11 +63,11 @@
         for (id, address) in engines {
             store.put("servers", id, &entry(address, "ready", 1));
         }
-        let folder = setting.scratch.join("front-1");
-        let mut gateway = Gateway::start(&setting.root, &folder, 1, store.address);
+        let place = Place::new(&setting.scratch, 1);
+        let mut gateway = Gateway::start(&setting.root, &place, store.address, &[]);
         let is_ready = gateway.is_ready()
             && wait_until(Duration::from_secs(10), || {
-                let log = std::fs::read_to_string(folder.join("log")).unwrap_or_default();
+                let log = std::fs::read_to_string(place.log()).unwrap_or_default();
                 log.matches("\"upstream_listed\"").count() >= engines.len()
             });
         is_ready.then_some(Self { store, gateway })
@@ -101,6 +102,7 @@
         "leaving" => leaving::run(&setting),
         "spoiled" => spoiled::run(&setting),
         "isolated" => isolated::run(&setting),
+        "rolling" => rolling::run(&setting),
         "uncounted" => uncounted::run(&setting),
         _ => Verdict::NotRun("there is no such case"),
     };
