review: no stream can be taken up after its route was split

Cause: after any change of a route's services a gateway does not take the one service and version that it had for the origin of streams that nobody has recorded. What cases 3 and 5 have in common is a module of its own.

--- a/review/standins/deployment.rs
+++ b/review/standins/deployment.rs
@@ -7,44 +7,60 @@
 
 /// Returns the configuration; `customers` are the entries of its tenants.
 pub fn config(version: u64, customers: &str) -> Value {
-    let route = |name: &str, kind: &str, service: &str, timeout_ms: u32, more: &str| {
+    config_to("\"Service\":\"bale-llm\"", version, customers)
+}
+
+/// Returns a configuration that splits the resumable route between its service and another one.
+pub fn config_with_split(version: u64, customers: &str) -> Value {
+    let split = "\"Split\":[{\"Service\":\"bale-llm\",\"Weight\":90},\
+                 {\"Service\":\"bale-llm-2\",\"Weight\":10}]";
+    config_to(split, version, customers)
+}
+
+fn config_to(note_target: &str, version: u64, customers: &str) -> Value {
+    let route = |name: &str, kind: &str, target: &str, more: &str| {
         format!(
             "{{\"Name\":\"{name}\",\"Host\":\"depot.example\",\"PathPrefix\":\"/{name}/\",\
-             \"Kind\":\"{kind}\",\"TimeoutMs\":{timeout_ms},\"GoalMs\":600,\"Priority\":1,\
-             \"Service\":\"{service}\",\"Public\":false,{more}}}"
+             \"Kind\":\"{kind}\",\"TimeoutMs\":12000,\"GoalMs\":600,\"Priority\":1,\
+             {target},\"Public\":false,{more}}}"
         )
     };
+    let service = |name: &str| {
+        format!(
+            "{{\"Name\":\"{name}\",\"HealthPath\":\"/health\",\"MaxConns\":240,\
+             \"Protocol\":\"h1\",\"Tls\":false,\"Engine\":{{\"Slots\":32,\"KvCapacity\":232217,\
+             \"KvTokenBytes\":327680,\"LinkMbps\":1500000.0,\"MaxInflight\":4,\
+             \"Models\":[{{\"Name\":\"m0\"}}]}}}}"
+        )
+    };
+    let one = "\"Service\":\"bale-llm\"";
     let routes = [
         route(
             "note",
             "streaming",
-            "bale-llm",
-            12_000,
+            note_target,
             "\"Attempts\":2,\"Resumable\":true,\"Sticky\":true,\"GapTargetMs\":250",
         ),
         route(
             "check",
             "streaming",
-            "bale-llm",
-            12_000,
+            one,
             "\"Attempts\":1,\"Resumable\":false,\"Sticky\":true,\"GapTargetMs\":250",
         ),
         route(
             "book",
             "non_idempotent",
-            "bale-llm",
-            12_000,
+            one,
             "\"Attempts\":1,\"Resumable\":false,\"Sticky\":false",
         ),
     ];
+    let services = [service("bale-llm"), service("bale-llm-2")];
     let text = format!(
-        "{{\"Version\":{version},\"Routes\":[{}],\"Services\":[{{\"Name\":\"bale-llm\",\
-         \"HealthPath\":\"/health\",\"MaxConns\":240,\"Protocol\":\"h1\",\"Tls\":false,\
-         \"Engine\":{{\"Slots\":32,\"KvCapacity\":232217,\"KvTokenBytes\":327680,\
-         \"LinkMbps\":1500000.0,\"MaxInflight\":4,\"Models\":[{{\"Name\":\"m0\"}}]}}}}],\
+        "{{\"Version\":{version},\"Routes\":[{}],\"Services\":[{}],\
          \"Limits\":{{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":4194304,\
          \"HeaderTimeoutMs\":3000,\"IdleTimeoutMs\":15000}},\"Tenants\":[{customers}]}}",
-        routes.join(",")
+        routes.join(","),
+        services.join(",")
     );
     Value::parse(&text).expect("a configuration")
 }
@@ -59,8 +75,13 @@
 
 /// Returns an engine's entry in the store.
 pub fn entry(address: &str, state: &str, sequence: u64) -> Value {
+    entry_of("bale-llm", address, state, sequence)
+}
+
+/// Returns the entry of an engine of a service.
+pub fn entry_of(service: &str, address: &str, state: &str, sequence: u64) -> Value {
     let text = format!(
-        "{{\"Service\":\"bale-llm\",\"Address\":\"{address}\",\"Zone\":\"cymru-south-a\",\
+        "{{\"Service\":\"{service}\",\"Address\":\"{address}\",\"Zone\":\"cymru-south-a\",\
          \"Version\":\"v1\",\"Slots\":32,\"State\":\"{state}\",\"ColdMs\":0,\
          \"Stage\":\"colocated\",\"Models\":[{{\"Name\":\"m0\",\"Version\":1,\"Adapters\":[]}}],\
          \"Seq\":{sequence},\"born\":{BORN}}}"
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -11,9 +11,10 @@
 mod leaving;
 mod record;
 mod rolling;
+mod split;
 mod spoiled;
 mod store;
-mod uncounted;
+mod taken_up;
 
 use std::path::{Path, PathBuf};
 use std::process::{Command, ExitCode};
@@ -102,8 +103,8 @@
         "leaving" => leaving::run(&setting),
         "spoiled" => spoiled::run(&setting),
         "isolated" => isolated::run(&setting),
+        "split" => split::run(&setting),
         "rolling" => rolling::run(&setting),
-        "uncounted" => uncounted::run(&setting),
         _ => Verdict::NotRun("there is no such case"),
     };
     let _ = std::fs::remove_dir_all(&setting.scratch);
--- a/review/standins/rolling.rs
+++ b/review/standins/rolling.rs
@@ -2,32 +2,19 @@
 //!
 //! All engines run one version of the software, the only one that there has ever been.
 
-use std::io::Write;
-use std::net::{SocketAddr, TcpStream};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-use crate::deployment::{config, customer, entry, weights};
-use crate::engine::{chunk, event, head};
-use crate::gateway::{Gateway, Place};
-use crate::http::{self, Request};
-use crate::record::Record;
+use crate::deployment::{config, customer, weights};
 use crate::store::Store;
-use crate::{Setting, Verdict, engine};
+use crate::taken_up::{Fleet, judge, start_engine};
+use crate::{Setting, Verdict};
 
-const EVENTS: u64 = 50;
-/// Less than `GapTargetMs`.
-const EVENT_PAUSE: Duration = Duration::from_millis(200);
-/// Event after which a caller's own connection breaks.
-const BROKEN_AFTER: u64 = 5;
-/// Time for which the gateways have run before the first of them is stopped.
-const STEADY_TIME: Duration = Duration::from_secs(32);
 /// `ContactMs`, and half a second.
 const IN_TOUCH: Duration = Duration::from_millis(3_500);
 /// Pause between the return of a gateway and the stop of the next one.
 const TURN_PAUSE: Duration = Duration::from_secs(2);
-const STREAMS: usize = 16;
-/// Tries of a caller to take its stream up.
-const TRIES: usize = 3;
+/// Event after which a caller's own connection breaks.
+const BROKEN_AFTER: u64 = 5;
 
 pub fn run(setting: &Setting) -> Verdict {
     let record = &setting.record;
@@ -35,171 +22,26 @@
     store.put("config", "main", &config(1, &customer("teifi", false)));
     store.put("versions", "m0", &weights());
     for id in ["i-1", "i-2", "i-3"] {
-        let writer = record.clone();
-        let address = engine::start(id, move |request, stream| {
-            stream_events(id, request, stream, &writer)
-        });
-        store.put("servers", id, &entry(&address.to_string(), "ready", 1));
+        start_engine(&store, id, "bale-llm", record);
     }
-    let places: Vec<Place> = (1..=3)
-        .map(|number| Place::new(&setting.scratch, number))
-        .collect();
-    let start = |place: &Place| {
-        let seeds: Vec<&Place> = places
-            .iter()
-            .filter(|other| !std::ptr::eq(*other, place))
-            .collect();
-        Gateway::start(&setting.root, place, store.address, &seeds)
-    };
-    let mut gateways: Vec<Gateway> = places.iter().map(&start).collect();
-    if !gateways.iter_mut().all(Gateway::is_ready) {
+    let Some(mut fleet) = Fleet::start(setting, &store) else {
         return Verdict::NotRun("the gateways did not start");
-    }
-    record.line("three gateways are ready");
-    std::thread::sleep(STEADY_TIME);
+    };
     for number in 0..2 {
         if !setting.has_trouble {
             continue;
         }
         record.line(format!("front-{} gets SIGTERM", number + 1));
-        if !gateways[number].stop() {
+        if !fleet.gateways[number].stop() {
             return Verdict::NotRun("a gateway did not end within its grace");
         }
-        gateways[number] = start(&places[number]);
-        if !gateways[number].is_ready() {
+        fleet.gateways[number] = fleet.start_one(number);
+        if !fleet.gateways[number].is_ready() {
             return Verdict::NotRun("a gateway did not return");
         }
         record.line(format!("front-{} is ready again", number + 1));
         std::thread::sleep(TURN_PAUSE);
     }
     std::thread::sleep(IN_TOUCH);
-    let addresses: Vec<SocketAddr> = gateways.iter().map(|gateway| gateway.callers).collect();
-    record.line("streams begin at front-3; their callers' connections break");
-    let callers: Vec<_> = (0..STREAMS)
-        .map(|number| {
-            let (first, second) = (addresses[2], addresses[number % 2]);
-            let record = record.clone();
-            std::thread::spawn(move || take_up(first, second, number, &record))
-        })
-        .collect();
-    let results: Vec<_> = callers
-        .into_iter()
-        .filter_map(|caller| caller.join().ok())
-        .collect();
-    let begun = results.iter().filter(|result| result.has_begun).count();
-    let went_on = results.iter().filter(|result| result.went_on).count();
-    let new = results.iter().filter(|result| result.new_begins).count();
-    record.line(format!(
-        "of {begun} streams that were taken up at front-1 and front-2, {went_on} went on; of {} new \
-         ones there, {new} began",
-        results.len()
-    ));
-    if begun < 12 || new < 12 {
-        return Verdict::NotRun("too few streams began");
-    }
-    // Both shares are of the same number of streams.
-    match went_on * 2 < new {
-        true => Verdict::Broken,
-        false => Verdict::Held,
-    }
-}
-
-/// What became of one caller's stream, and of a new one at the gateway that took it up.
-#[derive(Default)]
-struct TakenUp {
-    has_begun: bool,
-    went_on: bool,
-    new_begins: bool,
-}
-
-fn take_up(first: SocketAddr, second: SocketAddr, number: usize, record: &Record) -> TakenUp {
-    let mut result = TakenUp::default();
-    let begun = format!("s-{number}");
-    let Ok((200, events, _)) = ask(first, &begun, None, BROKEN_AFTER, record) else {
-        return result;
-    };
-    result.has_begun = events == BROKEN_AFTER;
-    for attempt in 0..TRIES {
-        let id = format!("s-{number}-again-{attempt}");
-        let after = Some((begun.as_str(), BROKEN_AFTER));
-        match ask(second, &id, after, 1, record) {
-            Ok((200, 1, _)) => {
-                result.went_on = true;
-                break;
-            }
-            // With nothing said, the caller waits for a moment.
-            Ok((_, _, retry_after)) => {
-                std::thread::sleep(retry_after.unwrap_or(Duration::from_millis(300)))
-            }
-            Err(_) => std::thread::sleep(Duration::from_millis(300)),
-        }
-    }
-    let new = ask(second, &format!("n-{number}"), None, 1, record);
-    result.new_begins = matches!(new, Ok((200, 1, _)));
-    result
-}
-
-fn stream_events(
-    id: &str,
-    request: &Request,
-    stream: &mut TcpStream,
-    record: &Record,
-) -> std::io::Result<bool> {
-    let last = request.header("last-event-id");
-    let after: u64 = last.and_then(|text| text.parse().ok()).unwrap_or(0);
-    let request_id = request.header("request-id").unwrap_or_default();
-    record.line(format!("engine {id} runs {request_id} after event {after}"));
-    let head = head(request, "text/event-stream");
-    stream.write_all(format!("{head}Transfer-Encoding: chunked\r\n\r\n").as_bytes())?;
-    for number in after + 1..=EVENTS {
-        stream.write_all(chunk(&event(number)).as_bytes())?;
-        std::thread::sleep(EVENT_PAUSE);
-    }
-    stream.write_all(b"0\r\n\r\n")?;
-    Ok(true)
-}
-
-/// Sends a request and reads some events, then closes the connection.
-///
-/// Returns the status, the number of events, and when to return.
-fn ask(
-    to: SocketAddr,
-    id: &str,
-    after: Option<(&str, u64)>,
-    events_max: u64,
-    record: &Record,
-) -> std::io::Result<(u16, u64, Option<Duration>)> {
-    let prefix = format!("aa:500,bb:300,{id}:100");
-    let last = after.map(|(_, event)| event.to_string());
-    let mut headers = vec![
-        ("Host", "depot.example"),
-        ("Request-Id", id),
-        ("Deadline-Ms", "12000"),
-        ("Authorization", "Bearer key-teifi"),
-        ("Model", "m0"),
-        ("Token-Count", "900,50"),
-        ("Prefix-Hash", prefix.as_str()),
-    ];
-    if let (Some((begun, _)), Some(last)) = (after, &last) {
-        headers.extend([("Last-Event-Id", last.as_str()), ("Resumes", begun)]);
-    }
-    let sent_at = Instant::now();
-    let mut answer = http::send(to, "POST", "/note/a", &headers, b"sheet")?;
-    let mut text = String::new();
-    let mut events = 0;
-    while answer.status == 200 && events < events_max {
-        let Some(bytes) = answer.next() else { break };
-        text.push_str(&String::from_utf8_lossy(&bytes));
-        events = text.matches("\n\n").count() as u64;
-    }
-    let seconds = answer
-        .header("retry-after")
-        .and_then(|text| text.parse().ok());
-    let retry_after = seconds.map(Duration::from_secs_f64);
-    record.line(format!(
-        "caller of {id} gets status {} and {events} events in {} ms, Retry-After {retry_after:?}",
-        answer.status,
-        sent_at.elapsed().as_millis()
-    ));
-    Ok((answer.status, events, retry_after))
+    judge(setting, &fleet, BROKEN_AFTER, || {})
 }
