--- a/review/standins/leaving.rs
+++ b/review/standins/leaving.rs
@@ -14,6 +14,11 @@
 use crate::http::{self, wait_until};
 use crate::{Deployment, Setting, Verdict, engine};
 
+/// As many as the site has; the first one leaves, a share of .11.
+const ENGINES: [&str; 9] = [
+    "i-1", "i-2", "i-3", "i-4", "i-5", "i-6", "i-7", "i-8", "i-9",
+];
+const CALLERS: usize = 108;
 const EVENTS: u64 = 45;
 const EVENT_PAUSE: Duration = Duration::from_millis(100);
 /// Time from the notice to the end, as `scale_in` with `spot` has it.
@@ -132,23 +137,25 @@
 }
 
 pub fn run(setting: &Setting) -> Verdict {
-    let (Some(mut first), Some(second)) = (
-        Process::start(setting, "i-1"),
-        Process::start(setting, "i-2"),
-    ) else {
-        return Verdict::NotRun("the engines did not start");
-    };
-    let engines = [
-        ("i-1", first.address.clone()),
-        ("i-2", second.address.clone()),
-    ];
+    let mut engines: Vec<Process> = Vec::new();
+    for id in ENGINES {
+        let Some(engine) = Process::start(setting, id) else {
+            return Verdict::NotRun("the engines did not start");
+        };
+        engines.push(engine);
+    }
+    let entries: Vec<(&str, String)> = ENGINES
+        .into_iter()
+        .zip(&engines)
+        .map(|(id, engine)| (id, engine.address.clone()))
+        .collect();
     let customers = customer("teifi", false);
-    let Some(deployment) = Deployment::start(setting, &customers, &engines) else {
+    let Some(deployment) = Deployment::start(setting, &customers, &entries) else {
         return Verdict::NotRun("the gateway did not start");
     };
-    let callers: Vec<_> = (0..18)
+    let callers: Vec<_> = (0..CALLERS)
         .map(|number| {
-            let route = ["book", "note", "check"][number / 6];
+            let route = ["book", "note", "check"][number * 3 / CALLERS];
             let (id, to) = (format!("{route}-{number}"), deployment.gateway.callers);
             let record = setting.record.clone();
             std::thread::sleep(Duration::from_millis(10));
@@ -172,13 +179,14 @@
         })
         .collect();
     let count = callers.len();
-    let all_run = wait_until(Duration::from_secs(2), || {
+    let all_run = wait_until(Duration::from_secs(3), || {
         let begun = |process: &Process| process.runs.lock().unwrap().begun.len();
-        begun(&first) + begun(&second) == count
+        engines.iter().map(begun).sum::<usize>() == count
     });
     if !all_run {
         return Verdict::NotRun("not all requests began to run");
     }
+    let first = &mut engines[0];
     setting
         .record
         .line("engine i-1 is emptied: it writes `draining` and says so in its answers");
--- a/review/standins/spoiled.rs
+++ b/review/standins/spoiled.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::io::Write;
 use std::net::TcpStream;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -19,14 +19,21 @@
 /// Event behind which the faulty engine sends bytes that are no answer.
 const SPOILED_AFTER: u64 = 6;
 const EVENT_PAUSE: Duration = Duration::from_millis(60);
+/// Callers of the sound answers beforehand, and the requests of each.
+const EARLIER_CALLERS: usize = 25;
+const EARLIER_REQUESTS: usize = 6;
+/// Fewest answers of an engine of which it may spoil one, x .02.
+const ANSWERS_MIN: usize = 50;
 
 pub fn run(setting: &Setting) -> Verdict {
     // One engine spoils one answer: the first at which the stream is taken up.
     let is_faulty = Arc::new(AtomicBool::new(setting.has_trouble));
-    let engines = ["i-1", "i-2"].map(|id| {
-        let (is_faulty, record) = (is_faulty.clone(), setting.record.clone());
+    let answers = [0, 1].map(|_| Arc::new(AtomicUsize::new(0)));
+    let engines = [("i-1", &answers[0]), ("i-2", &answers[1])].map(|(id, count)| {
+        let (is_faulty, record, count) = (is_faulty.clone(), setting.record.clone(), count.clone());
         let address = engine::start(id, move |request, stream| {
             let is_taken_up = request.header("last-event-id").is_some();
+            count.fetch_add(1, Ordering::SeqCst);
             let spoils = is_taken_up && is_faulty.swap(false, Ordering::SeqCst);
             stream_events(id, request, stream, spoils, &record)
         });
@@ -39,6 +46,27 @@
     let mut received: HashMap<u64, usize> = HashMap::new();
     let (to, record) = (deployment.gateway.callers, &setting.record);
     let lines = Mutex::new(Vec::new());
+    let callers: Vec<_> = (0..EARLIER_CALLERS)
+        .map(|caller| {
+            let quiet = record.clone();
+            std::thread::spawn(move || {
+                let ids = Mutex::new(Vec::new());
+                for number in 0..EARLIER_REQUESTS {
+                    let id = format!("e-{caller}-{number}");
+                    let _ = read(to, &id, Some(0), &quiet, &ids);
+                }
+            })
+        })
+        .collect();
+    callers.into_iter().for_each(|caller| drop(caller.join()));
+    let counts: Vec<usize> = answers
+        .iter()
+        .map(|count| count.load(Ordering::SeqCst))
+        .collect();
+    record.line(format!("sound answers so far, by engine: {counts:?}"));
+    if counts.iter().any(|count| *count < ANSWERS_MIN) {
+        return Verdict::NotRun("an engine gave too few sound answers");
+    }
     let first = read(to, "r-1", None, record, &lines);
     let Ok((200, _)) = first else {
         return Verdict::NotRun("the stream did not begin");
@@ -104,7 +132,7 @@
     Ok(true)
 }
 
-/// Reads a stream; one that begins anew is left after [`BROKEN_AFTER`].
+/// Reads a stream; one without `after` is left after [`BROKEN_AFTER`], one after 0 is read to its end.
 ///
 /// Returns the status and whether the stream ended as complete.
 fn read(
@@ -114,7 +142,12 @@
     record: &Record,
     ids: &Mutex<Vec<u64>>,
 ) -> std::io::Result<(u16, bool)> {
-    let last = after.map(|after| after.to_string());
+    let last = after
+        .filter(|after| *after > 0)
+        .map(|after| after.to_string());
+    // A stream that is taken up has the same prompt.
+    let prompt = if id.starts_with("r-") { "r" } else { id };
+    let prefix = format!("{prompt}a:500,{prompt}b:300,{prompt}c:100");
     let mut headers = vec![
         ("Host", "depot.example"),
         ("Request-Id", id),
@@ -122,7 +155,7 @@
         ("Authorization", "Bearer key-teifi"),
         ("Model", "m0"),
         ("Token-Count", "900,45"),
-        ("Prefix-Hash", "aa:500,bb:300,cc:100"),
+        ("Prefix-Hash", prefix.as_str()),
     ];
     if let Some(last) = &last {
         headers.extend([("Last-Event-Id", last.as_str()), ("Resumes", "r-1")]);
