feat(gateway): log what a resumed or refused stream rests on

A stream that lacked an event, and streams that were refused when their callers took them up, could not be told apart by cause: `resumed` named the event that the engine was told but not the last one that was forwarded, and a refusal as 3014 only its code. `resumed` now names both events, and `origin_unknown` what the VM and the ones that it asked know of the stream. No decision changes.

--- a/src/gateway/log_event.rs
+++ b/src/gateway/log_event.rs
@@ -265,9 +265,26 @@
         service: &'a str,
         software: Option<&'a str>,
     },
+    /// It is not known what began a stream that a caller takes up.
+    OriginUnknown {
+        /// VMs that were asked and that answered, this one included.
+        asked_vms: usize,
+        answering_vms: usize,
+        /// Shortest time for which an answering VM has kept records.
+        kept_ms_min: Option<u64>,
+        /// Time for which this VM has seen all software versions.
+        seen_ms: u64,
+        /// Software versions seen lately in the services of the route.
+        seen_versions: usize,
+        /// Whether the services of the route have changed lately.
+        is_moved: bool,
+    },
     Resumed {
         upstream: &'a str,
+        /// Last event that the engine is told to go on after.
         after_event: Option<u64>,
+        /// Last event that was forwarded to the caller.
+        forwarded_event: Option<u64>,
     },
     StreamBroken {
         reason: &'a str,
@@ -327,6 +344,7 @@
             Self::Forwarded { .. } => "forwarded",
             Self::Answered { .. } => "answered",
             Self::Refused { .. } => "refused",
+            Self::OriginUnknown { .. } => "origin_unknown",
             Self::AttemptFailed { .. } | Self::TakenUp { .. } | Self::Resumed { .. } => "failed",
             // Not suppressed by the attempts that fail at the same time.
             Self::StreamBroken { .. } | Self::Aborted { .. } => "broken",
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -31,6 +31,8 @@
     pub(super) splitter: EventSplitter,
     /// Events that have been read and not been forwarded.
     pub(super) pending_events: Option<Bytes>,
+    /// Id of the last event that was forwarded.
+    forwarded_id: Option<u64>,
     pub(super) status: http::StatusCode,
     /// Media type of the first engine's response.
     media_type: Option<String>,
@@ -106,6 +108,7 @@
             source,
             splitter,
             pending_events: first_events,
+            forwarded_id: last_event_id,
             silence: None,
             _request_guard: request_guard,
         };
@@ -175,6 +178,7 @@
         let mut silence = self.silence.take().unwrap_or(Silence::since(now));
         loop {
             if let Some(events) = self.pending_events.take() {
+                self.forwarded_id = self.splitter.last_id();
                 return Ok(Some(events));
             }
             let StreamSource::Engine(engine) = &mut self.source else {
@@ -190,7 +194,10 @@
                 }
             };
             match read {
-                Ok(ReadOutcome::Events(events)) => return Ok(Some(events)),
+                Ok(ReadOutcome::Events(events)) => {
+                    self.forwarded_id = self.splitter.last_id();
+                    return Ok(Some(events));
+                }
                 Ok(ReadOutcome::Filler(filler)) => {
                     self.silence = Some(silence);
                     return Ok(Some(filler));
@@ -283,6 +290,7 @@
         let event = LogEvent::Resumed {
             upstream: &dispatched.instance.id,
             after_event,
+            forwarded_event: self.forwarded_id,
         };
         self.admitted
             .gateway
--- a/src/gateway/stream_binding.rs
+++ b/src/gateway/stream_binding.rs
@@ -21,7 +21,11 @@
         let found = match (&head.resumes, head.last_event_id) {
             _ if !route.is_resumable => return Ok(()),
             (None, None) => return Ok(()),
-            (Some(_), _) => gateway.find_origin(self.stream_key(), route).await,
+            (Some(_), _) => {
+                gateway
+                    .find_origin(&self.id, self.stream_key(), route)
+                    .await
+            }
             (None, Some(_)) => gateway.only_seen_origin(route),
         };
         let origin = found.map_err(|unknown| {
--- a/src/gateway/stream_origin/exchange.rs
+++ b/src/gateway/stream_origin/exchange.rs
@@ -17,6 +17,7 @@
 use crate::clock::Instant;
 use crate::gateway::datagram::{Message, send};
 use crate::gateway::dispatch::DispatchedRequest;
+use crate::gateway::event_log::LogEvent;
 use crate::gateway::model::Route;
 use crate::gateway::state::{Gateway, GatewayState};
 use crate::gateway::table::RoutingTable;
@@ -98,12 +99,16 @@
     /// Returns whether another VM may know more.
     pub(in crate::gateway) async fn find_origin(
         &self,
+        request_id: &str,
         key: StreamKey,
         route: &Route,
     ) -> Result<StreamOrigin, UnknownOrigin> {
-        let result = match self.own_record(key) {
-            Some(origin) => LookupResult::Found(origin),
-            None => self.look_up(key).await,
+        let (result, answers) = match self.own_record(key) {
+            Some(origin) => (LookupResult::Found(origin), Vec::new()),
+            None => {
+                let answers = self.look_up(key).await;
+                (conclude(&answers), answers)
+            }
         };
         let now = self.now();
         let (source, origin) = match result {
@@ -123,9 +128,35 @@
             Ok(_) => source,
             Err(_) => "unknown",
         });
+        if origin.is_err() {
+            self.log_unknown_origin(request_id, route, &answers);
+        }
         origin
     }
 
+    /// Logs what this VM and the ones that were asked know of a stream that is refused.
+    fn log_unknown_origin(
+        &self,
+        request_id: &str,
+        route: &Route,
+        answers: &[Option<KeeperAnswer>],
+    ) {
+        let now = self.now();
+        let state = self.state();
+        let history = &state.stream_origins.history;
+        let kept_since = answers.iter().flatten().map(|answer| answer.kept_since);
+        let event = LogEvent::OriginUnknown {
+            asked_vms: answers.len(),
+            answering_vms: answers.iter().flatten().count(),
+            kept_ms_min: kept_since.min().map(|time| time.as_millis() as u64),
+            seen_ms: history.seen_for(now).as_millis() as u64,
+            seen_versions: history.recent_versions(route, now),
+            is_moved: history.has_moved(route, now),
+        };
+        drop(state);
+        self.event_log.log_request(request_id, &event);
+    }
+
     /// Returns the origin of a stream of a route that a caller takes up without naming it, if this
     /// VM has seen only one.
     pub(in crate::gateway) fn only_seen_origin(
@@ -206,7 +237,7 @@
     }
 
     /// Asks the VMs that may keep the record of a stream, repeatedly those that do not answer.
-    async fn look_up(&self, key: StreamKey) -> LookupResult {
+    async fn look_up(&self, key: StreamKey) -> Vec<Option<KeeperAnswer>> {
         let own_address = self.settings.peer_address;
         let candidates: Vec<SocketAddr> = {
             let ranked = self.state().ranked_keepers(key, own_address);
@@ -225,10 +256,10 @@
             answers = join_all(asked).await;
             match conclude(&answers) {
                 LookupResult::Unknown if answers.contains(&None) => {}
-                result => return result,
+                _ => break,
             }
         }
-        conclude(&answers)
+        answers
     }
 
     fn own_answer(&self, key: StreamKey) -> KeeperAnswer {
--- a/src/gateway/stream_origin/history.rs
+++ b/src/gateway/stream_origin/history.rs
@@ -1,6 +1,7 @@
 //! Software versions of each service that may have begun streams lately.
 
 use std::collections::HashMap;
+use std::time::Duration;
 
 use super::STREAM_LIFETIME;
 use super::origin::StreamOrigin;
@@ -116,8 +117,28 @@
         Some(origin(service, history.only_software(now)?))
     }
 
+    /// Returns the time for which this VM has seen all software versions.
+    pub fn seen_for(&self, now: Instant) -> Duration {
+        now.saturating_sub(self.started_at)
+    }
+
+    /// Returns the number of software versions seen lately in the services of a route.
+    pub fn recent_versions(&self, route: &Route, now: Instant) -> usize {
+        let services = route.services.iter();
+        let histories = services.filter_map(|(service, _)| self.services.get(service));
+        let seen = histories.flat_map(|history| &history.seen);
+        seen.filter(|seen| now.saturating_sub(seen.last_at) < STREAM_LIFETIME)
+            .count()
+    }
+
+    /// Returns whether the services of a route have changed lately.
+    pub fn has_moved(&self, route: &Route, now: Instant) -> bool {
+        let moved_at = self.moved_routes.get(&route_key(route));
+        moved_at.is_some_and(|at| now.saturating_sub(*at) < STREAM_LIFETIME)
+    }
+
     fn has_seen_all(&self, now: Instant) -> bool {
-        now.saturating_sub(self.started_at) >= STREAM_LIFETIME
+        self.seen_for(now) >= STREAM_LIFETIME
     }
 
     /// Returns the history of a route's service, if it is the only one and has been.
@@ -126,10 +147,10 @@
         route: &'a Route,
         now: Instant,
     ) -> Option<(&'a ServiceId, &'a ServiceHistory)> {
-        let moved_at = self.moved_routes.get(&route_key(route));
-        let has_moved = moved_at.is_some_and(|at| now.saturating_sub(*at) < STREAM_LIFETIME);
         match route.services.as_slice() {
-            [(service, _)] if !has_moved => Some((service, self.services.get(service)?)),
+            [(service, _)] if !self.has_moved(route, now) => {
+                Some((service, self.services.get(service)?))
+            }
             _ => None,
         }
     }
