fix(stream): go on after what was forwarded, not after what was parsed

Cause: the splitter moved its last id on while it parsed, and an error in the same read dropped what it had collected; the stream went on after the id of the splitter. Evidence: `resumed` with after_event 4 and forwarded_event 2, and the engine's own record of what it was told.

The position now travels with the events (`SplitEvents`), and a stream goes on after the events that have left for the caller, so no error between parser and caller can lose any. The next engine sends what was dropped once more.

Looked at for the same cause: the takeover of silent streams and the first events (held, now by the same rule), the memory of responses (lost events too, by reading), relayed responses and the entry daemon's completions (held).

The pure tests of the splitter check the same values, which the result of `push` has now.

--- a/src/gateway/engine_stream.rs
+++ b/src/gateway/engine_stream.rs
@@ -2,14 +2,13 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
 use super::attempt_failure::AttemptFailure;
 use super::connection_headers::{closes_connection, ends_with_connection, keep_alive_timeout};
 use super::dispatch::DispatchedRequest;
-use super::event_splitter::EventSplitter;
+use super::event_splitter::{EventSplitter, SplitEvents};
 use super::exchange::UpstreamResponse;
 use super::pool::Connection;
 use super::request::AdmittedRequest;
@@ -34,9 +33,9 @@
 /// Result of reading from an engine's response.
 pub(super) enum ReadOutcome {
     /// Complete events, at least one of which has a field.
-    Events(Bytes),
+    Events(SplitEvents),
     /// Comments and empty lines, which are no progress.
-    Filler(Bytes),
+    Filler(SplitEvents),
     End,
 }
 
@@ -114,13 +113,13 @@
             .share
             .resize(splitter.buffered_bytes())
             .map_err(|error| AttemptFailure::unusable(error.to_string()))?;
-        if !splitter.has_new_event() {
-            match events.is_empty() {
+        if !events.has_event {
+            match events.bytes.is_empty() {
                 true => continue,
                 false => return Ok(ReadOutcome::Filler(events)),
             }
         }
-        if !events.is_empty() {
+        if !events.bytes.is_empty() {
             if engine.dispatched.record_first_response() {
                 admitted.record_first_event(&engine.dispatched);
             }
--- a/src/gateway/event_splitter.rs
+++ b/src/gateway/event_splitter.rs
@@ -20,7 +20,35 @@
     NoId,
 }
 
+/// Complete events of one read, which have not been forwarded.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct SplitEvents {
+    /// Events, with the comments and empty lines between them.
+    pub bytes: Bytes,
+    /// Id of the last of them that has one: once they have been forwarded, the stream can go on
+    /// after it.
+    pub last_id: Option<u64>,
+    /// Whether the read completed an event; comments and empty lines, which an engine may send
+    /// while it makes no progress, are none.
+    pub has_event: bool,
+}
+
+impl SplitEvents {
+    /// Appends later events.
+    pub fn append(&mut self, later: Self) {
+        self.bytes = match self.bytes.is_empty() {
+            true => later.bytes,
+            false => [&*self.bytes, &*later.bytes].concat().into(),
+        };
+        self.last_id = later.last_id.or(self.last_id);
+        self.has_event |= later.has_event;
+    }
+}
+
 /// Splitter of the stream of one response.
+///
+/// Its own position is that of the last read: where the stream goes on after a failure follows from
+/// the [`SplitEvents`] that have been forwarded.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     pending: BytesMut,
@@ -30,7 +58,6 @@
     requires_ids: bool,
     /// Bytes of comments and empty lines since the last event.
     filler_bytes: usize,
-    has_new_event: bool,
 }
 
 impl EventSplitter {
@@ -44,17 +71,6 @@
         }
     }
 
-    /// Returns the id of the last complete event.
-    pub fn last_id(&self) -> Option<u64> {
-        self.last_id
-    }
-
-    /// Returns whether the bytes appended last completed an event; comments and empty lines, which
-    /// an engine may send while it makes no progress, are none.
-    pub fn has_new_event(&self) -> bool {
-        self.has_new_event
-    }
-
     /// Returns the number of buffered bytes.
     pub fn buffered_bytes(&self) -> usize {
         self.pending.len()
@@ -69,12 +85,13 @@
     ///
     /// # Errors
     ///
-    /// Returns [`SplitError::TooLarge`] if an incomplete event exceeds the maximum size, and
+    /// The events that precede the error in these bytes are dropped with it. Returns
+    /// [`SplitError::TooLarge`] if an incomplete event exceeds the maximum size, and
     /// [`SplitError::NoId`] if a continued stream has an event without an id.
-    pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, SplitError> {
+    pub fn push(&mut self, bytes: &[u8]) -> Result<SplitEvents, SplitError> {
         self.pending.extend_from_slice(bytes);
         let mut complete = BytesMut::new();
-        self.has_new_event = false;
+        let mut events = SplitEvents::default();
         while let Some(end) = self.next_event_end() {
             let event = self.pending.split_to(end);
             self.scanned = 0;
@@ -85,18 +102,21 @@
                 true => self.filler_bytes += event.len(),
                 false => {
                     self.filler_bytes = 0;
-                    self.has_new_event = true;
+                    events.has_event = true;
                 }
             }
-            if self.accept(&event) {
+            let id = event_id(&event);
+            if self.accept(id) {
                 complete.extend_from_slice(&event);
+                events.last_id = id.or(events.last_id);
             }
         }
+        events.bytes = complete.freeze();
         let is_too_large =
             self.pending.len() > EVENT_MAX_BYTES || self.filler_bytes > FILLER_MAX_BYTES;
         match is_too_large {
             true => Err(SplitError::TooLarge),
-            false => Ok(complete.freeze()),
+            false => Ok(events),
         }
     }
 
@@ -117,9 +137,9 @@
         None
     }
 
-    /// Returns whether an event is new, and records its id.
-    fn accept(&mut self, event: &[u8]) -> bool {
-        let Some(id) = event_id(event) else {
+    /// Returns whether an event with this id is new, and records the id.
+    fn accept(&mut self, id: Option<u64>) -> bool {
+        let Some(id) = id else {
             return true;
         };
         let is_new = self.last_id.is_none_or(|last| id > last);
--- a/src/gateway/log_event.rs
+++ b/src/gateway/log_event.rs
@@ -281,10 +281,8 @@
     },
     Resumed {
         upstream: &'a str,
-        /// Last event that the engine is told to go on after.
+        /// Last event that was forwarded to the caller, after which the engine goes on.
         after_event: Option<u64>,
-        /// Last event that was forwarded to the caller.
-        forwarded_event: Option<u64>,
     },
     StreamBroken {
         reason: &'a str,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -106,7 +106,7 @@
 };
 pub use daemon::{GatewayError, GatewayProcess};
 pub use event_log::EventLog;
-pub use event_splitter::{EventSplitter, SplitError};
+pub use event_splitter::{EventSplitter, SplitError, SplitEvents};
 pub use heartbeat::{CompactLoad, Heartbeat, HeartbeatScope, HeldLease, StoreRevisions};
 pub use model::{
     Allowance, CacheStore, CostUnit, Customer, EngineProfile, LoadedModel, Member, Route,
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::sync::Arc;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures_util::stream;
 use gotham::helpers::http::Body;
 use http::header::CONTENT_TYPE;
@@ -17,7 +17,7 @@
     EngineStream, ReadOutcome, close_stream, finish_stream, read_events, split_response,
 };
 use super::event_log::{AbortStage, LogEvent};
-use super::event_splitter::EventSplitter;
+use super::event_splitter::{EventSplitter, SplitEvents};
 use super::exchange::UpstreamResponse;
 use super::request::AdmittedRequest;
 use super::takeover::{self, Silence};
@@ -30,9 +30,9 @@
     pub(super) source: StreamSource,
     pub(super) splitter: EventSplitter,
     /// Events that have been read and not been forwarded.
-    pub(super) pending_events: Option<Bytes>,
-    /// Id of the last event that was forwarded.
-    forwarded_id: Option<u64>,
+    pub(super) pending_events: Option<SplitEvents>,
+    /// Id of the last event that was forwarded, after which another engine goes on.
+    pub(super) forwarded_id: Option<u64>,
     pub(super) status: http::StatusCode,
     /// Media type of the first engine's response.
     media_type: Option<String>,
@@ -137,17 +137,17 @@
     admitted: &AdmittedRequest,
     engine: &mut EngineStream,
     splitter: &mut EventSplitter,
-) -> Result<Option<Bytes>, AttemptFailure> {
+) -> Result<Option<SplitEvents>, AttemptFailure> {
     // Bounded by the splitter.
-    let mut first = BytesMut::new();
+    let mut first = SplitEvents::default();
     loop {
         match read_events(admitted, engine, splitter).await? {
-            ReadOutcome::Filler(filler) => first.extend_from_slice(&filler),
+            ReadOutcome::Filler(filler) => first.append(filler),
             ReadOutcome::Events(events) => {
-                first.extend_from_slice(&events);
-                return Ok(Some(first.freeze()));
+                first.append(events);
+                return Ok(Some(first));
             }
-            ReadOutcome::End => return Ok((!first.is_empty()).then(|| first.freeze())),
+            ReadOutcome::End => return Ok((!first.bytes.is_empty()).then_some(first)),
         }
     }
 }
@@ -167,7 +167,7 @@
                 let refusal = Refusal::new(Code::StreamBroken, "the VM is shutting down");
                 self.source = StreamSource::Ended;
                 gateway.record_abort(&self.admitted.id, AbortStage::Streaming);
-                self.log_broken(&refusal, self.splitter.last_id());
+                self.log_broken(&refusal);
                 Err(io::Error::other(refusal))
             }
         }
@@ -178,8 +178,7 @@
         let mut silence = self.silence.take().unwrap_or(Silence::since(now));
         loop {
             if let Some(events) = self.pending_events.take() {
-                self.forwarded_id = self.splitter.last_id();
-                return Ok(Some(events));
+                return Ok(Some(self.forward(events)));
             }
             let StreamSource::Engine(engine) = &mut self.source else {
                 return Ok(None);
@@ -194,13 +193,10 @@
                 }
             };
             match read {
-                Ok(ReadOutcome::Events(events)) => {
-                    self.forwarded_id = self.splitter.last_id();
-                    return Ok(Some(events));
-                }
+                Ok(ReadOutcome::Events(events)) => return Ok(Some(self.forward(events))),
                 Ok(ReadOutcome::Filler(filler)) => {
                     self.silence = Some(silence);
-                    return Ok(Some(filler));
+                    return Ok(Some(self.forward(filler)));
                 }
                 Ok(ReadOutcome::End) => {
                     if let Some(engine) = self.take_engine() {
@@ -219,6 +215,12 @@
         }
     }
 
+    /// Returns the bytes of events that leave for the caller now, and records the position.
+    fn forward(&mut self, events: SplitEvents) -> Bytes {
+        self.forwarded_id = events.last_id.or(self.forwarded_id);
+        events.bytes
+    }
+
     /// Returns the engine's stream, which is not a source of events from now on.
     pub(super) fn take_engine(&mut self) -> Option<Box<EngineStream>> {
         match std::mem::replace(&mut self.source, StreamSource::Ended) {
@@ -227,8 +229,8 @@
         }
     }
 
-    /// Resumes the stream at another engine after the last complete event, if the result of the
-    /// failed attempt permits.
+    /// Resumes the stream at another engine after the last event that was forwarded, if the result
+    /// of the failed attempt permits.
     ///
     /// # Errors
     ///
@@ -237,19 +239,18 @@
         &mut self,
         failure_result: Result<(), Refusal>,
     ) -> Result<(), Refusal> {
-        let after_event = self.splitter.last_id();
         let mut failure_result = failure_result;
         loop {
             if let Err(refusal) = failure_result {
-                self.log_broken(&refusal, after_event);
+                self.log_broken(&refusal);
                 return Err(refusal);
             }
             let next = self.admitted.next_upstream().await;
-            let next = next.inspect_err(|refusal| self.log_broken(refusal, after_event))?;
-            let sent = self.admitted.send(&next, after_event).await;
+            let next = next.inspect_err(|refusal| self.log_broken(refusal))?;
+            let sent = self.admitted.send(&next, self.forwarded_id).await;
             match self.check_resumed(sent) {
                 Ok(received) => {
-                    self.continue_with(received, next, after_event);
+                    self.continue_with(received, next);
                     return Ok(());
                 }
                 Err(failure) => failure_result = self.admitted.record_failure(&next, failure),
@@ -280,17 +281,16 @@
         }
     }
 
-    /// Continues the stream after an event with the response of another engine.
+    /// Continues the stream after the last event that was forwarded with the response of another
+    /// engine.
     pub(super) fn continue_with(
         &mut self,
         received: UpstreamResponse,
         dispatched: DispatchedRequest,
-        after_event: Option<u64>,
     ) {
         let event = LogEvent::Resumed {
             upstream: &dispatched.instance.id,
-            after_event,
-            forwarded_event: self.forwarded_id,
+            after_event: self.forwarded_id,
         };
         self.admitted
             .gateway
@@ -299,14 +299,14 @@
         let (_, engine) = split_response(received, dispatched, &self.admitted);
         self.admitted.progress.must_retry = false;
         self.admitted.progress.closed_upstream = None;
-        self.splitter = EventSplitter::after(after_event);
+        self.splitter = EventSplitter::after(self.forwarded_id);
         self.source = StreamSource::Engine(Box::new(engine));
     }
 
-    fn log_broken(&self, refusal: &Refusal, after_event: Option<u64>) {
+    fn log_broken(&self, refusal: &Refusal) {
         let event = LogEvent::StreamBroken {
             reason: &refusal.message,
-            after_event,
+            after_event: self.forwarded_id,
             runs: self.admitted.progress.runs,
             stopping_ms: self.admitted.gateway.stopping_ms(),
         };
--- a/src/gateway/takeover.rs
+++ b/src/gateway/takeover.rs
@@ -5,12 +5,10 @@
 
 use std::pin::pin;
 
-use bytes::{Bytes, BytesMut};
-
 use super::attempt_failure::{AttemptFailure, FailureCause};
 use super::dispatch::DispatchedRequest;
 use super::engine_stream::{EngineStream, ReadOutcome, close_stream, finish_stream, read_events};
-use super::event_splitter::EventSplitter;
+use super::event_splitter::{EventSplitter, SplitEvents};
 use super::exchange::UpstreamResponse;
 use super::pending_call::was_paused_since;
 use super::pool::Connection;
@@ -135,7 +133,7 @@
         let metrics = &self.admitted.gateway.metrics;
         metrics.count_retry(FailureCause::Stalled.name());
         self.admitted.progress.sends += 1;
-        let after_event = self.splitter.last_id();
+        let after_event = self.forwarded_id;
         let mut silent = SilentEngine::new(stream);
         let sent = silent
             .read_during(
@@ -171,7 +169,7 @@
                 let closed =
                     stream.map(|stream| (close_stream(*stream), AttemptFailure::stalled()));
                 self.record_replaced(closed.or(silent.closed));
-                self.continue_with(received, dispatched, after_event);
+                self.continue_with(received, dispatched);
                 Ok(())
             }
             (Err(failure), Some(stream)) => {
@@ -194,7 +192,6 @@
                 self.record_replaced(silent.closed);
                 let result = self.admitted.record_failure(&dispatched, failure);
                 drop(dispatched);
-                self.splitter = EventSplitter::after(after_event);
                 self.resume(result).await
             }
         }
@@ -215,7 +212,7 @@
     stream: Option<Box<EngineStream>>,
     closed: Option<(DispatchedRequest, AttemptFailure)>,
     /// Comments of the silent engine, and events with which it has gone on.
-    withheld: BytesMut,
+    withheld: SplitEvents,
 }
 
 /// End of the time in which two engines have the request.
@@ -233,7 +230,7 @@
         Self {
             stream: Some(stream),
             closed: None,
-            withheld: BytesMut::new(),
+            withheld: SplitEvents::default(),
         }
     }
 
@@ -256,11 +253,11 @@
                 sent = &mut exchange => return OverlapEnd::Answered(Box::new(sent)),
                 read = read_events(admitted, stream, splitter) => match read {
                     Ok(ReadOutcome::Events(events)) => {
-                        self.withheld.extend_from_slice(&events);
+                        self.withheld.append(events);
                         return OverlapEnd::GivenUp;
                     }
                     Ok(ReadOutcome::Filler(filler)) => {
-                        self.withheld.extend_from_slice(&filler);
+                        self.withheld.append(filler);
                         continue;
                     }
                     Ok(ReadOutcome::End) => return OverlapEnd::Completed,
@@ -275,6 +272,6 @@
 }
 
 /// Returns what the caller has not received, if there is any.
-fn take_withheld(withheld: BytesMut) -> Option<Bytes> {
-    (!withheld.is_empty()).then(|| withheld.freeze())
+fn take_withheld(withheld: SplitEvents) -> Option<SplitEvents> {
+    (!withheld.bytes.is_empty()).then_some(withheld)
 }
--- a/tests/gateway_pure/main.rs
+++ b/tests/gateway_pure/main.rs
@@ -41,10 +41,10 @@
     PlacementSettings, PrefixCacheIndex, QueueSettings, QueuedRequest, RequestQueue, RequestRate,
     ResourceDemand, RetryBudgetBounds, RetryBudgets, RolloutAction, RolloutSchedule,
     RolloutSettings, Route, RouteKind, RoutingConfig, RoutingTable, SendKeeper, SendLedgers,
-    SendOutcome, SendRequest, ShutdownPlan, SilentStream, StallSettings, TargetWeights,
-    UpstreamEntry, UpstreamInstance, UpstreamLimits, UpstreamRegistry, UpstreamRegistrySettings,
-    UpstreamStage, VmGroup, WatchPurpose, WeightHistory, choose_candidate, earliest_change,
-    is_store_likelier, watch_wait,
+    SendOutcome, SendRequest, ShutdownPlan, SilentStream, SplitEvents, StallSettings,
+    TargetWeights, UpstreamEntry, UpstreamInstance, UpstreamLimits, UpstreamRegistry,
+    UpstreamRegistrySettings, UpstreamStage, VmGroup, WatchPurpose, WeightHistory,
+    choose_candidate, earliest_change, is_store_likelier, watch_wait,
 };
 use celerylever::platform::{era_of, revision_of, store_position};
 use proptest::prelude::*;
--- a/tests/gateway_pure/streams.rs
+++ b/tests/gateway_pure/streams.rs
@@ -12,16 +12,16 @@
     fn any_cuts_give_the_same_events(cuts in proptest::collection::vec(1_usize..40, 0..60)) {
         let bytes = stream_of(20);
         let mut splitter = EventSplitter::default();
-        let mut out = Vec::new();
+        let mut out = SplitEvents::default();
         let mut rest = &bytes[..];
         for cut in cuts {
             let (chunk, remaining) = rest.split_at(cut.min(rest.len()));
-            out.extend_from_slice(&splitter.push(chunk).unwrap());
+            out.append(splitter.push(chunk).unwrap());
             rest = remaining;
         }
-        out.extend_from_slice(&splitter.push(rest).unwrap());
-        prop_assert_eq!(out, bytes);
-        prop_assert_eq!(splitter.last_id(), Some(20));
+        out.append(splitter.push(rest).unwrap());
+        prop_assert_eq!(&out.bytes[..], &bytes[..]);
+        prop_assert_eq!(out.last_id, Some(20));
     }
 }
 
@@ -31,35 +31,33 @@
     let whole = splitter
         .push(b"id: 1\ndata: a\n\nid: 2\ndata: b\n")
         .unwrap();
-    assert_eq!(&whole[..], b"id: 1\ndata: a\n\n");
+    assert_eq!(&whole.bytes[..], b"id: 1\ndata: a\n\n");
     assert!(splitter.is_inside_event());
-    assert_eq!(splitter.last_id(), Some(1));
+    assert_eq!(whole.last_id, Some(1));
 }
 
 #[test]
 fn events_that_the_caller_has_are_dropped() {
     let mut splitter = EventSplitter::after(Some(3));
     let events = splitter.push(&stream_of(5)).unwrap();
-    assert_eq!(&events[..], b"id: 4\ndata: t4\n\nid: 5\ndata: t5\n\n");
+    assert_eq!(&events.bytes[..], b"id: 4\ndata: t4\n\nid: 5\ndata: t5\n\n");
 }
 
 #[test]
 fn a_line_before_the_id_stays_with_its_event() {
     let mut splitter = EventSplitter::after(Some(1));
     let bytes = b"weight-versions: 3\nid: 2\ndata: b\n\n";
-    assert_eq!(&splitter.push(bytes).unwrap()[..], bytes);
+    assert_eq!(&splitter.push(bytes).unwrap().bytes[..], bytes);
 }
 
 #[test]
 fn comments_and_empty_lines_are_no_event_and_do_not_pile_up() {
     let mut splitter = EventSplitter::default();
-    assert_eq!(
-        &splitter.push(b": a\n\n\r\n\n").unwrap()[..],
-        b": a\n\n\r\n\n"
-    );
-    assert!(!splitter.has_new_event());
-    splitter.push(b": b\nid: 1\ndata: a\n\n").unwrap();
-    assert!(splitter.has_new_event());
+    let comments = splitter.push(b": a\n\n\r\n\n").unwrap();
+    assert_eq!(&comments.bytes[..], b": a\n\n\r\n\n");
+    assert!(!comments.has_event);
+    let event = splitter.push(b": b\nid: 1\ndata: a\n\n").unwrap();
+    assert!(event.has_event);
     let filler = b": x\n\n".repeat(1_000);
     let accepted = (0..1_000).take_while(|_| splitter.push(&filler).is_ok());
     assert!(accepted.count() < 1_000);
