fix(stream): an event without an id breaks a stream whose events have ids

Only streams that had been resumed checked for it.

Cause: the splitter required ids only after a resumption. It now requires them once an event had one, and from the first event of a successful response where the stream may be resumed, as it could not go on behind an event without an id. Such a stream is resumed at another engine, or ends as broken.

--- a/src/gateway/event_splitter.rs
+++ b/src/gateway/event_splitter.rs
@@ -15,8 +15,8 @@
     /// An event, or what precedes it, exceeds the maximum size.
     #[error("an event exceeds the size limit")]
     TooLarge,
-    /// An event of a continued stream has no id, so it is not known to follow the earlier events.
-    #[error("an event of a continued stream has no id")]
+    /// An event has no id although events of this stream have, so it is not known to be one of them.
+    #[error("an event has no id in a stream whose events have")]
     NoId,
 }
 
@@ -54,19 +54,21 @@
     pending: BytesMut,
     scanned: usize,
     last_id: Option<u64>,
-    /// Whether each event must have an id, as the stream continues one whose events have.
+    /// Whether each event must have an id.
     requires_ids: bool,
     /// Bytes of comments and empty lines since the last event.
     filler_bytes: usize,
 }
 
 impl EventSplitter {
-    /// Creates a splitter that drops the events up to `last_id`, which the caller has received, and
-    /// rejects events without an id if there is one.
-    pub fn after(last_id: Option<u64>) -> Self {
+    /// Creates a splitter that drops the events up to `last_id`, which the caller has received.
+    ///
+    /// Events without an id are rejected once an event had one, and from the first one in a stream
+    /// that may be resumed: it could not go on after them.
+    pub fn new(last_id: Option<u64>, is_resumable: bool) -> Self {
         Self {
             last_id,
-            requires_ids: last_id.is_some(),
+            requires_ids: is_resumable || last_id.is_some(),
             ..Self::default()
         }
     }
@@ -87,7 +89,7 @@
     ///
     /// The events that precede the error in these bytes are dropped with it. Returns
     /// [`SplitError::TooLarge`] if an incomplete event exceeds the maximum size, and
-    /// [`SplitError::NoId`] if a continued stream has an event without an id.
+    /// [`SplitError::NoId`] if an event lacks an id that it must have.
     pub fn push(&mut self, bytes: &[u8]) -> Result<SplitEvents, SplitError> {
         self.pending.extend_from_slice(bytes);
         let mut complete = BytesMut::new();
@@ -143,6 +145,7 @@
             return true;
         };
         let is_new = self.last_id.is_none_or(|last| id > last);
+        self.requires_ids = true;
         if is_new {
             self.last_id = Some(id);
         }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -74,7 +74,8 @@
             }
         };
         let (mut parts, mut engine) = split_response(received, dispatched, &admitted);
-        let mut splitter = EventSplitter::after(last_event_id);
+        let has_ids = admitted.route.is_resumable && parts.status.is_success();
+        let mut splitter = EventSplitter::new(last_event_id, has_ids);
         // The head is withheld until the first event, so that the request can still be sent to
         // another engine.
         let first_events = read_first_events(&admitted, &mut engine, &mut splitter).await;
@@ -299,7 +300,7 @@
         let (_, engine) = split_response(received, dispatched, &self.admitted);
         self.admitted.progress.must_retry = false;
         self.admitted.progress.closed_upstream = None;
-        self.splitter = EventSplitter::after(self.forwarded_id);
+        self.splitter = EventSplitter::new(self.forwarded_id, self.admitted.route.is_resumable);
         self.source = StreamSource::Engine(Box::new(engine));
     }
 
--- a/tests/gateway_pure/main.rs
+++ b/tests/gateway_pure/main.rs
@@ -41,7 +41,7 @@
     PlacementSettings, PrefixCacheIndex, QueueSettings, QueuedRequest, RequestQueue, RequestRate,
     ResourceDemand, RetryBudgetBounds, RetryBudgets, RolloutAction, RolloutSchedule,
     RolloutSettings, Route, RouteKind, RoutingConfig, RoutingTable, SendKeeper, SendLedgers,
-    SendOutcome, SendRequest, ShutdownPlan, SilentStream, SplitEvents, StallSettings,
+    SendOutcome, SendRequest, ShutdownPlan, SilentStream, SplitError, SplitEvents, StallSettings,
     TargetWeights, UpstreamEntry, UpstreamInstance, UpstreamLimits, UpstreamRegistry,
     UpstreamRegistrySettings, UpstreamStage, VmGroup, WatchPurpose, WeightHistory,
     choose_candidate, earliest_change, is_store_likelier, watch_wait,
--- a/tests/gateway_pure/streams.rs
+++ b/tests/gateway_pure/streams.rs
@@ -38,14 +38,14 @@
 
 #[test]
 fn events_that_the_caller_has_are_dropped() {
-    let mut splitter = EventSplitter::after(Some(3));
+    let mut splitter = EventSplitter::new(Some(3), true);
     let events = splitter.push(&stream_of(5)).unwrap();
     assert_eq!(&events.bytes[..], b"id: 4\ndata: t4\n\nid: 5\ndata: t5\n\n");
 }
 
 #[test]
 fn a_line_before_the_id_stays_with_its_event() {
-    let mut splitter = EventSplitter::after(Some(1));
+    let mut splitter = EventSplitter::new(Some(1), true);
     let bytes = b"weight-versions: 3\nid: 2\ndata: b\n\n";
     assert_eq!(&splitter.push(bytes).unwrap().bytes[..], bytes);
 }
@@ -62,3 +62,14 @@
     let accepted = (0..1_000).take_while(|_| splitter.push(&filler).is_ok());
     assert!(accepted.count() < 1_000);
 }
+
+#[test]
+fn an_event_without_an_id_is_no_event_of_a_stream_with_ids() {
+    let mut plain = EventSplitter::default();
+    assert!(plain.push(b"data: a\n\n").unwrap().has_event);
+    plain.push(b"id: 1\ndata: a\n\n").unwrap();
+    assert_eq!(plain.push(b"busy\n\n"), Err(SplitError::NoId));
+    let mut resumable = EventSplitter::new(None, true);
+    assert!(!resumable.push(b": wait\n\n").unwrap().has_event);
+    assert_eq!(resumable.push(b"data: a\n\n"), Err(SplitError::NoId));
+}
