fix(streams): a VM that starts learns from others what may have begun streams

Callers that took streams up at VMs that had been restarted within 30 s were refused (LOST), each with 3014, although one software version had served all along and new streams began there.

Cause: while one version serves no record is made, and each VM derives it from its own memory, which a restart empties for 30 s although the next VM is certain. A missing record proved nothing, as its keepers had been restarted too. Evidence: origin_unknown with seen_ms 4326, kept_ms_min 933, 3 of 3 VMs answering, one version seen, no route changed.

A VM that starts now asks others for what they have seen, in ages, and believes none that is behind it. The answers of keepers prove something for the time since all of them but one started, so a stream without a record goes on where only one version can have begun it: none other has served for 30 s, or the other joined within that time. A VM makes records for its first 30 s whatever it was told. A datagram beyond the size limit is no longer sent by `send`.

--- a/src/gateway/datagram.rs
+++ b/src/gateway/datagram.rs
@@ -12,7 +12,7 @@
 use super::heartbeat::Heartbeat;
 use super::process_hash::ProcessHash;
 use super::state::Gateway;
-use super::stream_origin::{KeeperAnswer, OriginLookup, OriginRecord};
+use super::stream_origin::{HistoryReply, KeeperAnswer, OriginLookup, OriginRecord};
 use super::upstream_limit::{LimitNews, PermitCall, PermitReply};
 
 /// Maximum size of a datagram. The sums of a zone can exceed the usual MTU; a lost fragment only
@@ -69,11 +69,16 @@
     SendReply(SendReply),
     /// What became of a request with such a permit.
     SendReport(SendReport),
+    /// Request of a VM that has started for what others have seen of the origins of streams.
+    HistoryRequest,
+    /// Reply to it.
+    HistoryReply(Box<HistoryReply>),
 }
 
-/// Sends a message; returns whether the socket accepted it.
+/// Sends a message; returns whether it fits a datagram and the socket accepted it.
 pub(super) fn send(socket: &UdpSocket, message: &Message, address: SocketAddr) -> bool {
     match postcard::to_stdvec(message) {
+        Ok(bytes) if bytes.len() > DATAGRAM_MAX_BYTES => false,
         Ok(bytes) => socket.try_send_to(&bytes, address).is_ok(),
         Err(_) => false,
     }
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -15,6 +15,7 @@
 use super::leaving_news::send_leaving_news;
 use super::name_hash::hash_name;
 use super::state::{Gateway, GatewayState};
+use super::stream_origin::request_history;
 use super::upstream_limit::permit_exchange::{send_all_limits, send_limit_news};
 use super::zone_roles::HeartbeatTargets;
 use crate::clock::Instant;
@@ -40,6 +41,9 @@
 /// Expired idle connections are closed, and the owners of accounts determined, with one in this
 /// many heartbeats.
 const SWEEP_EVERY_HEARTBEATS: u64 = 5;
+/// A VM that has not seen the origins of streams for long asks others with one in this many
+/// heartbeats.
+const HISTORY_EVERY_HEARTBEATS: u64 = 2;
 
 /// Sends heartbeats until dropped.
 pub(super) async fn send_heartbeats(gateway: Arc<Gateway>, socket: Arc<UdpSocket>) {
@@ -50,6 +54,9 @@
             gateway.pool.sweep();
             gateway.record_account_owners();
         }
+        if sequence % HISTORY_EVERY_HEARTBEATS == 0 {
+            request_history(&gateway, &socket);
+        }
         let receivers = send_heartbeat(&gateway, &socket, sequence, false);
         send_crash_news(&gateway, &socket, sequence);
         send_limit_news(&gateway, &socket, sequence);
@@ -124,6 +131,8 @@
             Ok(Message::SendCall(call)) => gateway.handle_send_call(call, from),
             Ok(Message::SendReply(reply)) => gateway.handle_send_reply(reply, from),
             Ok(Message::SendReport(report)) => gateway.handle_send_report(report),
+            Ok(Message::HistoryRequest) => gateway.handle_history_request(from),
+            Ok(Message::HistoryReply(reply)) => gateway.apply_history(*reply),
             Err(error) => {
                 let reason = format!("datagram cannot be decoded: {error}");
                 gateway.event_log.log(&LogEvent::BeatFailed { reason });
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -142,8 +142,9 @@
 pub use stall::{SilentStream, StallSettings};
 pub use status::FleetStatus;
 pub use stream_origin::{
-    KEEPERS, KeeperAnswer, LookupResult, OriginHistory, STREAM_LIFETIME, StreamKey, StreamOrigin,
-    StreamRecords, StreamRecordsSettings, conclude, rank_keepers, stream_key,
+    HistoryAccount, KEEPERS, KeeperAnswer, LookupResult, MoveAccount, OnlyAccount, OriginHistory,
+    STREAM_LIFETIME, ServiceAccount, StreamKey, StreamOrigin, StreamRecords, StreamRecordsSettings,
+    conclude, rank_keepers, stream_key,
 };
 pub use table::RoutingTable;
 pub use upstream_limit::{
--- /dev/null
+++ b/src/gateway/stream_origin/account.rs
@@ -0,0 +1,57 @@
+//! What a VM tells one that has started of the origins of streams.
+//!
+//! Times are told as ages, as VMs share no clock.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::gateway::model::{ServiceId, SoftwareVersion};
+
+/// What a VM has seen of the origins of streams.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct HistoryAccount {
+    /// Time for which the VM has seen all.
+    pub seen_for: Duration,
+    /// Services with upstreams.
+    pub services: Vec<ServiceAccount>,
+    /// Routes whose services have changed lately.
+    pub moves: Vec<MoveAccount>,
+}
+
+/// Software that a service's upstreams have had.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct ServiceAccount {
+    /// Name of the service.
+    pub service: ServiceId,
+    /// Software versions, with the time since each was last seen.
+    pub seen: Vec<(Option<SoftwareVersion>, Duration)>,
+    /// Software that was the only one before another one joined.
+    pub only_until: Option<OnlyAccount>,
+}
+
+/// Software that was the only one before another one joined.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct OnlyAccount {
+    /// The software.
+    pub software: SoftwareVersion,
+    /// Time since it was last seen as the only one.
+    pub alone_age: Duration,
+    /// Time since another one was seen first.
+    pub joined_age: Duration,
+}
+
+/// Route whose services have changed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct MoveAccount {
+    /// Host of the route.
+    pub host: String,
+    /// Path prefix of the route.
+    pub path_prefix: String,
+    /// Time since the change.
+    pub age: Duration,
+}
--- a/src/gateway/stream_origin/exchange.rs
+++ b/src/gateway/stream_origin/exchange.rs
@@ -57,8 +57,11 @@
         let mut candidates: VecDeque<SocketAddr> = {
             let mut state = self.state();
             state.observe_software(&origin.service, now);
-            let only = state.stream_origins.history.only_origin(route, now);
-            if only.as_ref() == Some(origin) && timeout <= STREAM_LIFETIME {
+            let origins = &state.stream_origins;
+            let only = origins.history.only_origin(route, now);
+            // VMs that start together may not have heard from one that has seen all.
+            let is_known_to_all = origins.has_run_for(STREAM_LIFETIME, now);
+            if only.as_ref() == Some(origin) && is_known_to_all && timeout <= STREAM_LIFETIME {
                 return;
             }
             let records = &mut state.stream_origins.records;
@@ -113,13 +116,13 @@
         let now = self.now();
         let (source, origin) = match result {
             LookupResult::Found(origin) => ("record", Ok(origin)),
-            LookupResult::NotRecorded => {
+            LookupResult::NotRecorded { within } => {
                 let mut state = self.state();
                 for (service, _) in &route.services {
                     state.observe_software(service, now);
                 }
                 let history = &state.stream_origins.history;
-                let origin = history.unrecorded_origin(route, now);
+                let origin = history.unrecorded_origin(route, now, within);
                 ("only_version", origin.ok_or(UnknownOrigin::Everywhere))
             }
             LookupResult::Unknown => ("unknown", Err(UnknownOrigin::Here)),
@@ -255,8 +258,10 @@
             });
             answers = join_all(asked).await;
             match conclude(&answers) {
-                LookupResult::Unknown if answers.contains(&None) => {}
-                _ => break,
+                LookupResult::Found(_) => break,
+                LookupResult::NotRecorded { within } if within >= STREAM_LIFETIME => break,
+                _ if !answers.contains(&None) => break,
+                _ => {}
             }
         }
         answers
@@ -301,6 +306,11 @@
 }
 
 impl GatewayState {
+    /// Records the software of all upstreams.
+    pub(super) fn observe_all_software(&mut self, now: Instant) {
+        self.stream_origins.observe(self.upstreams.iter(), now);
+    }
+
     /// Records the software of a service's upstreams.
     fn observe_software(&mut self, service: &str, now: Instant) {
         let upstreams = self.upstreams.iter();
--- a/src/gateway/stream_origin/lookup.rs
+++ b/src/gateway/stream_origin/lookup.rs
@@ -4,7 +4,6 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::STREAM_LIFETIME;
 use super::keepers::KEEPERS;
 use super::origin::StreamOrigin;
 
@@ -24,17 +23,20 @@
 pub enum LookupResult {
     /// The stream has this origin.
     Found(StreamOrigin),
-    /// No record was made.
-    NotRecorded,
-    /// A record may have been made and lost, or its keepers cannot be reached.
+    /// No record was made within this time; earlier ones may have been lost.
+    NotRecorded {
+        /// Time before now.
+        within: Duration,
+    },
+    /// The keepers of a record cannot be reached.
     Unknown,
 }
 
 /// Draws the conclusion from the answers of the first VMs in the order of keepers, `None` for one
 /// that has not answered.
 ///
-/// One of the first [`KEEPERS`] + 1 VMs may be the one that began the stream. No record was made if
-/// all of them but one would have it.
+/// One of the first [`KEEPERS`] + 1 VMs may be the one that began the stream. A record would be
+/// found if it was made after all of them but one had started, as those would have it.
 pub fn conclude(answers: &[Option<KeeperAnswer>]) -> LookupResult {
     let found = answers
         .iter()
@@ -44,14 +46,14 @@
         return LookupResult::Found(origin);
     }
     let asked = &answers[..answers.len().min(KEEPERS + 1)];
-    let is_telling = |answer: &&Option<KeeperAnswer>| {
-        answer
-            .as_ref()
-            .is_some_and(|answer| answer.kept_since >= STREAM_LIFETIME)
-    };
-    let telling = asked.iter().filter(is_telling).count();
-    match telling > 0 && telling + 1 >= asked.len() {
-        true => LookupResult::NotRecorded,
-        false => LookupResult::Unknown,
+    let kept = asked.iter().map(|answer| {
+        let kept_since = answer.as_ref().map(|answer| answer.kept_since);
+        kept_since.unwrap_or_default()
+    });
+    let mut kept: Vec<Duration> = kept.collect();
+    kept.sort_unstable();
+    match kept.get(1).or(kept.first()) {
+        None | Some(&Duration::ZERO) => LookupResult::Unknown,
+        Some(&within) => LookupResult::NotRecorded { within },
     }
 }
--- a/src/gateway/stream_origin/messages.rs
+++ b/src/gateway/stream_origin/messages.rs
@@ -2,7 +2,9 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::account::HistoryAccount;
 use super::origin::{StreamKey, StreamOrigin};
+use crate::ids::ObjectVersion;
 
 /// Request to keep the origin of a stream.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -21,3 +23,12 @@
     pub(super) id: u64,
     pub(super) key: StreamKey,
 }
+
+/// Reply to a VM that has started and asks what others have seen.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub(in crate::gateway) struct HistoryReply {
+    /// Version of the configuration that the sender has in force.
+    pub(super) config: ObjectVersion,
+    pub(super) account: HistoryAccount,
+}
--- a/src/gateway/stream_origin/mod.rs
+++ b/src/gateway/stream_origin/mod.rs
@@ -7,13 +7,16 @@
 //! A VM that begins a stream tells two others of its origin before the first event leaves, unless
 //! only one software version can have begun any stream of the route. The keepers follow from the
 //! request id, so the VM at which the caller takes the stream up asks a few VMs, however many there
-//! are. Where the origin is not certain, the request is refused.
+//! are. A VM that starts asks others what they have seen, so that it is as certain as they are. Where
+//! the origin is not certain, the request is refused.
 //!
 //! [`OriginHistory`] (what may have begun streams lately), [`StreamRecords`] (what this VM keeps),
 //! [`rank_keepers`] and [`conclude`] perform no I/O; the time is passed in.
 
+mod account;
 mod exchange;
 mod history;
+mod history_exchange;
 mod keepers;
 mod lookup;
 mod messages;
@@ -21,11 +24,13 @@
 mod origins;
 mod records;
 
+pub use account::{HistoryAccount, MoveAccount, OnlyAccount, ServiceAccount};
 pub(super) use exchange::UnknownOrigin;
 pub use history::OriginHistory;
+pub(super) use history_exchange::request_history;
 pub use keepers::{KEEPERS, rank_keepers};
 pub use lookup::{KeeperAnswer, LookupResult, conclude};
-pub(super) use messages::{OriginLookup, OriginRecord};
+pub(super) use messages::{HistoryReply, OriginLookup, OriginRecord};
 pub use origin::{StreamKey, StreamOrigin, stream_key};
 pub(super) use origins::StreamOrigins;
 pub use records::{StreamRecords, StreamRecordsSettings};
--- a/src/gateway/stream_origin/origins.rs
+++ b/src/gateway/stream_origin/origins.rs
@@ -77,6 +77,11 @@
         }
     }
 
+    /// Returns whether this VM started so long ago.
+    pub(super) fn has_run_for(&self, time: Duration, now: Instant) -> bool {
+        now.saturating_sub(self.started_at) >= time
+    }
+
     /// Returns what this VM can tell of a stream.
     pub(super) fn answer(&self, key: StreamKey, now: Instant) -> KeeperAnswer {
         KeeperAnswer {
