fix(streams): a change of a route keeps what began its streams

Callers that took streams up within 30 s of a split of their route were refused (LOST), each with 3014 and no Retry-After, although the engines that began the streams served on and the route still led to them.

Cause: while a route leads to one service with one software version, no record is made of its streams; a change of the route made every VM forget for 30 s which service that was.

A change now keeps the service to which the paths led before it, if it was the only one; a stream without a record began there, as records are made for 30 s after a change. Changes are looked up by path, so that a route that is removed, or added with a longer prefix, no longer makes a path's streams look like those of the route that it selects now. A path that leads elsewhere as a whole is refused as before.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -143,8 +143,8 @@
 pub use status::FleetStatus;
 pub use stream_origin::{
     HistoryAccount, KEEPERS, KeeperAnswer, LookupResult, MoveAccount, OnlyAccount, OriginHistory,
-    STREAM_LIFETIME, ServiceAccount, StreamKey, StreamOrigin, StreamRecords, StreamRecordsSettings,
-    conclude, rank_keepers, stream_key,
+    RouteTarget, STREAM_LIFETIME, ServiceAccount, StreamKey, StreamOrigin, StreamRecords,
+    StreamRecordsSettings, conclude, rank_keepers, stream_key,
 };
 pub use table::RoutingTable;
 pub use upstream_limit::{
--- a/src/gateway/stream_binding.rs
+++ b/src/gateway/stream_binding.rs
@@ -7,7 +7,7 @@
 use super::event_log::LogEvent;
 use super::request::{AdmittedRequest, UPSTREAM_RETRY_AFTER};
 use super::response::retryable_refusal;
-use super::stream_origin::{StreamKey, StreamOrigin, UnknownOrigin, stream_key};
+use super::stream_origin::{RouteTarget, StreamKey, StreamOrigin, UnknownOrigin, stream_key};
 use crate::error::{Code, Refusal};
 
 impl AdmittedRequest {
@@ -18,15 +18,16 @@
     /// Returns the refusal for the caller if that is not certain, or the route leads elsewhere now.
     pub(super) async fn bind_taken_up(&mut self) -> Result<(), Refusal> {
         let (gateway, route, head) = (&self.gateway, &self.route, &self.head);
+        let target = self.target();
         let found = match (&head.resumes, head.last_event_id) {
             _ if !route.is_resumable => return Ok(()),
             (None, None) => return Ok(()),
             (Some(_), _) => {
                 gateway
-                    .find_origin(&self.id, self.stream_key(), route)
+                    .find_origin(&self.id, self.stream_key(), target)
                     .await
             }
-            (None, Some(_)) => gateway.only_seen_origin(route),
+            (None, Some(_)) => gateway.only_seen_origin(target),
         };
         let origin = found.map_err(|unknown| {
             let message = "it is not known which software began the stream";
@@ -63,11 +64,18 @@
         if let Some(origin) = self.placement_request.origin.clone() {
             let timeout = self.head.timeout.unwrap_or(REQUEST_TIMEOUT_DEFAULT);
             gateway
-                .keep_origin(self.stream_key(), &origin, &self.route, timeout)
+                .keep_origin(self.stream_key(), &origin, self.target(), timeout)
                 .await;
         }
     }
 
+    fn target(&self) -> RouteTarget<'_> {
+        RouteTarget {
+            route: &self.route,
+            path: self.uri.path(),
+        }
+    }
+
     fn bind(&mut self, origin: StreamOrigin) {
         let request = &mut self.placement_request;
         if let Some(table) = self
--- a/src/gateway/stream_origin/account.rs
+++ b/src/gateway/stream_origin/account.rs
@@ -16,7 +16,7 @@
     pub seen_for: Duration,
     /// Services with upstreams.
     pub services: Vec<ServiceAccount>,
-    /// Routes whose services have changed lately.
+    /// Paths that have led to other services lately.
     pub moves: Vec<MoveAccount>,
 }
 
@@ -44,7 +44,7 @@
     pub joined_age: Duration,
 }
 
-/// Route whose services have changed.
+/// Change of the services to which paths lead.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct MoveAccount {
@@ -52,6 +52,10 @@
     pub host: String,
     /// Path prefix of the route.
     pub path_prefix: String,
-    /// Time since the change.
-    pub age: Duration,
+    /// Service to which it led before the first change, if it was the only one.
+    pub only_service: Option<ServiceId>,
+    /// Time since the first change.
+    pub first_age: Duration,
+    /// Time since the last change.
+    pub last_age: Duration,
 }
--- a/src/gateway/stream_origin/exchange.rs
+++ b/src/gateway/stream_origin/exchange.rs
@@ -5,6 +5,7 @@
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use futures_util::future::join_all;
@@ -13,6 +14,7 @@
 use super::keepers::{KEEPERS, rank_keepers};
 use super::lookup::{KeeperAnswer, LookupResult, conclude};
 use super::messages::{OriginLookup, OriginRecord};
+use super::moves::RouteTarget;
 use super::origin::{StreamKey, StreamOrigin};
 use crate::clock::Instant;
 use crate::gateway::datagram::{Message, send};
@@ -50,7 +52,7 @@
         &self,
         key: StreamKey,
         origin: &StreamOrigin,
-        route: &Route,
+        target: RouteTarget<'_>,
         timeout: Duration,
     ) {
         let now = self.now();
@@ -58,7 +60,7 @@
             let mut state = self.state();
             state.observe_software(&origin.service, now);
             let origins = &state.stream_origins;
-            let only = origins.history.only_origin(route, now);
+            let only = origins.history.only_origin(target, now);
             // VMs that start together may not have heard from one that has seen all.
             let is_known_to_all = origins.has_run_for(STREAM_LIFETIME, now);
             if only.as_ref() == Some(origin) && is_known_to_all && timeout <= STREAM_LIFETIME {
@@ -95,7 +97,7 @@
         });
     }
 
-    /// Returns the origin of a stream of a route that a caller takes up.
+    /// Returns the origin of a stream that a caller takes up.
     ///
     /// # Errors
     ///
@@ -104,7 +106,7 @@
         &self,
         request_id: &str,
         key: StreamKey,
-        route: &Route,
+        target: RouteTarget<'_>,
     ) -> Result<StreamOrigin, UnknownOrigin> {
         let (result, answers) = match self.own_record(key) {
             Some(origin) => (LookupResult::Found(origin), Vec::new()),
@@ -118,11 +120,9 @@
             LookupResult::Found(origin) => ("record", Ok(origin)),
             LookupResult::NotRecorded { within } => {
                 let mut state = self.state();
-                for (service, _) in &route.services {
-                    state.observe_software(service, now);
-                }
+                state.observe_all_software(now);
                 let history = &state.stream_origins.history;
-                let origin = history.unrecorded_origin(route, now, within);
+                let origin = history.unrecorded_origin(target, now, within);
                 ("only_version", origin.ok_or(UnknownOrigin::Everywhere))
             }
             LookupResult::Unknown => ("unknown", Err(UnknownOrigin::Here)),
@@ -132,7 +132,7 @@
             Err(_) => "unknown",
         });
         if origin.is_err() {
-            self.log_unknown_origin(request_id, route, &answers);
+            self.log_unknown_origin(request_id, target, &answers);
         }
         origin
     }
@@ -141,7 +141,7 @@
     fn log_unknown_origin(
         &self,
         request_id: &str,
-        route: &Route,
+        target: RouteTarget<'_>,
         answers: &[Option<KeeperAnswer>],
     ) {
         let now = self.now();
@@ -153,25 +153,26 @@
             answering_vms: answers.iter().flatten().count(),
             kept_ms_min: kept_since.min().map(|time| time.as_millis() as u64),
             seen_ms: history.seen_for(now).as_millis() as u64,
-            seen_versions: history.recent_versions(route, now),
-            is_moved: history.has_moved(route, now),
+            seen_versions: history.recent_versions(target.route, now),
+            is_moved: history.has_moved(target, now),
         };
         drop(state);
         self.event_log.log_request(request_id, &event);
     }
 
-    /// Returns the origin of a stream of a route that a caller takes up without naming it, if this
-    /// VM has seen only one.
+    /// Returns the origin of a stream that a caller takes up without naming it, if this VM has seen
+    /// only one.
     pub(in crate::gateway) fn only_seen_origin(
         &self,
-        route: &Route,
+        target: RouteTarget<'_>,
     ) -> Result<StreamOrigin, UnknownOrigin> {
         let now = self.now();
         let mut state = self.state();
-        for (service, _) in &route.services {
+        for (service, _) in &target.route.services {
             state.observe_software(service, now);
         }
-        let origin = state.stream_origins.history.only_seen_origin(route, now);
+        let history = &state.stream_origins.history;
+        let origin = history.only_seen_origin(target, now);
         drop(state);
         self.metrics.count_origin_lookup(match origin {
             Some(_) => "only_version",
@@ -283,14 +284,19 @@
         self.pending_origin_lookups.wait(id, reply, wait).await
     }
 
-    /// Records which routes lead to other services in a new configuration.
+    /// Records which paths lead to other services in a new configuration: those of routes that have
+    /// changed, that are new and take paths from another one, or that are no more.
     pub(in crate::gateway) fn record_moved_routes(&self, old: &RoutingTable, new: &RoutingTable) {
         let now = self.now();
         let mut state = self.state();
-        for route in new.routes() {
-            let known = old.route(&route.host, &route.path_prefix);
-            if known.is_some_and(|known| known.services != route.services) {
-                state.stream_origins.history.record_move(route, now);
+        let moves = &mut state.stream_origins.history;
+        for route in new.routes().chain(old.routes()) {
+            let (host, path_prefix) = (&route.host, &route.path_prefix);
+            let earlier = old.route(host, path_prefix);
+            let later = new.route(host, path_prefix);
+            let services = |route: Option<&Arc<Route>>| route.map(|route| route.services.clone());
+            if earlier.is_some() && services(earlier) != services(later) {
+                moves.record_move(host, path_prefix, earlier.map(Arc::as_ref), now);
             }
         }
     }
