fix(shutdown): refuse what may not be repeated and cannot end before the stop

Cause: the time until which requests are taken did not depend on how long they take. Evidence: the first that is cut is the one sent at the time of the abort less its work; late bodies and waiting requests were refused as planned.

A VM keeps the longest run of each route lately, of requests that may not be repeated. In a stop it refuses such a request before an engine has it if that is longer than what is left, so that its caller can go to another VM at once. The check also follows the wait for an engine and precedes the passing to another VM.

--- a/src/gateway/forward_request.rs
+++ b/src/gateway/forward_request.rs
@@ -27,6 +27,9 @@
         if !is_cut || self.progress.may_have_run || !self.may_ask_for_help() {
             return None;
         }
+        if let Err(refusal) = self.check_time_before_stop() {
+            return Some(Err(refusal));
+        }
         let target = self.uri.path_and_query();
         let request = ForwardedRequest {
             id: self.id.clone(),
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -99,6 +99,7 @@
     ///
     /// Returns the refusal for the caller if no further attempt may follow.
     pub(super) async fn next_upstream(&mut self) -> Result<DispatchedRequest, Refusal> {
+        self.check_time_before_stop()?;
         self.charge_if_due().await?;
         let now = self.gateway.now();
         let left = self.deadline.saturating_sub(now);
@@ -132,6 +133,7 @@
             .metrics
             .record_queue_time(gateway.now().saturating_sub(now));
         let mut dispatched = placed.map_err(|error| self.refuse_unplaced(error))?;
+        self.check_time_before_stop()?;
         let is_retry = self.progress.sends > 0;
         let service = &self.placement_request.service;
         match self.progress.must_retry {
@@ -302,14 +304,20 @@
         self.progress.sends < SENDS_MAX && self.progress.unreachable_upstreams < SENDS_MAX
     }
 
-    /// Returns whether the request may be run once more.
-    pub(super) fn may_retry(&self) -> bool {
-        let is_retryable = match self.route.kind {
+    /// Returns whether requests of this kind may run more than once.
+    pub(super) fn is_repeatable(&self) -> bool {
+        match self.route.kind {
             RouteKind::Idempotent => true,
             RouteKind::NonIdempotent => false,
             RouteKind::Streaming => self.route.is_resumable,
-        };
-        is_retryable && !self.progress.is_suspected && self.progress.runs < self.route.attempts
+        }
+    }
+
+    /// Returns whether the request may be run once more.
+    pub(super) fn may_retry(&self) -> bool {
+        self.is_repeatable()
+            && !self.progress.is_suspected
+            && self.progress.runs < self.route.attempts
     }
 
     /// Returns the refusal of a request that gets no further attempt.
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -13,6 +13,7 @@
         self.gateway.metrics.record_response(status.as_u16(), after);
         if status.is_success() {
             self.record_end(dispatched);
+            self.record_run_time(dispatched);
         }
         self.gateway.event_log.log_request(
             &self.id,
--- a/src/gateway/shutdown.rs
+++ b/src/gateway/shutdown.rs
@@ -3,7 +3,8 @@
 //! Load pattern: VMs are stopped one after the other under load. The load balancer stops sending
 //! requests within a few seconds; until then they arrive on new and on keep-alive connections.
 //! Requests that arrive too late to complete within the shutdown timeout are refused immediately,
-//! so that the caller retries at another VM.
+//! so that the caller retries at another VM. A request that may not be repeated is refused as soon as
+//! requests of its route have lately taken longer than is left, as its caller could not retry it.
 
 use std::time::Duration;
 
@@ -35,6 +36,11 @@
 }
 
 impl ShutdownPlan {
+    /// Returns whether a request that takes `run_time` from now on ends before requests are aborted.
+    pub fn has_time_for(&self, run_time: Duration, since_stop: Duration) -> bool {
+        since_stop + run_time <= self.abort_after
+    }
+
     /// Plans a shutdown within `shutdown_timeout`; a short timeout shortens every stage.
     pub fn within(shutdown_timeout: Duration) -> Self {
         let abort_after = shutdown_timeout.saturating_sub(ABORT_MARGIN);
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -33,6 +33,7 @@
 use super::queued_placement::ServiceQueue;
 use super::response_memory::ResponseMemory;
 use super::retry_budgets::{RetryBudgetBounds, RetryBudgets};
+use super::run_times::RunTimes;
 use super::settings::GatewaySettings;
 use super::stream_origin::{KeeperAnswer, StreamOrigins};
 use super::table::RoutingTable;
@@ -134,6 +135,8 @@
     pub(super) crash_guard: CrashGuard,
     pub(super) coordinator_term: CoordinatorTerm,
     pub(super) stream_origins: StreamOrigins,
+    /// Runs of requests that may not be repeated.
+    pub(super) run_times: RunTimes,
     pub(super) upstream_paths: UpstreamPaths,
     pub(super) helpers: Helpers,
 }
@@ -201,6 +204,7 @@
             crash_guard: CrashGuard::default(),
             coordinator_term: CoordinatorTerm::default(),
             stream_origins: StreamOrigins::new(clock.now()),
+            run_times: RunTimes::default(),
             upstream_paths: UpstreamPaths::new(UpstreamPathsSettings::default()),
             helpers: Helpers::new(HelpersSettings::default()),
         };
@@ -317,6 +321,7 @@
         state.sweep_limits(now);
         state.refresh_peer_view(now);
         state.sweep_stream_origins(now);
+        state.run_times.sweep(now);
         state.helpers.sweep(now);
         state.prefix_cache_index.sweep(now);
         let is_coordinator = state.peers.is_complete(now) && state.peers.coordinator(now).is_none();
--- a/tests/gateway_pure/main.rs
+++ b/tests/gateway_pure/main.rs
@@ -40,11 +40,11 @@
     Peers, PeersSettings, PendingCall, PermitAccounts, PermitDecision, PermitRequest, Placement,
     PlacementSettings, PrefixCacheIndex, QueueSettings, QueuedRequest, RequestQueue, RequestRate,
     ResourceDemand, RetryBudgetBounds, RetryBudgets, RolloutAction, RolloutSchedule,
-    RolloutSettings, Route, RouteKind, RoutingConfig, RoutingTable, SendKeeper, SendLedgers,
-    SendOutcome, SendRequest, ShutdownPlan, SilentStream, SplitError, SplitEvents, StallSettings,
-    TargetWeights, UpstreamEntry, UpstreamInstance, UpstreamLimits, UpstreamRegistry,
-    UpstreamRegistrySettings, UpstreamStage, VmGroup, WatchPurpose, WeightHistory,
-    choose_candidate, earliest_change, is_store_likelier, watch_wait,
+    RolloutSettings, Route, RouteKind, RoutingConfig, RoutingTable, RunTimes, RunTimesSettings,
+    SendKeeper, SendLedgers, SendOutcome, SendRequest, ShutdownPlan, SilentStream, SplitError,
+    SplitEvents, StallSettings, TargetWeights, UpstreamEntry, UpstreamInstance, UpstreamLimits,
+    UpstreamRegistry, UpstreamRegistrySettings, UpstreamStage, VmGroup, WatchPurpose,
+    WeightHistory, choose_candidate, earliest_change, is_store_likelier, watch_wait,
 };
 use celerylever::platform::{era_of, revision_of, store_position};
 use proptest::prelude::*;
--- a/tests/gateway_pure/shutdown.rs
+++ b/tests/gateway_pure/shutdown.rs
@@ -29,3 +29,29 @@
     assert!(plan.end_after >= plan.abort_after + MS(250));
     assert!(plan.end_after <= shutdown_timeout - MS(150));
 }
+
+#[test]
+fn the_longest_run_of_a_route_counts_for_a_while() {
+    let settings = RunTimesSettings::default();
+    let window = settings.window;
+    let mut times = RunTimes::new(settings);
+    let start = Instant::ZERO;
+    assert_eq!(times.longest("book", start), MS(0));
+    times.record("book", MS(2_500), start);
+    times.record("book", MS(100), start + MS(10));
+    assert_eq!(times.longest("book", start + MS(20)), MS(2_500));
+    assert_eq!(times.longest("look", start + MS(20)), MS(0));
+    times.record("book", MS(300), start + window);
+    assert_eq!(times.longest("book", start + window), MS(2_500));
+    assert_eq!(times.longest("book", start + 2 * window), MS(300));
+    assert_eq!(times.longest("book", start + 3 * window), MS(0));
+}
+
+#[test]
+fn there_is_time_for_what_ends_before_the_abort() {
+    let plan = ShutdownPlan::within(MS(8_000));
+    let left = plan.abort_after - MS(2_000);
+    assert!(plan.has_time_for(left, MS(2_000)));
+    assert!(!plan.has_time_for(left + MS(1), MS(2_000)));
+    assert!(!plan.has_time_for(MS(0), MS(8_000)));
+}
