fix(gateway): half an answer of an engine that leaves is no success

Cause: the check whether the engine still listens after such a close was left out for engines that drain or are no longer listed, so that one that ends right after its last answer would not make that look broken. Evidence: half an answer looked whole for draining and removed engines, bookings and streams alike, and never for an engine in service.

The check is now made for every engine. What ends at the same moment as its engine counts as broken off: nothing is promised for a booking, and what may be repeated runs elsewhere.

--- a/src/gateway/crash_guard/check.rs
+++ b/src/gateway/crash_guard/check.rs
@@ -51,27 +51,23 @@
         }
     }
 
-    /// Checks that an engine did not crash when it closed the connection that ended an answer.
+    /// Checks that an engine did not end when it closed the connection that ended an answer.
     ///
-    /// The close of a connection by a process that ends looks like one that ends an answer.
+    /// The close of a connection by a process that ends looks like one that ends an answer. An
+    /// engine that leaves may be taken away before it has ended its answers.
     ///
     /// # Errors
     ///
-    /// Returns the failure of the attempt if nothing listens at the engine's address although the
-    /// engine is in service.
+    /// Returns the failure of the attempt if nothing listens at the engine's address.
     pub(in crate::gateway) async fn check_end_by_close(
         &self,
         dispatched: &DispatchedRequest,
     ) -> Result<(), AttemptFailure> {
-        if !self.is_in_service(dispatched) || is_listening(dispatched.address).await {
-            return Ok(());
-        }
-        // It may have begun to leave meanwhile.
-        match self.is_in_service(dispatched) {
-            true => Err(AttemptFailure::connection(
+        match is_listening(dispatched.address).await {
+            true => Ok(()),
+            false => Err(AttemptFailure::connection(
                 "the engine no longer listens, and its answer had no other end than the close",
             )),
-            false => Ok(()),
         }
     }
 
