fix(gateway): an engine that ends may close its listener last

Cause: one connection attempt was taken for proof; it may land in the backlog of a process that ends. Evidence: a stream that broke off at its 21st piece ended as complete, with the check in place; and cases with a listener that goes 20 ms after the connection.

The check keeps its connection for 50 ms and asks again if it is closed: a listener that went refuses then, an engine with too many connections accepts. Answers that end with their connection are complete 50 ms later.

--- a/src/gateway/crash_guard/check.rs
+++ b/src/gateway/crash_guard/check.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 
 use super::record::QuarantineSource;
@@ -21,6 +22,10 @@
 
 /// Timeout of a check; a path that is cut answers nothing.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time in which a process that ends closes its listener after its first connection.
+const LISTENER_END_TIME: Duration = Duration::from_millis(50);
+/// Time until a connection that was reset is opened again.
+const CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
 impl AdmittedRequest {
     /// Checks whether an engine has crashed, after the connection of this request to it broke.
@@ -144,7 +149,37 @@
 }
 
 /// Returns `false` only if no process listens at the address.
+///
+/// A process that ends may close its connections before its listener, which then resets the
+/// connections that wait there. One that goes on may reset a connection too, if it has too many.
 async fn is_listening(address: SocketAddr) -> bool {
-    let connected = tokio::time::timeout(CHECK_TIMEOUT, TcpStream::connect(address)).await;
-    !matches!(connected, Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused)
+    let end = tokio::time::Instant::now() + LISTENER_END_TIME;
+    loop {
+        let mut stream = match connect(address).await {
+            Connected::Refused => return false,
+            Connected::Unknown => return true,
+            Connected::Open(stream) => stream,
+        };
+        let mut byte = [0];
+        let closed = tokio::time::timeout_at(end, stream.read(&mut byte)).await;
+        if !matches!(closed, Ok(Ok(0) | Err(_))) {
+            return true;
+        }
+        tokio::time::sleep(CHECK_INTERVAL).await;
+    }
+}
+
+enum Connected {
+    Open(TcpStream),
+    /// No process listens.
+    Refused,
+    Unknown,
+}
+
+async fn connect(address: SocketAddr) -> Connected {
+    match tokio::time::timeout(CHECK_TIMEOUT, TcpStream::connect(address)).await {
+        Ok(Ok(stream)) => Connected::Open(stream),
+        Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => Connected::Refused,
+        Ok(Err(_)) | Err(_) => Connected::Unknown,
+    }
 }
