fix(cache): the salt of shared prompts names who is isolated

Cause: the salt of customers that are not isolated followed from the weights alone. Evidence: the isolated customer's salt changed at once, the other one's stayed what both had used before.

The salt now also names the set of isolated customers of the configuration. Whoever caches under a set is not in it, so no sequence of configurations lets others find an isolated customer's prompts; the set follows from the configuration alone, so VMs that start agree. Without isolated customers nothing changes.

--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -7,6 +7,7 @@
 
 use super::allowance::AllowanceExceeded;
 use super::attempt_progress::AttemptProgress;
+use super::cache_group::CacheGroup;
 use super::crash_guard::RequestContent;
 use super::event_log::LogEvent;
 use super::model::{CostUnit, Customer, Route};
@@ -113,11 +114,10 @@
         prompt: prompt.as_deref(),
         body: &body,
     };
-    let isolated = customer.as_ref().filter(|customer| customer.is_isolated);
     let placement_request = PlacementRequest {
         suspects: suspects(&content, prompt.as_deref()),
         prompt,
-        isolated_customer: isolated.map(|customer| customer.id.clone()),
+        cache_group: CacheGroup::new(customer.as_deref(), table.isolated_customers),
         objective: route.objective,
         wait_objective: table.shortest_objective(&service, &route),
         service,
--- a/src/gateway/candidates.rs
+++ b/src/gateway/candidates.rs
@@ -54,7 +54,7 @@
     /// Returns the prompt of a request with its prefixes; `None` if it has no prompt.
     fn new(request: &'a PlacementRequest) -> Option<Self> {
         let prompt = request.prompt.as_deref()?;
-        let prefixes = prompt.prefixes(request.isolated_customer.as_deref().unwrap_or_default());
+        let prefixes = prompt.prefixes(&request.cache_group.name());
         Some(Self { prompt, prefixes })
     }
 
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -13,7 +13,6 @@
 use super::peer_forward::PathState;
 use super::platform_api::{ResponseHead, UpstreamHeaders};
 use super::pool::{Connection, SendFailure, connect};
-use super::prompt::cache_salt;
 use super::request::AdmittedRequest;
 
 /// Response of an upstream whose head has arrived and whose body has not been read.
@@ -175,12 +174,9 @@
         last_event_id: Option<u64>,
     ) -> Result<Request<Full<Bytes>>, http::Error> {
         let mut headers = self.headers.clone();
-        let salt = self.placement_request.prompt.as_ref().map(|_| {
-            cache_salt(
-                self.placement_request.isolated_customer.as_deref(),
-                dispatched.weights.unwrap_or_default(),
-            )
-        });
+        let weights = dispatched.weights.unwrap_or_default();
+        let prompt = self.placement_request.prompt.as_ref();
+        let salt = prompt.map(|_| self.placement_request.cache_group.salt(weights));
         let upstream_headers = UpstreamHeaders {
             time_left: left,
             upstream: &dispatched.instance.id,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -12,6 +12,7 @@
 mod bounded_io;
 mod brittle_upstream;
 mod buffered;
+mod cache_group;
 mod cache_retention;
 mod candidates;
 mod catch_up;
@@ -98,6 +99,7 @@
     BrittleServices, KeeperTerms, KeeperView, PermitId, SendDecision, SendKeeper, SendLedgers,
     SendOutcome, SendRequest,
 };
+pub use cache_group::{CacheGroup, IsolatedSet, isolated_set};
 pub use cache_retention::{CacheRetention, is_store_likelier};
 pub use coordinator_term::CoordinatorTerm;
 pub use crash_guard::{
--- a/src/gateway/placement_request.rs
+++ b/src/gateway/placement_request.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::cache_group::CacheGroup;
 use super::crash_guard::{RequestContent, Suspect};
 use super::model::ServiceId;
 use super::prompt::{Prompt, hash_part};
@@ -18,8 +19,8 @@
     /// What the request may crash an engine with: copies of itself, and parts of its prompt that
     /// other prompts may share.
     pub(super) suspects: Arc<[Suspect]>,
-    /// Customer whose cached prompts are not shared with other customers.
-    pub(super) isolated_customer: Option<String>,
+    /// Customers that share cached prompts with the one of the request.
+    pub(super) cache_group: CacheGroup,
     /// Target time to the first event.
     pub(super) objective: Duration,
     /// Objective that limits the work queued before the request: the shortest among its own route
--- a/src/gateway/prompt.rs
+++ b/src/gateway/prompt.rs
@@ -4,7 +4,6 @@
 
 use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
-use super::model::WeightNumber;
 use crate::ids::{ModelId, Tokens};
 
 /// Hash that identifies a prompt prefix, a sequence of leading parts, under one salt and model.
@@ -80,12 +79,3 @@
 pub fn hash_part(id: &str) -> PartHash {
     xxh3_64(id.as_bytes())
 }
-
-/// Returns the salt that separates cached prompts of different weights, and those of an isolated
-/// customer from all others.
-pub(super) fn cache_salt(isolated_customer: Option<&str>, weights: WeightNumber) -> String {
-    match isolated_customer {
-        Some(customer) => format!("{weights}/{customer}"),
-        None => weights.to_string(),
-    }
-}
--- a/src/gateway/table.rs
+++ b/src/gateway/table.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::cache_group::{IsolatedSet, isolated_set};
 use super::model::{CacheStore, Customer, EngineProfile, Route, RoutingConfig, Service, ServiceId};
 use crate::document::{KeyDigest, digest_key};
 use crate::ids::ObjectVersion;
@@ -15,6 +16,8 @@
     pub version: ObjectVersion,
     /// Maximum size of a request body.
     pub body_max_bytes: usize,
+    /// Customers that share no cached prompts with others.
+    pub isolated_customers: IsolatedSet,
     requires_keys: bool,
     routes_by_host: HashMap<String, Vec<Arc<Route>>>,
     services: HashMap<ServiceId, Service>,
@@ -41,9 +44,11 @@
             customers_by_key.extend(customer.keys.iter().map(|key| (*key, customer.clone())));
         }
         let services = config.services.iter().cloned();
+        let isolated = customers.iter().filter(|customer| customer.is_isolated);
         Self {
             version: config.version,
             body_max_bytes: config.body_max_bytes,
+            isolated_customers: isolated_set(isolated.map(|customer| customer.id.as_str())),
             requires_keys: !customers.is_empty(),
             routes_by_host,
             services: services
--- a/tests/gateway_pure/main.rs
+++ b/tests/gateway_pure/main.rs
@@ -34,17 +34,17 @@
 
 use celerylever::clock::Instant;
 use celerylever::gateway::{
-    Allowance, AllowanceSettings, Allowances, AnnouncedLimit, BrittleServices, CacheRetention,
-    CachedPrefix, Candidate, CostUnit, EngineView, EventSplitter, Heartbeat, HeartbeatScope,
-    KeeperTerms, LimitChange, Listing, LoadedModel, ObjectChange, ObjectMirror, ObjectRecord,
-    Peers, PeersSettings, PendingCall, PermitAccounts, PermitDecision, PermitRequest, Placement,
-    PlacementSettings, PrefixCacheIndex, QueueSettings, QueuedRequest, RequestQueue, RequestRate,
-    ResourceDemand, RetryBudgetBounds, RetryBudgets, RolloutAction, RolloutSchedule,
+    Allowance, AllowanceSettings, Allowances, AnnouncedLimit, BrittleServices, CacheGroup,
+    CacheRetention, CachedPrefix, Candidate, CostUnit, EngineView, EventSplitter, Heartbeat,
+    HeartbeatScope, KeeperTerms, LimitChange, Listing, LoadedModel, ObjectChange, ObjectMirror,
+    ObjectRecord, Peers, PeersSettings, PendingCall, PermitAccounts, PermitDecision, PermitRequest,
+    Placement, PlacementSettings, PrefixCacheIndex, QueueSettings, QueuedRequest, RequestQueue,
+    RequestRate, ResourceDemand, RetryBudgetBounds, RetryBudgets, RolloutAction, RolloutSchedule,
     RolloutSettings, Route, RouteKind, RoutingConfig, RoutingTable, RunTimes, RunTimesSettings,
     SendKeeper, SendLedgers, SendOutcome, SendRequest, ShutdownPlan, SilentStream, SplitError,
     SplitEvents, StallSettings, TargetWeights, UpstreamEntry, UpstreamInstance, UpstreamLimits,
     UpstreamRegistry, UpstreamRegistrySettings, UpstreamStage, VmGroup, WatchPurpose,
-    WeightHistory, choose_candidate, earliest_change, is_store_likelier, watch_wait,
+    WeightHistory, choose_candidate, earliest_change, is_store_likelier, isolated_set, watch_wait,
 };
 use celerylever::platform::{era_of, revision_of, store_position};
 use proptest::prelude::*;
--- a/tests/gateway_pure/routing.rs
+++ b/tests/gateway_pure/routing.rs
@@ -36,3 +36,20 @@
     assert_eq!(table.shortest_objective("notes", &relaxed), MS(300));
     assert_eq!(table.shortest_objective("notes", &urgent), MS(300));
 }
+
+#[test]
+fn customers_that_share_prompts_agree_on_who_is_isolated() {
+    let salt = |isolated: &[&str]| CacheGroup::Shared(isolated_set(isolated.to_vec())).salt(3);
+    assert_eq!(salt(&[]), "3");
+    assert_eq!(salt(&["a", "b"]), salt(&["b", "a"]));
+    let salts = [
+        salt(&[]),
+        salt(&["a"]),
+        salt(&["a", "b"]),
+        CacheGroup::Isolated("a".into()).salt(3),
+        CacheGroup::Isolated("b".into()).salt(3),
+        CacheGroup::Isolated("a".into()).salt(4),
+    ];
+    let different: std::collections::HashSet<_> = salts.iter().collect();
+    assert_eq!(different.len(), salts.len());
+}
