fix(cache): a prompt that cannot be read is shared with no other request

Cause: the salt was set only with a prompt. A request to a service of engines now always has one; without a readable prompt it is that of the request alone.

--- a/src/gateway/cache_group.rs
+++ b/src/gateway/cache_group.rs
@@ -3,7 +3,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::model::{Customer, WeightNumber};
-use crate::ids::CustomerId;
+use crate::ids::{CustomerId, RequestId};
 
 /// Customers that share cached prompts with the one of a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -12,6 +12,8 @@
     Shared(IsolatedSet),
     /// One that is isolated.
     Isolated(CustomerId),
+    /// None, for one request.
+    Single(RequestId),
 }
 
 /// Identifies the set of isolated customers of a configuration; 0 if there are none.
@@ -46,6 +48,7 @@
             Self::Shared(0) => String::new(),
             Self::Shared(isolated) => format!(".{isolated:x}"),
             Self::Isolated(customer) => format!("/{customer}"),
+            Self::Single(request) => format!("-{request}"),
         }
     }
 
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -9,6 +9,7 @@
 
 use super::attempt_failure::{AttemptFailure, FailureCause};
 use super::brittle_upstream::SendOutcome;
+use super::cache_group::CacheGroup;
 use super::dispatch::DispatchedRequest;
 use super::peer_forward::PathState;
 use super::platform_api::{ResponseHead, UpstreamHeaders};
@@ -167,6 +168,24 @@
         }
     }
 
+    /// Returns the text under which an engine caches the prompt; `None` for other upstreams.
+    ///
+    /// A prompt whose description cannot be read is shared with no other request: its model, and so
+    /// the weights, are not known.
+    fn cache_salt(&self, dispatched: &DispatchedRequest) -> Option<String> {
+        let weights = dispatched.weights.unwrap_or_default();
+        let request = &self.placement_request;
+        match &request.prompt {
+            Some(_) => Some(request.cache_group.salt(weights)),
+            None => {
+                let table = self.gateway.table()?;
+                let service = table.service(&dispatched.service)?;
+                let is_engine = service.engine.is_some();
+                is_engine.then(|| CacheGroup::Single(self.id.clone()).salt(weights))
+            }
+        }
+    }
+
     fn upstream_request(
         &self,
         dispatched: &DispatchedRequest,
@@ -174,9 +193,7 @@
         last_event_id: Option<u64>,
     ) -> Result<Request<Full<Bytes>>, http::Error> {
         let mut headers = self.headers.clone();
-        let weights = dispatched.weights.unwrap_or_default();
-        let prompt = self.placement_request.prompt.as_ref();
-        let salt = prompt.map(|_| self.placement_request.cache_group.salt(weights));
+        let salt = self.cache_salt(dispatched);
         let upstream_headers = UpstreamHeaders {
             time_left: left,
             upstream: &dispatched.instance.id,
