fix(streams): a VM that has just started tells when to take a stream up

Since a VM learns from others what may have begun streams, it refused a stream that was taken up before it had heard from them without a time to return (own regression, found by reading): callers give up although the next try would go on.

The refusal now has Retry-After as long as the VM has not seen all that may have begun the stream.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -147,9 +147,9 @@
 pub use stall::{SilentStream, StallSettings};
 pub use status::FleetStatus;
 pub use stream_origin::{
-    HistoryAccount, KEEPERS, KeeperAnswer, LookupResult, MoveAccount, OnlyAccount, OriginHistory,
-    RouteTarget, STREAM_LIFETIME, ServiceAccount, StreamKey, StreamOrigin, StreamRecords,
-    StreamRecordsSettings, conclude, rank_keepers, stream_key,
+    HistorySnapshot, KEEPERS, KeeperAnswer, LookupResult, MoveSnapshot, OnlySnapshot,
+    OriginHistory, RouteTarget, STREAM_LIFETIME, ServiceSnapshot, StreamKey, StreamOrigin,
+    StreamRecords, StreamRecordsSettings, conclude, rank_keepers, stream_key,
 };
 pub use table::RoutingTable;
 pub use upstream_limit::{
--- a/src/gateway/stream_origin/exchange.rs
+++ b/src/gateway/stream_origin/exchange.rs
@@ -123,7 +123,11 @@
                 state.observe_all_software(now);
                 let history = &state.stream_origins.history;
                 let origin = history.unrecorded_origin(target, now, within);
-                ("only_version", origin.ok_or(UnknownOrigin::Everywhere))
+                let unknown = match history.has_seen_all(now) {
+                    true => UnknownOrigin::Everywhere,
+                    false => UnknownOrigin::Here,
+                };
+                ("only_version", origin.ok_or(unknown))
             }
             LookupResult::Unknown => ("unknown", Err(UnknownOrigin::Here)),
         };
@@ -307,7 +311,7 @@
 pub(in crate::gateway) enum UnknownOrigin {
     /// No VM knows it.
     Everywhere,
-    /// Another VM may reach those that keep the record.
+    /// Another VM may know more, or this one soon.
     Here,
 }
 
--- a/src/gateway/stream_origin/history.rs
+++ b/src/gateway/stream_origin/history.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 use super::STREAM_LIFETIME;
-use super::account::{HistoryAccount, OnlyAccount, ServiceAccount};
 use super::moves::{RouteMoves, RouteTarget};
 use super::origin::StreamOrigin;
+use super::snapshot::{HistorySnapshot, OnlySnapshot, ServiceSnapshot};
 use crate::clock::Instant;
 use crate::gateway::model::{Route, ServiceId, SoftwareVersion};
 
@@ -163,27 +163,27 @@
     }
 
     /// Returns what this VM can tell one that has started.
-    pub fn account(&self, now: Instant) -> HistoryAccount {
+    pub fn snapshot(&self, now: Instant) -> HistorySnapshot {
         let age = |at: Instant| now.saturating_sub(at);
         let services = self.services.iter().map(|(service, history)| {
             let seen = history.seen.iter();
             let only = history.only_until.as_ref();
-            ServiceAccount {
+            ServiceSnapshot {
                 service: service.clone(),
                 seen: seen
                     .map(|seen| (seen.software.clone(), age(seen.last_at)))
                     .collect(),
-                only_until: only.map(|only| OnlyAccount {
+                only_until: only.map(|only| OnlySnapshot {
                     software: only.software.clone(),
                     alone_age: age(only.alone_at),
                     joined_age: age(only.joined_at),
                 }),
             }
         });
-        HistoryAccount {
+        HistorySnapshot {
             seen_for: self.seen_for(now),
             services: services.collect(),
-            moves: self.moves.account(now),
+            moves: self.moves.snapshot(now),
         }
     }
 
@@ -191,14 +191,14 @@
     ///
     /// This VM has to have read the configuration and the upstreams before it asked, and the other
     /// one to have had that configuration: what changed in between would be unknown.
-    pub fn learn(&mut self, account: HistoryAccount, now: Instant) {
+    pub fn learn(&mut self, snapshot: HistorySnapshot, now: Instant) {
         let own_for = self.seen_for(now);
-        let is_ahead = account.seen_for > own_for && self.is_contained_in(&account);
+        let is_ahead = snapshot.seen_for > own_for && self.is_contained_in(&snapshot);
         if self.has_seen_all(now) || !is_ahead {
             return;
         }
-        self.told_for += account.seen_for - own_for;
-        for told in account.services {
+        self.told_for += snapshot.seen_for - own_for;
+        for told in snapshot.services {
             let history = self.services.entry(told.service).or_default();
             for (software, age) in told.seen {
                 let last_at = now.saturating_sub(age);
@@ -217,7 +217,7 @@
             });
             history.only_until = history.only_until.take().or(only_until);
         }
-        for told in account.moves {
+        for told in snapshot.moves {
             self.moves.learn(told, now);
         }
     }
@@ -247,9 +247,9 @@
     }
 
     /// Returns whether another VM has seen each software version that this VM has.
-    fn is_contained_in(&self, account: &HistoryAccount) -> bool {
+    fn is_contained_in(&self, snapshot: &HistorySnapshot) -> bool {
         self.services.iter().all(|(service, history)| {
-            let told = account.services.iter();
+            let told = snapshot.services.iter();
             let told = told.filter(|told| told.service == *service);
             let told: Vec<_> = told.flat_map(|told| &told.seen).collect();
             let is_told = |own: &SeenSoftware| told.iter().any(|(told, _)| *told == own.software);
--- a/src/gateway/stream_origin/history_exchange.rs
+++ b/src/gateway/stream_origin/history_exchange.rs
@@ -49,13 +49,13 @@
         // Read before the history, which is then at least as new.
         let config = self.table().map_or(0, |table| table.version);
         let now = self.now();
-        let account = {
+        let snapshot = {
             let mut state = self.state();
             state.observe_all_software(now);
-            state.stream_origins.history.account(now)
+            state.stream_origins.history.snapshot(now)
         };
         if let Some(socket) = self.peer_socket.get() {
-            let reply = HistoryReply { config, account };
+            let reply = HistoryReply { config, snapshot };
             send(socket, &Message::HistoryReply(Box::new(reply)), from);
         }
     }
@@ -68,6 +68,6 @@
         let now = self.now();
         let mut state = self.state();
         state.observe_all_software(now);
-        state.stream_origins.history.learn(reply.account, now);
+        state.stream_origins.history.learn(reply.snapshot, now);
     }
 }
--- a/src/gateway/stream_origin/messages.rs
+++ b/src/gateway/stream_origin/messages.rs
@@ -2,8 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::account::HistoryAccount;
 use super::origin::{StreamKey, StreamOrigin};
+use super::snapshot::HistorySnapshot;
 use crate::ids::ObjectVersion;
 
 /// Request to keep the origin of a stream.
@@ -30,5 +30,5 @@
 pub(in crate::gateway) struct HistoryReply {
     /// Version of the configuration that the sender has in force.
     pub(super) config: ObjectVersion,
-    pub(super) account: HistoryAccount,
+    pub(super) snapshot: HistorySnapshot,
 }
--- a/src/gateway/stream_origin/mod.rs
+++ b/src/gateway/stream_origin/mod.rs
@@ -13,7 +13,6 @@
 //! [`OriginHistory`] (what may have begun streams lately), [`StreamRecords`] (what this VM keeps),
 //! [`rank_keepers`] and [`conclude`] perform no I/O; the time is passed in.
 
-mod account;
 mod exchange;
 mod history;
 mod history_exchange;
@@ -24,8 +23,8 @@
 mod origin;
 mod origins;
 mod records;
+mod snapshot;
 
-pub use account::{HistoryAccount, MoveAccount, OnlyAccount, ServiceAccount};
 pub(super) use exchange::UnknownOrigin;
 pub use history::OriginHistory;
 pub(super) use history_exchange::request_history;
@@ -36,6 +35,7 @@
 pub use origin::{StreamKey, StreamOrigin, stream_key};
 pub(super) use origins::StreamOrigins;
 pub use records::{StreamRecords, StreamRecordsSettings};
+pub use snapshot::{HistorySnapshot, MoveSnapshot, OnlySnapshot, ServiceSnapshot};
 
 use std::time::Duration;
 
--- a/src/gateway/stream_origin/moves.rs
+++ b/src/gateway/stream_origin/moves.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 
 use super::STREAM_LIFETIME;
-use super::account::MoveAccount;
+use super::snapshot::MoveSnapshot;
 use crate::clock::Instant;
 use crate::gateway::model::{Route, ServiceId};
 
@@ -81,9 +81,9 @@
     }
 
     /// Returns the changes as told to a VM that has started.
-    pub(super) fn account(&self, now: Instant) -> Vec<MoveAccount> {
+    pub(super) fn snapshot(&self, now: Instant) -> Vec<MoveSnapshot> {
         let moves = self.moves.iter();
-        let moves = moves.map(|((host, path_prefix), moved)| MoveAccount {
+        let moves = moves.map(|((host, path_prefix), moved)| MoveSnapshot {
             host: host.clone(),
             path_prefix: path_prefix.clone(),
             only_service: moved.only_service.clone(),
@@ -94,7 +94,7 @@
     }
 
     /// Adds a change of which another VM tells; it precedes those that this VM has seen.
-    pub(super) fn learn(&mut self, told: MoveAccount, now: Instant) {
+    pub(super) fn learn(&mut self, told: MoveSnapshot, now: Instant) {
         // An age beyond the start of the clock would come out as too short.
         let is_dated = told.first_age <= now;
         let key = (told.host, told.path_prefix);
--- a/src/gateway/stream_origin/account.rs
+++ b/src/gateway/stream_origin/snapshot.rs
@@ -11,31 +11,31 @@
 /// What a VM has seen of the origins of streams.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
-pub struct HistoryAccount {
+pub struct HistorySnapshot {
     /// Time for which the VM has seen all.
     pub seen_for: Duration,
     /// Services with upstreams.
-    pub services: Vec<ServiceAccount>,
+    pub services: Vec<ServiceSnapshot>,
     /// Paths that have led to other services lately.
-    pub moves: Vec<MoveAccount>,
+    pub moves: Vec<MoveSnapshot>,
 }
 
 /// Software that a service's upstreams have had.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
-pub struct ServiceAccount {
+pub struct ServiceSnapshot {
     /// Name of the service.
     pub service: ServiceId,
     /// Software versions, with the time since each was last seen.
     pub seen: Vec<(Option<SoftwareVersion>, Duration)>,
     /// Software that was the only one before another one joined.
-    pub only_until: Option<OnlyAccount>,
+    pub only_until: Option<OnlySnapshot>,
 }
 
 /// Software that was the only one before another one joined.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
-pub struct OnlyAccount {
+pub struct OnlySnapshot {
     /// The software.
     pub software: SoftwareVersion,
     /// Time since it was last seen as the only one.
@@ -47,7 +47,7 @@
 /// Change of the services to which paths lead.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
-pub struct MoveAccount {
+pub struct MoveSnapshot {
     /// Host of the route.
     pub host: String,
     /// Path prefix of the route.
--- a/tests/gateway_pure/stream_origins.rs
+++ b/tests/gateway_pure/stream_origins.rs
@@ -235,13 +235,13 @@
         started.unrecorded_origin(to(&route), now, STREAM_LIFETIME),
         None
     );
-    started.learn(known.account(now), now);
+    started.learn(known.snapshot(now), now);
     // What the VM sees itself cannot be doubted for want of records.
     let found = started.unrecorded_origin(to(&route), now, MS(0));
     assert_eq!(found, Some(origin("v1")));
     // It tells the next one in turn.
     let mut next = OriginHistory::new(now);
-    next.learn(started.account(now), now);
+    next.learn(started.snapshot(now), now);
     assert_eq!(next.only_origin(to(&route), now), Some(origin("v1")));
 }
 
@@ -254,13 +254,13 @@
     observe(&mut known, "v2", now);
     let mut started = OriginHistory::new(now);
     observe(&mut started, "v2", now);
-    started.learn(known.account(now), now);
+    started.learn(known.snapshot(now), now);
     assert_eq!(started.only_origin(to(&route), now), None);
     let found = started.unrecorded_origin(to(&route), now, STREAM_LIFETIME);
     assert_eq!(found, Some(origin("v1")));
     record_move(&mut known, "/a/", &route, now);
     let mut moved = OriginHistory::new(now);
-    moved.learn(known.account(now), now);
+    moved.learn(known.snapshot(now), now);
     let elsewhere = Route {
         services: vec![("more".into(), 1)],
         ..route.clone()
@@ -277,22 +277,22 @@
     let mut started = OriginHistory::new(now);
     observe(&mut started, "v1", now);
     observe(&mut started, "v2", now);
-    started.learn(behind.account(now), now);
+    started.learn(behind.snapshot(now), now);
     assert!(!started.has_seen_all(now));
     observe(&mut behind, "v2", now);
-    started.learn(behind.account(now), now);
+    started.learn(behind.snapshot(now), now);
     assert!(started.has_seen_all(now));
 }
 
 #[test]
-fn an_account_of_a_shorter_time_than_needed_does_not_make_certain() {
+fn a_snapshot_of_a_shorter_time_than_needed_does_not_make_certain() {
     let route = route(&["notes"]);
     let mut young = OriginHistory::new(at(LIFETIME_MS));
     observe(&mut young, "v1", at(LIFETIME_MS + 20_000));
     let now = at(LIFETIME_MS + 20_000);
     let mut started = OriginHistory::new(now);
-    started.learn(young.account(now), now);
-    started.learn(young.account(now), now);
+    started.learn(young.snapshot(now), now);
+    started.learn(young.snapshot(now), now);
     assert_eq!(started.only_origin(to(&route), now), None);
     observe(&mut started, "v1", now + MS(9_999));
     assert_eq!(started.only_origin(to(&route), now + MS(9_999)), None);
