refactor(gateway): move placement and queueing into folders of their own

The files that choose an upstream and that queue requests lay flat among seventy others, decisions beside state and I/O.

placement/ holds the choice (pure), its candidates, what a request needs and the accounting of a dispatched one; queue/ holds the order of a queue and its measured speed (pure) and the placing of what waits. Names and behaviour are unchanged; request.rs of placement was placement_request.rs, choice.rs placement.rs, placing.rs queued_placement.rs.

--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -12,7 +12,7 @@
 use super::event_log::LogEvent;
 use super::model::{CostUnit, Customer, Route};
 use super::peer_forward::FORWARD_HEADER;
-use super::placement_request::{PlacementRequest, suspects};
+use super::placement::{PlacementRequest, suspects};
 use super::platform_api::RequestHead;
 use super::request::{AdmittedRequest, ReceivedRequest};
 use super::response::{draining_refusal, retryable_refusal};
--- a/src/gateway/announcements.rs
+++ b/src/gateway/announcements.rs
@@ -7,7 +7,7 @@
 use rand::Rng;
 
 use super::event_log::LogEvent;
-use super::placement_request::PlacementRequest;
+use super::placement::PlacementRequest;
 use super::platform_api::ResponseHead;
 use super::process_hash::hash_process;
 use super::state::{Gateway, GatewayState};
--- a/src/gateway/buffered.rs
+++ b/src/gateway/buffered.rs
@@ -10,8 +10,8 @@
 
 use super::attempt_failure::AttemptFailure;
 use super::connection_headers::{closes_connection, ends_with_connection, keep_alive_timeout};
-use super::dispatch::DispatchedRequest;
 use super::model::RouteKind;
+use super::placement::DispatchedRequest;
 use super::request::AdmittedRequest;
 use super::response_memory::{HeldBody, ResponseShare};
 use crate::entry::{RequestGuard, strip_hop_by_hop};
--- a/src/gateway/crash_guard/quarantine_check.rs
+++ b/src/gateway/crash_guard/quarantine_check.rs
@@ -10,11 +10,11 @@
 use super::suspect::Suspect;
 use crate::clock::Instant;
 use crate::gateway::datagram::{Message, send};
-use crate::gateway::dispatch::DispatchedRequest;
 use crate::gateway::event_log::LogEvent;
+use crate::gateway::placement::DispatchedRequest;
 use crate::gateway::process_hash::hash_process;
 use crate::gateway::prompt::hash_part;
-use crate::gateway::queued_placement::PlacementError;
+use crate::gateway::queue::PlacementError;
 use crate::gateway::request::AdmittedRequest;
 use crate::gateway::state::Gateway;
 
--- a/src/gateway/engine_stream.rs
+++ b/src/gateway/engine_stream.rs
@@ -7,9 +7,9 @@
 
 use super::attempt_failure::AttemptFailure;
 use super::connection_headers::{closes_connection, ends_with_connection, keep_alive_timeout};
-use super::dispatch::DispatchedRequest;
 use super::event_splitter::{EventSplitter, SplitEvents};
 use super::exchange::UpstreamResponse;
+use super::placement::DispatchedRequest;
 use super::pool::Connection;
 use super::request::AdmittedRequest;
 use super::response_memory::ResponseShare;
--- a/src/gateway/candidates.rs
+++ b/src/gateway/placement/candidates.rs
@@ -8,19 +8,19 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::dispatch::DispatchedRequest;
-use super::fetch_sources::{CACHE_STORE_HOLDER, FetchSources, LONG_PREFIX_TOKENS_MIN};
-use super::model::WeightNumber;
-use super::name_hash::{NameHash, hash_name};
-use super::placement::{
+use super::choice::{
     Candidate, Placement, ResourceDemand, choose_candidate, prefill_time, required_memory_tokens,
 };
-use super::placement_request::PlacementRequest;
-use super::prefix_cache_index::CachedPrefix;
-use super::prompt::{PrefixHash, Prompt};
-use super::state::{Gateway, GatewayState};
-use super::upstream_registry::{Upstream, UpstreamLoad};
+use super::dispatch::DispatchedRequest;
+use super::request::PlacementRequest;
 use crate::clock::Instant;
+use crate::gateway::fetch_sources::{CACHE_STORE_HOLDER, FetchSources, LONG_PREFIX_TOKENS_MIN};
+use crate::gateway::model::WeightNumber;
+use crate::gateway::name_hash::{NameHash, hash_name};
+use crate::gateway::prefix_cache_index::CachedPrefix;
+use crate::gateway::prompt::{PrefixHash, Prompt};
+use crate::gateway::state::{Gateway, GatewayState};
+use crate::gateway::upstream_registry::{Upstream, UpstreamLoad};
 use crate::ids::Tokens;
 
 /// Requests per slot that a plain service may have in flight before others wait.
@@ -75,7 +75,7 @@
     /// # Errors
     ///
     /// Returns [`Placement::NoRoom`] or [`Placement::NoCandidate`] if no upstream was chosen.
-    pub(super) fn try_place(
+    pub(in crate::gateway) fn try_place(
         &mut self,
         gateway: &Arc<Gateway>,
         request: &PlacementRequest,
@@ -163,7 +163,11 @@
     }
 
     /// Returns the prompt tokens that no engine is known to have cached.
-    pub(super) fn prefill_tokens(&self, request: &PlacementRequest, now: Instant) -> Tokens {
+    pub(in crate::gateway) fn prefill_tokens(
+        &self,
+        request: &PlacementRequest,
+        now: Instant,
+    ) -> Tokens {
         let Some(prefixes) = PromptPrefixes::new(request) else {
             return 0;
         };
@@ -372,7 +376,7 @@
 
 /// Returns the time since target weights were set after which engines without them receive no
 /// requests.
-pub(super) fn older_weights_cutoff(weights_timeout: Duration) -> Duration {
+pub(in crate::gateway) fn older_weights_cutoff(weights_timeout: Duration) -> Duration {
     weights_timeout.mul_f64(OLDER_WEIGHTS_CUTOFF_FRACTION)
 }
 
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement/choice.rs
@@ -140,7 +140,7 @@
 }
 
 /// Returns the time that an engine takes to process prompt tokens.
-pub(super) fn prefill_time(settings: &PlacementSettings, tokens: Tokens) -> Duration {
+pub(in crate::gateway) fn prefill_time(settings: &PlacementSettings, tokens: Tokens) -> Duration {
     Duration::from_secs_f64(tokens as f64 / settings.prefill_tokens_per_ms / 1_000.0)
 }
 
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/placement/dispatch.rs
@@ -7,16 +7,16 @@
 
 use http::StatusCode;
 
-use super::brittle_upstream::{SendKeeper, SendPermit};
-use super::event_log::LogEvent;
-use super::model::{ServiceId, SoftwareVersion, WeightNumber};
-use super::placement::PlacementSettings;
-use super::platform_api::ResponseHead;
-use super::process_hash::hash_process;
-use super::state::Gateway;
-use super::upstream_limit::RequestRate;
-use super::upstream_registry::{Upstream, UpstreamInstance, UpstreamLoad};
+use super::choice::PlacementSettings;
 use crate::clock::Instant;
+use crate::gateway::brittle_upstream::{SendKeeper, SendPermit};
+use crate::gateway::event_log::LogEvent;
+use crate::gateway::model::{ServiceId, SoftwareVersion, WeightNumber};
+use crate::gateway::platform_api::ResponseHead;
+use crate::gateway::process_hash::hash_process;
+use crate::gateway::state::Gateway;
+use crate::gateway::upstream_limit::RequestRate;
+use crate::gateway::upstream_registry::{Upstream, UpstreamInstance, UpstreamLoad};
 use crate::ids::Tokens;
 
 /// Weight of a new sample in the moving average of the engines' prompt speed.
@@ -33,35 +33,35 @@
 
 /// Request dispatched to an upstream; its load is subtracted on drop.
 #[derive(Debug)]
-pub(super) struct DispatchedRequest {
+pub(in crate::gateway) struct DispatchedRequest {
     gateway: Arc<Gateway>,
-    pub(super) instance: UpstreamInstance,
-    pub(super) address: SocketAddr,
-    pub(super) service: ServiceId,
+    pub(in crate::gateway) instance: UpstreamInstance,
+    pub(in crate::gateway) address: SocketAddr,
+    pub(in crate::gateway) service: ServiceId,
     /// Software that the upstream has for as long as its process runs.
-    pub(super) software: Option<SoftwareVersion>,
+    pub(in crate::gateway) software: Option<SoftwareVersion>,
     /// Weights that the engine is assumed to have, and that must serve the request.
-    pub(super) weights: Option<WeightNumber>,
+    pub(in crate::gateway) weights: Option<WeightNumber>,
     /// Prompt tokens that the engine is assumed to have cached.
-    pub(super) cached_tokens: Tokens,
+    pub(in crate::gateway) cached_tokens: Tokens,
     /// Address of the engine or cache store that holds as much of the prompt or more.
-    pub(super) fetch_from: Option<SocketAddr>,
+    pub(in crate::gateway) fetch_from: Option<SocketAddr>,
     /// Cache store to save the prompt to, as its shared prefix was not known to be cached.
-    pub(super) save_to: Option<SocketAddr>,
+    pub(in crate::gateway) save_to: Option<SocketAddr>,
     /// Prompt tokens that the engine processes before this request.
-    pub(super) ahead_tokens: Tokens,
+    pub(in crate::gateway) ahead_tokens: Tokens,
     /// Number of the attempt, from 1; set when the request is to be sent.
-    pub(super) attempt: u32,
+    pub(in crate::gateway) attempt: u32,
     /// Time at which the request was placed.
-    pub(super) placed_at: Instant,
+    pub(in crate::gateway) placed_at: Instant,
     /// Time for which the engine had lacked target weights when the request was placed.
-    pub(super) time_behind: Duration,
+    pub(in crate::gateway) time_behind: Duration,
     /// Whether the upstream names a limit, so that the request needs a permit.
-    pub(super) needs_permit: bool,
+    pub(in crate::gateway) needs_permit: bool,
     /// Requests that the upstream processes at once.
-    pub(super) slots: u32,
+    pub(in crate::gateway) slots: u32,
     /// Permit of the request if the upstream is brittle.
-    pub(super) send_permit: Option<SendPermit>,
+    pub(in crate::gateway) send_permit: Option<SendPermit>,
     number: u64,
     load: UpstreamLoad,
     is_awaiting_first_response: bool,
@@ -69,7 +69,7 @@
 
 impl DispatchedRequest {
     /// Creates the record of a request; the caller adds its load to the upstream.
-    pub(super) fn new(
+    pub(in crate::gateway) fn new(
         gateway: &Arc<Gateway>,
         upstream: &Upstream,
         load: UpstreamLoad,
@@ -98,7 +98,7 @@
         }
     }
 
-    pub(super) fn with_cached(
+    pub(in crate::gateway) fn with_cached(
         mut self,
         cached_tokens: Tokens,
         fetch_from: Option<SocketAddr>,
@@ -108,44 +108,48 @@
         self
     }
 
-    pub(super) fn with_save_to(mut self, save_to: Option<SocketAddr>) -> Self {
+    pub(in crate::gateway) fn with_save_to(mut self, save_to: Option<SocketAddr>) -> Self {
         self.save_to = save_to;
         self
     }
 
-    pub(super) fn with_tokens_ahead(mut self, ahead_tokens: Tokens) -> Self {
+    pub(in crate::gateway) fn with_tokens_ahead(mut self, ahead_tokens: Tokens) -> Self {
         self.ahead_tokens = ahead_tokens;
         self
     }
 
-    pub(super) fn with_time_behind(mut self, time_behind: Duration) -> Self {
+    pub(in crate::gateway) fn with_time_behind(mut self, time_behind: Duration) -> Self {
         self.time_behind = time_behind;
         self
     }
 
-    pub(super) fn with_needs_permit(mut self, needs_permit: bool) -> Self {
+    pub(in crate::gateway) fn with_needs_permit(mut self, needs_permit: bool) -> Self {
         self.needs_permit = needs_permit;
         self
     }
 
     /// Returns the number that identifies the request at this VM.
-    pub(super) fn number(&self) -> u64 {
+    pub(in crate::gateway) fn number(&self) -> u64 {
         self.number
     }
 
     /// Returns the time at which the first event or the response is overdue, from the expected
     /// work and the request's objective.
-    pub(super) fn response_due(&self, expected_work: Duration, objective: Duration) -> Instant {
+    pub(in crate::gateway) fn response_due(
+        &self,
+        expected_work: Duration,
+        objective: Duration,
+    ) -> Instant {
         self.placed_at + (expected_work * OVERDUE_WORK_FACTOR).max(objective) + OVERDUE_SLACK
     }
 
     /// Returns whether neither the first event nor the response has arrived.
-    pub(super) fn is_awaiting_first_response(&self) -> bool {
+    pub(in crate::gateway) fn is_awaiting_first_response(&self) -> bool {
         self.is_awaiting_first_response
     }
 
     /// Records that the first event or the response has arrived; returns `false` if it had before.
-    pub(super) fn record_first_response(&mut self) -> bool {
+    pub(in crate::gateway) fn record_first_response(&mut self) -> bool {
         if !std::mem::take(&mut self.is_awaiting_first_response) {
             return false;
         }
@@ -166,14 +170,14 @@
     }
 
     /// Records the weights that served the request.
-    pub(super) fn record_weights(&mut self, weights: WeightNumber, model: &str) {
+    pub(in crate::gateway) fn record_weights(&mut self, weights: WeightNumber, model: &str) {
         if let Some(upstream) = self.gateway.state().upstreams.instance_mut(&self.instance) {
             upstream.record_weights(model, weights);
         }
     }
 
     /// Records a failure of the upstream; see [`Upstream::record_failure`] for `weight`.
-    pub(super) fn record_failure(&self, weight: f64) {
+    pub(in crate::gateway) fn record_failure(&self, weight: f64) {
         let now = self.gateway.now();
         if let Some(upstream) = self.gateway.state().upstreams.instance_mut(&self.instance) {
             upstream.record_failure(weight, now);
@@ -181,13 +185,13 @@
     }
 
     /// Records what a response says of its upstream beyond the request.
-    pub(super) fn record_announcements(&self, status: StatusCode, head: &ResponseHead) {
+    pub(in crate::gateway) fn record_announcements(&self, status: StatusCode, head: &ResponseHead) {
         self.gateway
             .record_announcements(&self.instance, status, head);
     }
 
     /// Records that the upstream rejected the request without running it.
-    pub(super) fn record_rejection(&self) {
+    pub(in crate::gateway) fn record_rejection(&self) {
         let now = self.gateway.now();
         let mut state = self.gateway.state();
         let fleet_size = state.fleet_size();
@@ -224,7 +228,7 @@
     }
 
     /// Records that the upstream could not be reached.
-    pub(super) fn record_unreachable(&self) {
+    pub(in crate::gateway) fn record_unreachable(&self) {
         let now = self.gateway.now();
         self.gateway.pool.close_idle(&self.instance);
         if let Some(upstream) = self.gateway.state().upstreams.instance_mut(&self.instance) {
--- /dev/null
+++ b/src/gateway/placement/mod.rs
@@ -0,0 +1,20 @@
+//! Choice of the upstream that serves a request.
+//!
+//! Load pattern: bursts of long prompts that share prefixes, seen by each VM in part only.
+//!
+//! [`choice`] decides by cost among candidates and performs no I/O. [`candidates`] collects them
+//! from the gateway's state, [`request`] says what a request needs, and [`dispatch`] accounts for a
+//! request from its dispatch to the end of its response.
+
+mod candidates;
+mod choice;
+mod dispatch;
+mod request;
+
+pub(super) use candidates::older_weights_cutoff;
+pub use choice::{
+    Candidate, Placement, PlacementSettings, ResourceDemand, choose_candidate,
+    first_event_time_max, required_memory_tokens,
+};
+pub(super) use dispatch::DispatchedRequest;
+pub(super) use request::{PlacementRequest, suspects};
--- /dev/null
+++ b/src/gateway/queue/mod.rs
@@ -0,0 +1,14 @@
+//! Queues of requests for which no upstream has room.
+//!
+//! Load pattern: more prompts than the engines can process within their objectives.
+//!
+//! [`request_queue`] decides on order and refusal and performs no I/O; it forecasts waiting times
+//! from the speed that [`throughput`] measures. [`placing`] holds the queue of each service and the
+//! requests that wait in it.
+
+mod placing;
+mod request_queue;
+mod throughput;
+
+pub(super) use placing::{PlacementError, ServiceQueue};
+pub use request_queue::{QueueSettings, QueuedRequest, RequestQueue, Ticket};
--- a/src/gateway/queued_placement.rs
+++ b/src/gateway/queue/placing.rs
@@ -6,15 +6,15 @@
 
 use tokio::sync::oneshot;
 
-use super::announcements::spread_return;
-use super::crash_guard::Suspect;
-use super::dispatch::DispatchedRequest;
-use super::event_log::LogEvent;
-use super::placement::{Placement, first_event_time_max};
-use super::placement_request::PlacementRequest;
 use super::request_queue::{QueueSettings, QueuedRequest, RequestQueue, Ticket};
-use super::state::{Gateway, GatewayState};
 use crate::clock::Instant;
+use crate::gateway::announcements::spread_return;
+use crate::gateway::crash_guard::Suspect;
+use crate::gateway::event_log::LogEvent;
+use crate::gateway::placement::DispatchedRequest;
+use crate::gateway::placement::PlacementRequest;
+use crate::gateway::placement::{Placement, first_event_time_max};
+use crate::gateway::state::{Gateway, GatewayState};
 use crate::ids::Tokens;
 
 /// Queued requests considered in one pass, which limits the time that the lock is held.
@@ -24,7 +24,7 @@
 const HEARTBEAT_PASS_INTERVAL_MIN: Duration = Duration::from_millis(25);
 
 #[derive(Debug, Default)]
-pub(super) struct ServiceQueue {
+pub(in crate::gateway) struct ServiceQueue {
     queue: RequestQueue,
     waiters: HashMap<Ticket, Waiter>,
 }
@@ -47,7 +47,7 @@
 
 /// Reason why a request was not placed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum PlacementError {
+pub(in crate::gateway) enum PlacementError {
     /// No untried upstream of the service is left.
     NoUpstream,
     /// The request would not start before its deadline; holds the time after which to retry.
@@ -70,7 +70,7 @@
     ///
     /// Returns why the request was not placed. A request that would not start before its deadline
     /// is rejected immediately.
-    pub(super) async fn place(
+    pub(in crate::gateway) async fn place(
         self: &Arc<Self>,
         request_id: &str,
         request: &PlacementRequest,
@@ -114,7 +114,7 @@
     }
 
     /// Places queued requests after a heartbeat, unless a pass took place shortly before.
-    pub(super) fn place_queued_after_heartbeat(self: &Arc<Self>) {
+    pub(in crate::gateway) fn place_queued_after_heartbeat(self: &Arc<Self>) {
         let now = self.now();
         let is_due = |at: Instant| now.saturating_sub(at) >= HEARTBEAT_PASS_INTERVAL_MIN;
         if is_due(self.state().last_queue_pass_at) {
@@ -123,7 +123,7 @@
     }
 
     /// Places queued requests for which upstreams have room.
-    pub(super) fn place_queued(self: &Arc<Self>) {
+    pub(in crate::gateway) fn place_queued(self: &Arc<Self>) {
         // Sent without holding the lock: if the receiver is gone, dropping the dispatched request
         // locks it again.
         let placed = self.state().collect_placements(self);
@@ -216,7 +216,7 @@
     }
 
     /// Returns whether requests wait in a queue.
-    pub(super) fn has_queued(&self) -> bool {
+    pub(in crate::gateway) fn has_queued(&self) -> bool {
         self.queues.values().any(|queue| !queue.queue.is_empty())
     }
 
--- a/src/gateway/throughput.rs
+++ b/src/gateway/queue/throughput.rs
@@ -17,25 +17,25 @@
 
 /// Prompt tokens of requests that left the queue recently, while requests were waiting.
 #[derive(Debug, Default)]
-pub(super) struct Throughput {
+pub(in crate::gateway) struct Throughput {
     waiting_since: Option<Instant>,
     placed: VecDeque<(Instant, Tokens)>,
 }
 
 impl Throughput {
     /// Starts the measurement, unless it is running, as requests wait.
-    pub(super) fn start(&mut self, now: Instant) {
+    pub(in crate::gateway) fn start(&mut self, now: Instant) {
         self.waiting_since.get_or_insert(now);
     }
 
     /// Ends the measurement, as no request waits.
-    pub(super) fn reset(&mut self) {
+    pub(in crate::gateway) fn reset(&mut self) {
         self.waiting_since = None;
         self.placed.clear();
     }
 
     /// Records that a waiting request was placed.
-    pub(super) fn record_placed(&mut self, tokens: Tokens, now: Instant) {
+    pub(in crate::gateway) fn record_placed(&mut self, tokens: Tokens, now: Instant) {
         self.placed.push_back((now, tokens));
         while self
             .placed
@@ -47,7 +47,7 @@
     }
 
     /// Returns the tokens per second; `None` if requests have not waited for long enough.
-    pub(super) fn tokens_per_s(&self, now: Instant) -> Option<f64> {
+    pub(in crate::gateway) fn tokens_per_s(&self, now: Instant) -> Option<f64> {
         let span = now.saturating_sub(self.waiting_since?).min(RATE_WINDOW);
         if span < RATE_WINDOW_MIN {
             return None;
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -2,8 +2,8 @@
 
 use http::StatusCode;
 
-use super::dispatch::DispatchedRequest;
 use super::event_log::LogEvent;
+use super::placement::DispatchedRequest;
 use super::request::AdmittedRequest;
 
 impl AdmittedRequest {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -30,7 +30,7 @@
 use super::prefix_cache_index::PrefixCacheIndex;
 use super::process_hash::{ProcessHash, hash_process};
 use super::process_outbox::ProcessOutbox;
-use super::queued_placement::ServiceQueue;
+use super::queue::ServiceQueue;
 use super::response_memory::ResponseMemory;
 use super::retry_budgets::{RetryBudgetBounds, RetryBudgets};
 use super::run_times::RunTimes;
--- a/src/gateway/stop_check.rs
+++ b/src/gateway/stop_check.rs
@@ -1,6 +1,6 @@
 //! Refusal of requests that a shutdown would cut.
 
-use super::dispatch::DispatchedRequest;
+use super::placement::DispatchedRequest;
 use super::request::AdmittedRequest;
 use super::response::draining_refusal;
 use super::shutdown::ShutdownPlan;
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -6,10 +6,10 @@
 
 use rand::Rng;
 
-use super::candidates::older_weights_cutoff;
 use super::event_log::LogEvent;
 use super::mirror_updates::TargetTimes;
 use super::pending_call::{PendingCall, observe};
+use super::placement::older_weights_cutoff;
 use super::platform_api::{StoreCallFailure, TrackedKind};
 use super::state::Gateway;
 use super::store_relay::RelayClient;
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -12,13 +12,13 @@
 use hyper::body::Frame;
 
 use super::attempt_failure::AttemptFailure;
-use super::dispatch::DispatchedRequest;
 use super::engine_stream::{
     EngineStream, ReadOutcome, close_stream, finish_stream, read_events, split_response,
 };
 use super::event_log::{AbortStage, LogEvent};
 use super::event_splitter::{EventSplitter, SplitEvents};
 use super::exchange::UpstreamResponse;
+use super::placement::DispatchedRequest;
 use super::request::AdmittedRequest;
 use super::takeover::{self, Silence};
 use crate::entry::{RequestGuard, strip_hop_by_hop};
--- a/src/gateway/stream_binding.rs
+++ b/src/gateway/stream_binding.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 
 use super::admit::REQUEST_TIMEOUT_DEFAULT;
-use super::dispatch::DispatchedRequest;
 use super::event_log::LogEvent;
+use super::placement::DispatchedRequest;
 use super::request::{AdmittedRequest, UPSTREAM_RETRY_AFTER};
 use super::response::retryable_refusal;
 use super::stream_origin::{RouteTarget, StreamKey, StreamOrigin, UnknownOrigin, stream_key};
--- a/src/gateway/stream_origin/exchange.rs
+++ b/src/gateway/stream_origin/exchange.rs
@@ -18,9 +18,9 @@
 use super::origin::{StreamKey, StreamOrigin};
 use crate::clock::Instant;
 use crate::gateway::datagram::{Message, send};
-use crate::gateway::dispatch::DispatchedRequest;
 use crate::gateway::event_log::LogEvent;
 use crate::gateway::model::Route;
+use crate::gateway::placement::DispatchedRequest;
 use crate::gateway::state::{Gateway, GatewayState};
 use crate::gateway::table::RoutingTable;
 
--- a/src/gateway/takeover.rs
+++ b/src/gateway/takeover.rs
@@ -6,11 +6,11 @@
 use std::pin::pin;
 
 use super::attempt_failure::{AttemptFailure, FailureCause};
-use super::dispatch::DispatchedRequest;
 use super::engine_stream::{EngineStream, ReadOutcome, close_stream, finish_stream, read_events};
 use super::event_splitter::{EventSplitter, SplitEvents};
 use super::exchange::UpstreamResponse;
 use super::pending_call::was_paused_since;
+use super::placement::DispatchedRequest;
 use super::pool::Connection;
 use super::request::AdmittedRequest;
 use super::stall::{SilentStream, StallSettings};
--- a/src/gateway/upstream_limit/placing.rs
+++ b/src/gateway/upstream_limit/placing.rs
@@ -5,7 +5,7 @@
 use super::limits::UpstreamLimits;
 use super::permit_exchange::PERMIT_TIMEOUT;
 use crate::clock::Instant;
-use crate::gateway::dispatch::DispatchedRequest;
+use crate::gateway::placement::DispatchedRequest;
 use crate::gateway::process_hash::{ProcessHash, hash_process};
 use crate::gateway::state::GatewayState;
 use crate::gateway::upstream_registry::Upstream;
--- a/src/gateway/withdrawal.rs
+++ b/src/gateway/withdrawal.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use super::attempt_failure::{AttemptFailure, FailureCause};
-use super::dispatch::DispatchedRequest;
 use super::model::RouteKind;
+use super::placement::DispatchedRequest;
 use super::request::AdmittedRequest;
 use crate::clock::Instant;
 
