--- a/tests/gateway_pure/rolling_out.rs
+++ b/tests/gateway_pure/rolling_out.rs
@@ -228,3 +228,40 @@
     rollout.next_actions(2, &views, DISTANT_DEADLINE, MS(100));
     assert_eq!(rollout.call_timeout(&e0), MS(500));
 }
+
+/// Guards against requests to an engine that is busy with its order beyond the timeout: it rejects
+/// them, and each rejection is a retry that the budget of the service pays.
+#[test]
+fn an_engine_that_stays_busy_beyond_the_timeout_gets_no_requests_until_it_is_done() {
+    let mut views = engines(&[1; 6]);
+    let settings = RolloutSettings::default();
+    let mut rollout = RolloutSchedule::new(settings);
+    rollout.next_actions(2, &views, DISTANT_DEADLINE, MS(0));
+    let actions = rollout.next_actions(2, &views, DISTANT_DEADLINE, MS(60));
+    let ordered: Vec<_> = actions
+        .into_iter()
+        .map(|action| match action {
+            RolloutAction::Order(instance) | RolloutAction::Check(instance) => instance,
+        })
+        .collect();
+    for instance in &ordered {
+        rollout.record_order(instance, MS(60));
+        rollout.record_still_loading(instance, MS(400));
+    }
+    let overdue_at = MS(60) + settings.give_up_timeout + MS(1);
+    rollout.next_actions(2, &views, DISTANT_DEADLINE, overdue_at);
+    let in_rollout: Vec<_> = rollout.engines_in_rollout().cloned().collect();
+    for instance in &ordered {
+        assert!(in_rollout.contains(&instance.id), "{in_rollout:?}");
+    }
+    // The next two take the places of those that are overdue.
+    assert_eq!(in_rollout.len(), ordered.len() + 2);
+    for view in &mut views {
+        if ordered.contains(&view.instance) {
+            view.weights = Some(2);
+        }
+    }
+    rollout.next_actions(2, &views, DISTANT_DEADLINE, overdue_at + MS(10));
+    let mut left = rollout.engines_in_rollout();
+    assert!(left.all(|id| ordered.iter().all(|done| done.id != *id)));
+}
