feat(gateway): read the load that upstreams announce and estimate the present one

Cause: nothing read `Server-Load`. A VM knew an upstream's load only from its own requests and from heartbeats that are 100 to 400 ms old.

Change: the header is parsed in platform/ and recorded with each response, also with rejections. `upstream_capacity` estimates the load: the announced figure counts fully up to 100 ms, decays to the loads by heartbeats and has no weight after 1 s. Figures that stand still for 2 s are not believed, and own requests always count. An unreadable value is logged once per upstream process. The fourth figure marks its service as load-aware. Placement log lines of such services carry the estimate and its age, rejections the announced load.

Result: tests/upstream_capacity and platform/tests/server_load.rs pass; gateway_load, gateway_twins, gateway_limits and gateway_pure pass unchanged. Nothing chooses by the estimate yet.

--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -122,6 +122,7 @@
         wait_objective: table.shortest_objective(&service, &route),
         service,
         is_final_run: false,
+        is_only_attempt: route.attempts <= 1 || !route.is_repeatable(),
         tried_upstreams: Vec::new(),
         origin: None,
         preferred_upstream: None,
--- a/src/gateway/announcements.rs
+++ b/src/gateway/announcements.rs
@@ -13,18 +13,21 @@
 use super::state::{Gateway, GatewayState};
 use super::upstream_registry::{Upstream, UpstreamInstance};
 use crate::clock::Instant;
+use crate::error::Code;
 
 /// Maximum time added to the delay that callers are told while all upstreams of a service want no
 /// requests, so that the callers do not return together.
 const RETURN_SPREAD: Duration = Duration::from_millis(500);
 
 impl Gateway {
-    /// Records what a response says of its upstream beyond the request.
+    /// Records what a response says of its upstream beyond the request; `ended_request` is the
+    /// number of the request if the response ends it.
     pub(super) fn record_announcements(
         &self,
         instance: &UpstreamInstance,
         status: StatusCode,
         head: &ResponseHead,
+        ended_request: Option<u64>,
     ) {
         // Sent by whatever listens at the address instead of the upstream.
         if status == StatusCode::MISDIRECTED_REQUEST {
@@ -58,8 +61,17 @@
         if is_news {
             state.leaving_outbox.push(process);
         }
+        let is_load_unreadable =
+            head.has_load() && state.record_server_load(instance, status, head, ended_request, now);
         drop(state);
         let upstream = &instance.id;
+        if is_load_unreadable {
+            self.event_log.log(&LogEvent::ServerLoadUnreadable {
+                code: Code::HeaderInvalid.number(),
+                upstream,
+                value: head.unreadable_load.as_deref().unwrap_or_default(),
+            });
+        }
         if is_news {
             self.event_log.log(&LogEvent::UpstreamLeaving { upstream });
             self.heartbeat_due.notify_one();
--- a/src/gateway/engine_client.rs
+++ b/src/gateway/engine_client.rs
@@ -103,7 +103,7 @@
             .platform
             .dialect
             .read_response_head(response.headers());
-        gateway.record_announcements(instance, response.status(), &head);
+        gateway.record_announcements(instance, response.status(), &head, None);
         let status = response.status().as_u16();
         let body = Limited::new(response.into_body(), REPORT_MAX_BYTES)
             .collect()
--- a/src/gateway/log_event.rs
+++ b/src/gateway/log_event.rs
@@ -123,9 +123,20 @@
         /// Requests of all VMs in flight there, as far as heartbeats tell.
         fleet_requests: u32,
         slots: u32,
+        /// Requests that it announced last as running and waiting, if it did.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        announced_running: Option<u32>,
+        #[serde(skip_serializing_if = "Option::is_none")]
+        announced_waiting: Option<u32>,
         /// Rejections a second that it bears, if it is known to be brittle.
         rejections_max_per_s: Option<f64>,
     },
+    /// An upstream's process announces its load in a form that cannot be read; logged once.
+    ServerLoadUnreadable {
+        code: u16,
+        upstream: &'a str,
+        value: &'a str,
+    },
     WeightsNamed {
         model: &'a str,
         weights: WeightNumber,
@@ -198,6 +209,12 @@
         /// Time for which the upstream has lacked target weights; 0 if it lacks none.
         behind_ms: u64,
         waited_ms: u64,
+        /// Estimated requests at the upstream, and the age of what it announced, in services that
+        /// announce how long work takes.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        estimated_requests: Option<u32>,
+        #[serde(skip_serializing_if = "Option::is_none")]
+        load_age_ms: Option<u64>,
     },
     /// The first event came from an engine that lacks target weights.
     OlderWeightsUsed {
@@ -354,6 +371,7 @@
             | Self::UpstreamLeaving { .. }
             | Self::UpstreamCrashed { .. }
             | Self::UpstreamHeldOff { .. }
+            | Self::ServerLoadUnreadable { .. }
             | Self::UpstreamLimit { .. } => "upstream",
             Self::ObjectUnusable { .. } => "object_unusable",
             Self::StoreLost { .. } | Self::StoreBack { .. } | Self::StoreRestored { .. } => "store",
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -80,6 +80,7 @@
 mod stream_origin;
 mod table;
 mod takeover;
+mod upstream_capacity;
 mod upstream_limit;
 mod upstream_registry;
 mod vm_addresses;
@@ -147,6 +148,7 @@
     StreamRecords, StreamRecordsSettings, conclude, rank_keepers, stream_key,
 };
 pub use table::RoutingTable;
+pub use upstream_capacity::{AnnouncedServerLoad, LoadEstimate, LoadRecord, UsualSpeed};
 pub use upstream_limit::{
     AnnouncedLimit, LimitChange, LimitNews, PermitAccounts, PermitDecision, PermitRequest,
     RequestRate, UpstreamLimits,
--- a/src/gateway/model.rs
+++ b/src/gateway/model.rs
@@ -59,6 +59,17 @@
     pub is_resumable: bool,
 }
 
+impl Route {
+    /// Returns whether requests may run more than once.
+    pub fn is_repeatable(&self) -> bool {
+        match self.kind {
+            RouteKind::Idempotent => true,
+            RouteKind::NonIdempotent => false,
+            RouteKind::Streaming => self.is_resumable,
+        }
+    }
+}
+
 /// Capacity of each engine of a service that runs models.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
--- a/src/gateway/placement/candidates.rs
+++ b/src/gateway/placement/candidates.rs
@@ -97,12 +97,14 @@
                 self.candidate(gateway, request, eligible, rank, now)
             })
             .collect();
+        let is_load_aware = self.is_load_aware(&request.service);
         let placement = choose_candidate(&self.placement_settings, &resource_demand, &candidates);
         let Placement::Chosen(index) = placement else {
             return Err(placement);
         };
         let (eligible, candidate) = (&eligible_upstreams[index], &candidates[index]);
         let needs_permit = self.needs_permit(eligible.upstream);
+        let load_estimate = is_load_aware.then(|| self.load_estimate(eligible.upstream, now));
         let available_tokens = eligible.cached_tokens.max(eligible.fetchable_tokens);
         let load = UpstreamLoad {
             requests: 1,
@@ -120,7 +122,8 @@
             .with_save_to(save_to)
             .with_tokens_ahead(candidate.prefill_tokens)
             .with_time_behind(self.time_behind_target(eligible.upstream, prefixes.as_ref(), now))
-            .with_needs_permit(needs_permit);
+            .with_needs_permit(needs_permit)
+            .with_load_estimate(load_estimate);
         let name_hash = eligible.name_hash;
         let prefill_tokens_total = candidate.prefill_tokens + load.prefill_tokens;
         let due = dispatched.response_due(
@@ -129,6 +132,7 @@
         );
         if let Some(upstream) = self.upstreams.get_mut(&dispatched.instance.id) {
             upstream.own_load = upstream.own_load.plus(load);
+            upstream.load_record.record_sent();
             upstream.expect_response(dispatched.number(), due);
         }
         self.record_limited_choice(&request.service, &dispatched, now);
--- a/src/gateway/placement/dispatch.rs
+++ b/src/gateway/placement/dispatch.rs
@@ -15,6 +15,7 @@
 use crate::gateway::platform_api::ResponseHead;
 use crate::gateway::process_hash::hash_process;
 use crate::gateway::state::Gateway;
+use crate::gateway::upstream_capacity::LoadEstimate;
 use crate::gateway::upstream_limit::RequestRate;
 use crate::gateway::upstream_registry::{Upstream, UpstreamInstance, UpstreamLoad};
 use crate::ids::Tokens;
@@ -62,6 +63,8 @@
     pub(in crate::gateway) slots: u32,
     /// Permit of the request if the upstream is brittle.
     pub(in crate::gateway) send_permit: Option<SendPermit>,
+    /// Estimate of the upstream's load without this request, in services that are load-aware.
+    pub(in crate::gateway) load_estimate: Option<LoadEstimate>,
     number: u64,
     load: UpstreamLoad,
     is_awaiting_first_response: bool,
@@ -92,6 +95,7 @@
             needs_permit: false,
             slots: upstream.entry.slots,
             send_permit: None,
+            load_estimate: None,
             number: gateway.next_request_number.fetch_add(1, Ordering::Relaxed),
             load,
             is_awaiting_first_response: true,
@@ -128,6 +132,11 @@
         self
     }
 
+    pub(in crate::gateway) fn with_load_estimate(mut self, estimate: Option<LoadEstimate>) -> Self {
+        self.load_estimate = estimate;
+        self
+    }
+
     /// Returns the number that identifies the request at this VM.
     pub(in crate::gateway) fn number(&self) -> u64 {
         self.number
@@ -163,6 +172,12 @@
                 .saturating_sub(self.load.prefill_tokens);
             upstream.clear_expected_response(self.number);
             upstream.record_success(now);
+            if let Some(estimate) = self.load_estimate.filter(|_| self.is_plain()) {
+                let time = now.saturating_sub(self.placed_at);
+                upstream
+                    .usual_speed
+                    .record_response(time, estimate.work_multiple());
+            }
         }
         drop(state);
         self.gateway.place_queued();
@@ -186,8 +201,10 @@
 
     /// Records what a response says of its upstream beyond the request.
     pub(in crate::gateway) fn record_announcements(&self, status: StatusCode, head: &ResponseHead) {
+        let is_end = head.is_not_run || self.is_plain();
+        let ended_request = is_end.then_some(self.number);
         self.gateway
-            .record_announcements(&self.instance, status, head);
+            .record_announcements(&self.instance, status, head, ended_request);
     }
 
     /// Records that the upstream rejected the request without running it.
@@ -211,6 +228,8 @@
             return;
         };
         upstream.record_rejection(now);
+        upstream.load_record.record_rejection(now);
+        let announced = upstream.load_record.latest();
         if let Some(time) = hold_off {
             upstream.record_hold_off(time, now);
         }
@@ -219,6 +238,8 @@
             own_requests: upstream.own_load.requests,
             fleet_requests,
             slots: upstream.entry.slots,
+            announced_running: announced.map(|load| load.running),
+            announced_waiting: announced.map(|load| load.waiting),
             rejections_max_per_s: rejections_max.map(RequestRate::per_s),
         };
         drop(state);
@@ -236,6 +257,11 @@
         }
     }
 
+    /// Returns whether the request has no prompt.
+    fn is_plain(&self) -> bool {
+        self.weights.is_none()
+    }
+
     fn update_prefill_speed(&self, placement: &mut PlacementSettings, now: Instant) {
         let tokens = self.load.prefill_tokens + self.ahead_tokens;
         let elapsed_ms = now.saturating_sub(self.placed_at).as_secs_f64() * 1_000.0;
@@ -255,6 +281,7 @@
     fn drop(&mut self) {
         if let Some(upstream) = self.gateway.state().upstreams.instance_mut(&self.instance) {
             upstream.clear_expected_response(self.number);
+            upstream.load_record.record_returned(self.number);
             let own_load = &mut upstream.own_load;
             own_load.requests = own_load.requests.saturating_sub(1);
             own_load.memory_tokens = own_load
--- a/src/gateway/placement/request.rs
+++ b/src/gateway/placement/request.rs
@@ -28,6 +28,8 @@
     pub(in crate::gateway) wait_objective: Duration,
     /// Whether the request has run before and may not run again after the next attempt.
     pub(in crate::gateway) is_final_run: bool,
+    /// Whether the request may be sent to one upstream only, so that a rejection is its end.
+    pub(in crate::gateway) is_only_attempt: bool,
     /// Upstreams that the request was sent to before.
     pub(in crate::gateway) tried_upstreams: Vec<UpstreamId>,
     /// What began the stream that the request goes on with; other upstreams are not eligible.
--- a/src/gateway/platform_api.rs
+++ b/src/gateway/platform_api.rs
@@ -14,6 +14,7 @@
 use super::crash_guard::{QuarantineRecord, Suspect};
 use super::model::{Member, RoutingConfig, TargetWeights, UpstreamEntry, WeightNumber};
 use super::prompt::Prompt;
+use super::upstream_capacity::AnnouncedServerLoad;
 use super::upstream_limit::AnnouncedLimit;
 use crate::ids::{FencingNumber, ModelId, ObjectVersion, RequestId, StoreEra, UpstreamId, VmId};
 use crate::steward::{LeaseObject, LeaseRecord};
@@ -206,6 +207,17 @@
     pub limit: AnnouncedLimit,
     /// Rejections a second beyond which the upstream falls over.
     pub rejections_max: AnnouncedLimit,
+    /// Load of the upstream, if it announces one that can be read.
+    pub load: Option<AnnouncedServerLoad>,
+    /// Start of an announced load that cannot be read.
+    pub unreadable_load: Option<String>,
+}
+
+impl ResponseHead {
+    /// Returns whether the upstream announces a load, readable or not.
+    pub fn has_load(&self) -> bool {
+        self.load.is_some() || self.unreadable_load.is_some()
+    }
 }
 
 /// Headers that the gateway sets on a request to an upstream.
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -209,6 +209,7 @@
             .tried_upstreams
             .push(dispatched.instance.id.clone());
         let gateway = &self.gateway;
+        let estimate = dispatched.load_estimate;
         gateway.event_log.log_request(
             &self.id,
             &LogEvent::Placed {
@@ -219,6 +220,10 @@
                 ahead_tokens: dispatched.ahead_tokens,
                 behind_ms: dispatched.time_behind.as_millis() as u64,
                 waited_ms: gateway.now().saturating_sub(searched_since).as_millis() as u64,
+                estimated_requests: estimate.map(|estimate| estimate.requests.round() as u32),
+                load_age_ms: estimate
+                    .and_then(|estimate| estimate.age)
+                    .map(|age| age.as_millis() as u64),
             },
         );
     }
@@ -306,11 +311,7 @@
 
     /// Returns whether requests of this kind may run more than once.
     pub(super) fn is_repeatable(&self) -> bool {
-        match self.route.kind {
-            RouteKind::Idempotent => true,
-            RouteKind::NonIdempotent => false,
-            RouteKind::Streaming => self.route.is_resumable,
-        }
+        self.route.is_repeatable()
     }
 
     /// Returns whether the request may be run once more.
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -99,6 +99,8 @@
     pub(super) upstreams: UpstreamRegistry,
     /// Upstreams that have announced their leaving, to be told to other VMs.
     pub(super) leaving_outbox: ProcessOutbox,
+    /// Services of which an upstream has announced how long work takes.
+    pub(super) load_aware_services: HashSet<ServiceId>,
     pub(super) upstream_limits: UpstreamLimits,
     pub(super) brittle_services: BrittleServices,
     pub(super) send_ledgers: SendLedgers,
@@ -171,6 +173,7 @@
         let state = GatewayState {
             upstreams: UpstreamRegistry::new(UpstreamRegistrySettings::default()),
             leaving_outbox: ProcessOutbox::default(),
+            load_aware_services: HashSet::new(),
             upstream_limits: UpstreamLimits::default(),
             brittle_services: BrittleServices::default(),
             // Reports to an earlier process of this VM name other permits.
--- /dev/null
+++ b/src/gateway/upstream_capacity/estimate.rs
@@ -0,0 +1,180 @@
+//! Estimate of an upstream's load from what it announced and from the loads of all VMs.
+
+use std::time::Duration;
+
+use super::announced::AnnouncedServerLoad;
+use crate::clock::Instant;
+
+/// Age up to which an announced figure has full weight.
+const FRESH_AGE_MAX: Duration = Duration::from_millis(100);
+/// Age from which an announced figure has no weight.
+const USABLE_AGE_MAX: Duration = Duration::from_secs(1);
+/// Time without a change from which figures are no longer believed; a server in use changes its
+/// figures many times a second.
+const STANDING_TIME_MIN: Duration = Duration::from_secs(2);
+/// Number of announcements without a change from which figures are no longer believed.
+const STANDING_ANNOUNCEMENTS_MIN: u32 = 8;
+/// Time for which an upstream that rejected a request counts as full without a fresh announcement.
+const REJECTION_MEMORY: Duration = Duration::from_millis(200);
+/// Limits of the slowness that is used, so that one figure never excludes an upstream for good.
+const SLOWNESS_RANGE: std::ops::RangeInclusive<f64> = 0.25..=10.0;
+
+/// What an upstream announced last, and what this VM has sent and got back since.
+#[derive(Debug, Clone, Default)]
+pub struct LoadRecord {
+    latest: Option<TimedLoad>,
+    sent_since: u32,
+    returned_since: u32,
+    /// Request that has not ended at this VM, but which the latest figures no longer contain.
+    ended_request: Option<u64>,
+    /// Waiting places, from the figures in rejections.
+    waiting_places: Option<u32>,
+    rejected_at: Option<Instant>,
+    is_unreadable_logged: bool,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct TimedLoad {
+    load: AnnouncedServerLoad,
+    at: Instant,
+    /// Time of the first announcement with these figures.
+    unchanged_since: Instant,
+    /// Number of announcements with these figures.
+    announcements: u32,
+}
+
+/// Estimated load of an upstream at one moment.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct LoadEstimate {
+    /// Requests that run or wait at the upstream.
+    pub requests: f64,
+    /// Requests that it runs at once.
+    pub slots: f64,
+    /// Multiple of the usual time that work takes now.
+    pub slowness: f64,
+    /// Age of the announced figures; `None` if none are used.
+    pub age: Option<Duration>,
+    /// Waiting places, if a rejection has shown them.
+    pub waiting_places: Option<u32>,
+    /// Whether the upstream rejected a request and no later response has shown free places.
+    pub is_full: bool,
+}
+
+impl LoadRecord {
+    /// Records a load that a response announces; `is_rejection` states whether the upstream
+    /// rejected the request, and `ended_request` is the number of the request if the response ends
+    /// it.
+    pub fn record(
+        &mut self,
+        load: AnnouncedServerLoad,
+        is_rejection: bool,
+        ended_request: Option<u64>,
+        now: Instant,
+    ) {
+        let unchanged = self.latest.filter(|latest| latest.load == load);
+        self.latest = Some(TimedLoad {
+            load,
+            at: now,
+            unchanged_since: unchanged.map_or(now, |latest| latest.unchanged_since),
+            announcements: unchanged.map_or(1, |latest| latest.announcements.saturating_add(1)),
+        });
+        self.sent_since = 0;
+        self.returned_since = 0;
+        self.ended_request = ended_request;
+        // A rejection with free slots has another cause than the number of requests.
+        if is_rejection && load.running >= load.slots {
+            self.waiting_places = Some(load.waiting);
+        } else if let Some(places) = &mut self.waiting_places {
+            *places = load.waiting.max(*places);
+        }
+        if !is_rejection {
+            self.rejected_at = None;
+        }
+    }
+
+    /// Records that the upstream rejected a request.
+    pub fn record_rejection(&mut self, now: Instant) {
+        self.rejected_at = Some(now);
+    }
+
+    /// Records that this VM has sent a request.
+    pub fn record_sent(&mut self) {
+        self.sent_since = self.sent_since.saturating_add(1);
+    }
+
+    /// Records that a request of this VM has ended.
+    pub fn record_returned(&mut self, request: u64) {
+        if self.ended_request != Some(request) {
+            self.returned_since = self.returned_since.saturating_add(1);
+        }
+    }
+
+    /// Records that figures could not be read; returns whether it is the first time.
+    pub fn record_unreadable(&mut self) -> bool {
+        !std::mem::replace(&mut self.is_unreadable_logged, true)
+    }
+
+    /// Returns the load that was announced last.
+    pub fn latest(&self) -> Option<AnnouncedServerLoad> {
+        self.latest.map(|latest| latest.load)
+    }
+
+    /// Returns the estimate for a moment.
+    ///
+    /// `own_requests` are this VM's requests in flight, `fleet_requests` those of all VMs as far
+    /// as heartbeats tell, and `listed_slots` the slots in the upstream's entry.
+    pub fn estimate(
+        &self,
+        own_requests: u32,
+        fleet_requests: u32,
+        listed_slots: u32,
+        now: Instant,
+    ) -> LoadEstimate {
+        let fleet_requests = f64::from(fleet_requests);
+        let mut estimate = LoadEstimate {
+            requests: fleet_requests,
+            slots: f64::from(listed_slots.max(1)),
+            slowness: 1.0,
+            age: None,
+            waiting_places: self.waiting_places,
+            is_full: self
+                .rejected_at
+                .is_some_and(|at| now.saturating_sub(at) < REJECTION_MEMORY),
+        };
+        let Some(latest) = self.latest else {
+            return estimate;
+        };
+        let age = now.saturating_sub(latest.at);
+        let weight = match latest.is_standing(now) {
+            true => 0.0,
+            false => weight(age),
+        };
+        if weight > 0.0 {
+            let announced = f64::from(latest.load.requests()) + f64::from(self.sent_since)
+                - f64::from(self.returned_since);
+            let announced = announced.max(f64::from(own_requests));
+            estimate.requests = weight * announced + (1.0 - weight) * fleet_requests;
+            estimate.slots = f64::from(latest.load.slots);
+            let slowness = latest.load.slowness.unwrap_or(1.0);
+            let slowness = slowness.clamp(*SLOWNESS_RANGE.start(), *SLOWNESS_RANGE.end());
+            estimate.slowness = 1.0 + weight * (slowness - 1.0);
+            estimate.age = Some(age);
+        }
+        estimate
+    }
+}
+
+impl TimedLoad {
+    /// Returns whether the figures have stood still for so long that they are not believed.
+    fn is_standing(&self, now: Instant) -> bool {
+        self.announcements >= STANDING_ANNOUNCEMENTS_MIN
+            && now.saturating_sub(self.unchanged_since) >= STANDING_TIME_MIN
+    }
+}
+
+/// Returns the weight of a figure by its age: 1 while it is fresh, then less and less.
+fn weight(age: Duration) -> f64 {
+    let decay = USABLE_AGE_MAX - FRESH_AGE_MAX;
+    let left = USABLE_AGE_MAX.saturating_sub(age);
+    (left.as_secs_f64() / decay.as_secs_f64()).min(1.0)
+}
--- /dev/null
+++ b/src/gateway/upstream_capacity/placing.rs
@@ -0,0 +1,82 @@
+//! Applies the estimates to the gateway's state: records announced loads and chooses upstreams.
+
+use http::StatusCode;
+
+use super::estimate::LoadEstimate;
+use crate::clock::Instant;
+use crate::gateway::platform_api::ResponseHead;
+use crate::gateway::state::GatewayState;
+use crate::gateway::upstream_registry::{Upstream, UpstreamInstance};
+
+/// Requests per slot that a plain upstream may have while its waiting places are not known, as in
+/// services that announce no load.
+const REQUESTS_PER_SLOT_DEFAULT: f64 = 2.0;
+/// Fraction of the waiting places that is used; the rest is for requests that other VMs send before
+/// their figures show this one.
+const WAITING_PLACES_FRACTION: f64 = 0.75;
+
+impl GatewayState {
+    /// Returns whether upstreams of a service have announced how long work takes, so that loads
+    /// determine the choice.
+    pub(in crate::gateway) fn is_load_aware(&self, service: &str) -> bool {
+        self.load_aware_services.contains(service)
+    }
+
+    /// Records the load that a response announces, and whether the response rejects its request;
+    /// returns whether it cannot be read for the first time at this upstream's process.
+    ///
+    /// `ended_request` is the request that the figures no longer contain.
+    pub(in crate::gateway) fn record_server_load(
+        &mut self,
+        instance: &UpstreamInstance,
+        status: StatusCode,
+        head: &ResponseHead,
+        ended_request: Option<u64>,
+        now: Instant,
+    ) -> bool {
+        let Some(upstream) = self.upstreams.instance_mut(instance) else {
+            return false;
+        };
+        let Some(load) = head.load else {
+            return head.unreadable_load.is_some() && upstream.load_record.record_unreadable();
+        };
+        let is_rejection = head.is_not_run && status == StatusCode::SERVICE_UNAVAILABLE;
+        upstream
+            .load_record
+            .record(load, is_rejection, ended_request, now);
+        if load.slowness.is_some() && !self.load_aware_services.contains(&upstream.entry.service) {
+            let service = upstream.entry.service.clone();
+            self.load_aware_services.insert(service);
+        }
+        false
+    }
+
+    /// Returns the estimated load of an upstream.
+    pub(in crate::gateway) fn load_estimate(
+        &self,
+        upstream: &Upstream,
+        now: Instant,
+    ) -> LoadEstimate {
+        upstream.load_record.estimate(
+            upstream.own_load.requests,
+            self.total_load(upstream).requests,
+            upstream.entry.slots,
+            now,
+        )
+    }
+}
+
+impl LoadEstimate {
+    /// Returns the requests that may run or wait at a plain upstream.
+    pub fn plain_capacity(&self) -> f64 {
+        match self.waiting_places {
+            Some(places) => self.slots + f64::from(places) * WAITING_PLACES_FRACTION,
+            None => self.slots * REQUESTS_PER_SLOT_DEFAULT,
+        }
+    }
+
+    /// Returns the multiple of its usual work that a further request is expected to take.
+    pub fn work_multiple(&self) -> f64 {
+        ((self.requests + 1.0) / self.slots.max(1.0)).max(1.0) * self.slowness
+    }
+}
--- a/src/gateway/upstream_registry.rs
+++ b/src/gateway/upstream_registry.rs
@@ -10,6 +10,7 @@
 
 use super::model::{UpstreamEntry, UpstreamStage, WeightNumber};
 use super::name_hash::{NameHash, hash_name};
+use super::upstream_capacity::{LoadRecord, UsualSpeed};
 use crate::clock::Instant;
 use crate::ids::{ModelId, Tokens, UpstreamId};
 
@@ -86,6 +87,10 @@
     pub entry: UpstreamEntry,
     /// Load of the requests that this VM has sent.
     pub own_load: UpstreamLoad,
+    /// Load that it announced, with what this VM sent since.
+    pub load_record: LoadRecord,
+    /// Its measured speed.
+    pub usual_speed: UsualSpeed,
     weights: HashMap<ModelId, WeightNumber>,
     failure_rate: f64,
     avoided_until: Instant,
@@ -111,6 +116,8 @@
             },
             name_hash: hash_name(id),
             own_load: UpstreamLoad::default(),
+            load_record: LoadRecord::default(),
+            usual_speed: UsualSpeed::default(),
             weights: HashMap::new(),
             failure_rate: 0.0,
             avoided_until: Instant::ZERO,
--- /dev/null
+++ b/tests/upstream_capacity/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the estimate of upstreams' loads and of the choices that rest on it.
+
+mod estimates;
