feat(gateway): choose plain upstreams by expected completion time

Cause: VMs chose plain upstreams at random among those with free places by heartbeats. With one of three servers slow in turn, every VM went on sending to it, and its waiting places ran out.

Change: in load-aware services a request goes to the upstream at which it is expected to end first, from the estimated requests, the slots, the measured service time and the announced slowness. The choice is drawn so that what all VMs send within the age of the figures ends at about the same time everywhere; equal upstreams get equal shares. An upstream without free places gets nothing while another has room. A request that may be sent once gets the one with the most free places.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -148,7 +148,10 @@
     StreamRecords, StreamRecordsSettings, conclude, rank_keepers, stream_key,
 };
 pub use table::RoutingTable;
-pub use upstream_capacity::{AnnouncedServerLoad, LoadEstimate, LoadRecord, UsualSpeed};
+pub use upstream_capacity::{
+    AnnouncedServerLoad, LoadEstimate, LoadRecord, PlainCandidate, PlainChoice, UsualSpeed,
+    choose_plain,
+};
 pub use upstream_limit::{
     AnnouncedLimit, LimitChange, LimitNews, PermitAccounts, PermitDecision, PermitRequest,
     RequestRate, UpstreamLimits,
--- a/src/gateway/placement/candidates.rs
+++ b/src/gateway/placement/candidates.rs
@@ -98,7 +98,13 @@
             })
             .collect();
         let is_load_aware = self.is_load_aware(&request.service);
-        let placement = choose_candidate(&self.placement_settings, &resource_demand, &candidates);
+        let placement = match is_load_aware && prefixes.is_none() {
+            true => {
+                let upstreams = eligible_upstreams.iter().map(|eligible| eligible.upstream);
+                self.choose_plain_upstream(request, upstreams.zip(&candidates), now)
+            }
+            false => choose_candidate(&self.placement_settings, &resource_demand, &candidates),
+        };
         let Placement::Chosen(index) = placement else {
             return Err(placement);
         };
--- a/src/gateway/upstream_capacity/mod.rs
+++ b/src/gateway/upstream_capacity/mod.rs
@@ -5,15 +5,18 @@
 //!
 //! Upstreams announce their load in responses ([`AnnouncedServerLoad`]). [`LoadRecord`] estimates
 //! the present load of one upstream from the last announcement and its age, from what this VM has
-//! sent since, and from the loads of all VMs by heartbeats. It decides without
-//! I/O, and the time is passed in; `placing` applies it to the gateway's state. The rules hold for a service once one of its
+//! sent since, and from the loads of all VMs by heartbeats. [`choose_plain`] chooses among plain
+//! upstreams by expected completion time. These decide without I/O, and the time is passed in;
+//! `placing` applies them to the gateway's state. The rules hold for a service once one of its
 //! upstreams has announced how long work takes now; other services are placed as without them.
 
 mod announced;
 mod estimate;
 mod placing;
+mod plain_choice;
 mod usual_speed;
 
 pub use announced::AnnouncedServerLoad;
 pub use estimate::{LoadEstimate, LoadRecord};
+pub use plain_choice::{PlainCandidate, PlainChoice, choose_plain};
 pub use usual_speed::UsualSpeed;
--- a/src/gateway/upstream_capacity/placing.rs
+++ b/src/gateway/upstream_capacity/placing.rs
@@ -3,7 +3,9 @@
 use http::StatusCode;
 
 use super::estimate::LoadEstimate;
+use super::plain_choice::{PlainCandidate, PlainChoice, choose_plain};
 use crate::clock::Instant;
+use crate::gateway::placement::{Candidate, Placement, PlacementRequest};
 use crate::gateway::platform_api::ResponseHead;
 use crate::gateway::state::GatewayState;
 use crate::gateway::upstream_registry::{Upstream, UpstreamInstance};
@@ -64,6 +66,49 @@
             now,
         )
     }
+
+    /// Chooses a plain upstream by expected completion time.
+    pub(in crate::gateway) fn choose_plain_upstream<'a>(
+        &self,
+        request: &PlacementRequest,
+        upstreams: impl Iterator<Item = (&'a Upstream, &'a Candidate)>,
+        now: Instant,
+    ) -> Placement {
+        let candidates: Vec<PlainCandidate> = upstreams
+            .map(|(upstream, candidate)| self.plain_candidate(upstream, candidate, now))
+            .collect();
+        match choose_plain(&candidates, request.is_only_attempt, rand::random()) {
+            PlainChoice::Chosen(index) => Placement::Chosen(index),
+            PlainChoice::NoRoom => Placement::NoRoom,
+        }
+    }
+
+    fn plain_candidate(
+        &self,
+        upstream: &Upstream,
+        candidate: &Candidate,
+        now: Instant,
+    ) -> PlainCandidate {
+        let estimate = self.load_estimate(upstream, now);
+        let settings = &self.placement_settings;
+        let mut extra_cost = std::time::Duration::ZERO;
+        if !candidate.is_same_zone {
+            extra_cost += settings.cross_zone_cost;
+        }
+        if candidate.is_avoided {
+            extra_cost += settings.avoided_cost;
+        }
+        PlainCandidate {
+            requests: estimate.requests,
+            slots: estimate.slots,
+            capacity: estimate.plain_capacity(),
+            service_time: upstream.usual_speed.service_time(),
+            slowness: estimate.slowness,
+            age: estimate.age,
+            extra_cost,
+            is_full: estimate.is_full,
+        }
+    }
 }
 
 impl LoadEstimate {
