feat(gateway): use the prompt speed of each engine in load-aware services

Cause: one prompt speed stood for all engines of all services, while engines differ for good by 0.7 to 1.7 and for fractions of a second by 2.5. Costs, due times and queue forecasts were wrong by as much.

Change: each engine's usual speed is a moving average of its own measured first events, normalised by the announced slowness, starting from the common speed and bounded to 0.4 to 2.5 of it; the first samples count more, as a VM gets few of each engine. Divided by the slowness while that is fresh, it determines cost, due time, work allowed before a request and the queue forecast (sum over the engines). The common speed is measured as before and holds in services that announce no fourth figure.

Result: tests/upstream_capacity passes, gateway_load, gateway_twins, gateway_limits and gateway_pure pass unchanged.

--- a/src/gateway/placement/candidates.rs
+++ b/src/gateway/placement/candidates.rs
@@ -86,6 +86,7 @@
         let resource_demand = resource_demand(request);
         let eligible_upstreams =
             self.eligible_upstreams(gateway, request, prefixes.as_ref(), now)?;
+        let is_load_aware = self.is_load_aware(&request.service);
         let candidates: Vec<Candidate> = eligible_upstreams
             .iter()
             .enumerate()
@@ -94,10 +95,15 @@
                     .as_ref()
                     .is_some_and(|prefixes| prefixes.longest_shared_prefix().is_some());
                 let rank = if has_shared_prefix { rank } else { 0 };
-                self.candidate(gateway, request, eligible, rank, now)
+                let candidate = self.candidate(gateway, request, eligible, rank, now);
+                let speed =
+                    is_load_aware.then(|| self.engine_tokens_per_ms(eligible.upstream, now));
+                Candidate {
+                    prefill_tokens_per_ms: speed,
+                    ..candidate
+                }
             })
             .collect();
-        let is_load_aware = self.is_load_aware(&request.service);
         let placement = match is_load_aware && prefixes.is_none() {
             true => {
                 let upstreams = eligible_upstreams.iter().map(|eligible| eligible.upstream);
@@ -133,7 +139,10 @@
         let name_hash = eligible.name_hash;
         let prefill_tokens_total = candidate.prefill_tokens + load.prefill_tokens;
         let due = dispatched.response_due(
-            prefill_time(&self.placement_settings, prefill_tokens_total),
+            prefill_time(
+                candidate.speed(&self.placement_settings),
+                prefill_tokens_total,
+            ),
             request.objective,
         );
         if let Some(upstream) = self.upstreams.get_mut(&dispatched.instance.id) {
@@ -351,6 +360,7 @@
                 None => slots.saturating_mul(PLAIN_REQUESTS_PER_SLOT),
                 Some(_) => slots,
             },
+            prefill_tokens_per_ms: None,
             cached_tokens: eligible.cached_tokens,
             fetchable_tokens: eligible.fetchable_tokens,
             is_same_zone: upstream.entry.availability_zone == gateway.settings.availability_zone,
--- a/src/gateway/placement/choice.rs
+++ b/src/gateway/placement/choice.rs
@@ -63,7 +63,7 @@
 }
 
 /// Upstream that may be chosen, with the state that determines its cost.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct Candidate {
     /// Rank in the rendezvous order of the prompt's shared prefix; 0 is its preferred engine.
     pub rendezvous_rank: usize,
@@ -77,6 +77,8 @@
     pub requests: u32,
     /// Maximum number of requests in flight.
     pub slots: u32,
+    /// Prompt tokens that it processes per millisecond; `None` if only the common speed is known.
+    pub prefill_tokens_per_ms: Option<f64>,
     /// Prompt tokens that it has cached.
     pub cached_tokens: Tokens,
     /// Prompt tokens that it can fetch from another engine or the cache store.
@@ -92,6 +94,14 @@
     pub is_last_resort: bool,
 }
 
+impl Candidate {
+    /// Returns the prompt tokens that it processes per millisecond.
+    pub(in crate::gateway) fn speed(&self, settings: &PlacementSettings) -> f64 {
+        self.prefill_tokens_per_ms
+            .unwrap_or(settings.prefill_tokens_per_ms)
+    }
+}
+
 /// Result of [`choose_candidate`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Placement {
@@ -136,12 +146,13 @@
     wait_objective: Duration,
     prefill_tokens: Tokens,
 ) -> Duration {
-    wait_objective.mul_f64(settings.wait_fraction) + prefill_time(settings, prefill_tokens)
+    wait_objective.mul_f64(settings.wait_fraction)
+        + prefill_time(settings.prefill_tokens_per_ms, prefill_tokens)
 }
 
 /// Returns the time that an engine takes to process prompt tokens.
-pub(in crate::gateway) fn prefill_time(settings: &PlacementSettings, tokens: Tokens) -> Duration {
-    Duration::from_secs_f64(tokens as f64 / settings.prefill_tokens_per_ms / 1_000.0)
+pub(in crate::gateway) fn prefill_time(tokens_per_ms: f64, tokens: Tokens) -> Duration {
+    Duration::from_secs_f64(tokens as f64 / tokens_per_ms / 1_000.0)
 }
 
 fn has_room(settings: &PlacementSettings, demand: &ResourceDemand, candidate: &Candidate) -> bool {
@@ -150,7 +161,7 @@
     }
     let memory = candidate.memory_tokens + required_memory_tokens(demand, candidate.cached_tokens);
     let memory_max = candidate.memory_capacity_tokens as f64 * settings.memory_fraction;
-    let wait = prefill_time(settings, candidate.prefill_tokens);
+    let wait = prefill_time(candidate.speed(settings), candidate.prefill_tokens);
     candidate.requests < candidate.slots
         && (memory as f64) <= memory_max
         && (candidate.prefill_tokens == 0
@@ -160,7 +171,10 @@
 fn cost(settings: &PlacementSettings, demand: &ResourceDemand, candidate: &Candidate) -> Duration {
     let available = candidate.cached_tokens.max(candidate.fetchable_tokens);
     let uncached = demand.prompt_tokens.saturating_sub(available);
-    let mut cost = prefill_time(settings, candidate.prefill_tokens + uncached);
+    let mut cost = prefill_time(
+        candidate.speed(settings),
+        candidate.prefill_tokens + uncached,
+    );
     if candidate.fetchable_tokens > candidate.cached_tokens {
         cost += settings.fetch_cost;
     }
--- a/src/gateway/placement/dispatch.rs
+++ b/src/gateway/placement/dispatch.rs
@@ -164,7 +164,8 @@
         }
         let now = self.gateway.now();
         let mut state = self.gateway.state();
-        self.update_prefill_speed(&mut state.placement_settings, now);
+        let speed_sample = self.update_prefill_speed(&mut state.placement_settings, now);
+        let common_tokens_per_ms = state.placement_settings.prefill_tokens_per_ms;
         if let Some(upstream) = state.upstreams.instance_mut(&self.instance) {
             upstream.own_load.prefill_tokens = upstream
                 .own_load
@@ -172,11 +173,15 @@
                 .saturating_sub(self.load.prefill_tokens);
             upstream.clear_expected_response(self.number);
             upstream.record_success(now);
-            if let Some(estimate) = self.load_estimate.filter(|_| self.is_plain()) {
-                let time = now.saturating_sub(self.placed_at);
-                upstream
-                    .usual_speed
-                    .record_response(time, estimate.work_multiple());
+            if let Some(estimate) = &self.load_estimate {
+                let speed = &mut upstream.usual_speed;
+                if self.is_plain() {
+                    let time = now.saturating_sub(self.placed_at);
+                    speed.record_response(time, estimate.work_multiple());
+                }
+                if let Some(tokens_per_ms) = speed_sample {
+                    speed.record_prefill(tokens_per_ms, estimate.slowness, common_tokens_per_ms);
+                }
             }
         }
         drop(state);
@@ -262,11 +267,12 @@
         self.weights.is_none()
     }
 
-    fn update_prefill_speed(&self, placement: &mut PlacementSettings, now: Instant) {
+    /// Updates the common prompt speed; returns the measured one if the prompt is long enough.
+    fn update_prefill_speed(&self, placement: &mut PlacementSettings, now: Instant) -> Option<f64> {
         let tokens = self.load.prefill_tokens + self.ahead_tokens;
         let elapsed_ms = now.saturating_sub(self.placed_at).as_secs_f64() * 1_000.0;
         if self.load.prefill_tokens < SPEED_SAMPLE_TOKENS_MIN || elapsed_ms < 1.0 {
-            return;
+            return None;
         }
         let sample = (tokens as f64 / elapsed_ms).clamp(
             *SPEED_RANGE_TOKENS_PER_MS.start(),
@@ -274,6 +280,7 @@
         );
         let speed = &mut placement.prefill_tokens_per_ms;
         *speed += SPEED_SMOOTHING * (sample - *speed);
+        Some(sample)
     }
 }
 
--- a/src/gateway/queue/placing.rs
+++ b/src/gateway/queue/placing.rs
@@ -143,7 +143,7 @@
         let prefill_tokens = self.prefill_tokens(request, now);
         let engine_time_max = match request.prompt {
             Some(_) => first_event_time_max(
-                &self.placement_settings,
+                &self.service_placement_settings(&request.service, now),
                 request.wait_objective,
                 prefill_tokens,
             ),
@@ -154,7 +154,7 @@
             place_by: queued_request.place_by.saturating_sub(engine_time_max),
             ..queued_request
         };
-        let tokens_per_s = self.tokens_per_s(&request.service);
+        let tokens_per_s = self.tokens_per_s(&request.service, now);
         let requests_ahead = self
             .queues
             .get(&request.service)
@@ -222,9 +222,15 @@
 
     /// Returns the nominal prompt speed, in tokens per second, of this VM's part of a service's
     /// engines.
-    fn tokens_per_s(&self, service: &str) -> f64 {
-        let engines = self.upstreams.ready(service).count() as f64;
-        engines * self.placement_settings.prefill_tokens_per_ms * 1_000.0 / self.fleet_size() as f64
+    fn tokens_per_s(&self, service: &str, now: Instant) -> f64 {
+        let tokens_per_ms = match self.is_load_aware(service) {
+            true => self.engine_speed_sum(service, now).1,
+            false => {
+                let engines = self.upstreams.ready(service).count() as f64;
+                engines * self.placement_settings.prefill_tokens_per_ms
+            }
+        };
+        tokens_per_ms * 1_000.0 / self.fleet_size() as f64
     }
 
     fn collect_placements(
@@ -276,7 +282,9 @@
             if requests_ahead > 0 {
                 self.record_held_back(id, now);
             }
-            for (ticket, retry_after) in service.queue.remove_unservable(self.tokens_per_s(id), now)
+            for (ticket, retry_after) in service
+                .queue
+                .remove_unservable(self.tokens_per_s(id, now), now)
             {
                 let waiter = service.waiters.remove(&ticket);
                 let refused = Err(PlacementError::WouldMissDeadline(retry_after));
--- a/src/gateway/upstream_capacity/estimate.rs
+++ b/src/gateway/upstream_capacity/estimate.rs
@@ -119,6 +119,11 @@
         self.latest.map(|latest| latest.load)
     }
 
+    /// Returns the multiple of the usual time that work takes now.
+    pub fn slowness(&self, now: Instant) -> f64 {
+        self.latest.map_or(1.0, |latest| latest.slowness(now))
+    }
+
     /// Returns the estimate for a moment.
     ///
     /// `own_requests` are this VM's requests in flight, `fleet_requests` those of all VMs as far
@@ -144,21 +149,15 @@
         let Some(latest) = self.latest else {
             return estimate;
         };
-        let age = now.saturating_sub(latest.at);
-        let weight = match latest.is_standing(now) {
-            true => 0.0,
-            false => weight(age),
-        };
+        let weight = latest.weight(now);
         if weight > 0.0 {
             let announced = f64::from(latest.load.requests()) + f64::from(self.sent_since)
                 - f64::from(self.returned_since);
             let announced = announced.max(f64::from(own_requests));
             estimate.requests = weight * announced + (1.0 - weight) * fleet_requests;
             estimate.slots = f64::from(latest.load.slots);
-            let slowness = latest.load.slowness.unwrap_or(1.0);
-            let slowness = slowness.clamp(*SLOWNESS_RANGE.start(), *SLOWNESS_RANGE.end());
-            estimate.slowness = 1.0 + weight * (slowness - 1.0);
-            estimate.age = Some(age);
+            estimate.slowness = latest.slowness(now);
+            estimate.age = Some(now.saturating_sub(latest.at));
         }
         estimate
     }
@@ -170,11 +169,20 @@
         self.announcements >= STANDING_ANNOUNCEMENTS_MIN
             && now.saturating_sub(self.unchanged_since) >= STANDING_TIME_MIN
     }
-}
 
-/// Returns the weight of a figure by its age: 1 while it is fresh, then less and less.
-fn weight(age: Duration) -> f64 {
-    let decay = USABLE_AGE_MAX - FRESH_AGE_MAX;
-    let left = USABLE_AGE_MAX.saturating_sub(age);
-    (left.as_secs_f64() / decay.as_secs_f64()).min(1.0)
+    /// Returns the weight of the figures: 1 while they are fresh, then less and less.
+    fn weight(&self, now: Instant) -> f64 {
+        if self.is_standing(now) {
+            return 0.0;
+        }
+        let decay = USABLE_AGE_MAX - FRESH_AGE_MAX;
+        let left = USABLE_AGE_MAX.saturating_sub(now.saturating_sub(self.at));
+        (left.as_secs_f64() / decay.as_secs_f64()).min(1.0)
+    }
+
+    fn slowness(&self, now: Instant) -> f64 {
+        let slowness = self.load.slowness.unwrap_or(1.0);
+        let slowness = slowness.clamp(*SLOWNESS_RANGE.start(), *SLOWNESS_RANGE.end());
+        1.0 + self.weight(now) * (slowness - 1.0)
+    }
 }
--- a/src/gateway/upstream_capacity/placing.rs
+++ b/src/gateway/upstream_capacity/placing.rs
@@ -5,7 +5,7 @@
 use super::estimate::LoadEstimate;
 use super::plain_choice::{PlainCandidate, PlainChoice, choose_plain};
 use crate::clock::Instant;
-use crate::gateway::placement::{Candidate, Placement, PlacementRequest};
+use crate::gateway::placement::{Candidate, Placement, PlacementRequest, PlacementSettings};
 use crate::gateway::platform_api::ResponseHead;
 use crate::gateway::state::GatewayState;
 use crate::gateway::upstream_registry::{Upstream, UpstreamInstance};
@@ -67,6 +67,40 @@
         )
     }
 
+    /// Returns the prompt speed of an engine of a load-aware service now.
+    pub(in crate::gateway) fn engine_tokens_per_ms(
+        &self,
+        upstream: &Upstream,
+        now: Instant,
+    ) -> f64 {
+        let common = self.placement_settings.prefill_tokens_per_ms;
+        let usual = upstream.usual_speed.prefill_tokens_per_ms(common);
+        usual / upstream.load_record.slowness(now)
+    }
+
+    /// Returns the number of engines of a load-aware service and the sum of their prompt speeds now.
+    pub(in crate::gateway) fn engine_speed_sum(&self, service: &str, now: Instant) -> (usize, f64) {
+        let engines = self.upstreams.ready(service);
+        engines.fold((0, 0.0), |(count, sum), engine| {
+            (count + 1, sum + self.engine_tokens_per_ms(engine, now))
+        })
+    }
+
+    /// Returns the placement settings with the mean prompt speed of a service's engines.
+    pub(in crate::gateway) fn service_placement_settings(
+        &self,
+        service: &str,
+        now: Instant,
+    ) -> PlacementSettings {
+        let mut settings = self.placement_settings;
+        if self.is_load_aware(service)
+            && let (engines @ 1.., sum) = self.engine_speed_sum(service, now)
+        {
+            settings.prefill_tokens_per_ms = sum / engines as f64;
+        }
+        settings
+    }
+
     /// Chooses a plain upstream by expected completion time.
     pub(in crate::gateway) fn choose_plain_upstream<'a>(
         &self,
--- a/tests/upstream_capacity/main.rs
+++ b/tests/upstream_capacity/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the estimate of upstreams' loads and of the choices that rest on it.
 
+mod engine_speeds;
 mod estimates;
 mod plain_choices;
 mod plain_replay;
