--- a/src/gateway/placement/candidates.rs
+++ b/src/gateway/placement/candidates.rs
@@ -86,6 +86,7 @@
         let resource_demand = resource_demand(request);
         let eligible_upstreams =
             self.eligible_upstreams(gateway, request, prefixes.as_ref(), now)?;
+        let is_load_aware = self.is_load_aware(&request.service);
         let candidates: Vec<Candidate> = eligible_upstreams
             .iter()
             .enumerate()
@@ -94,15 +95,28 @@
                     .as_ref()
                     .is_some_and(|prefixes| prefixes.longest_shared_prefix().is_some());
                 let rank = if has_shared_prefix { rank } else { 0 };
-                self.candidate(gateway, request, eligible, rank, now)
+                let candidate = self.candidate(gateway, request, eligible, rank, now);
+                let speed =
+                    is_load_aware.then(|| self.engine_tokens_per_ms(eligible.upstream, now));
+                Candidate {
+                    prefill_tokens_per_ms: speed,
+                    ..candidate
+                }
             })
             .collect();
-        let placement = choose_candidate(&self.placement_settings, &resource_demand, &candidates);
+        let placement = match is_load_aware && prefixes.is_none() {
+            true => {
+                let upstreams = eligible_upstreams.iter().map(|eligible| eligible.upstream);
+                self.choose_plain_upstream(request, upstreams.zip(&candidates), now)
+            }
+            false => choose_candidate(&self.placement_settings, &resource_demand, &candidates),
+        };
         let Placement::Chosen(index) = placement else {
             return Err(placement);
         };
         let (eligible, candidate) = (&eligible_upstreams[index], &candidates[index]);
         let needs_permit = self.needs_permit(eligible.upstream);
+        let load_estimate = is_load_aware.then(|| self.load_estimate(eligible.upstream, now));
         let available_tokens = eligible.cached_tokens.max(eligible.fetchable_tokens);
         let load = UpstreamLoad {
             requests: 1,
@@ -120,15 +134,20 @@
             .with_save_to(save_to)
             .with_tokens_ahead(candidate.prefill_tokens)
             .with_time_behind(self.time_behind_target(eligible.upstream, prefixes.as_ref(), now))
-            .with_needs_permit(needs_permit);
+            .with_needs_permit(needs_permit)
+            .with_load_estimate(load_estimate);
         let name_hash = eligible.name_hash;
         let prefill_tokens_total = candidate.prefill_tokens + load.prefill_tokens;
         let due = dispatched.response_due(
-            prefill_time(&self.placement_settings, prefill_tokens_total),
+            prefill_time(
+                candidate.speed(&self.placement_settings),
+                prefill_tokens_total,
+            ),
             request.objective,
         );
         if let Some(upstream) = self.upstreams.get_mut(&dispatched.instance.id) {
             upstream.own_load = upstream.own_load.plus(load);
+            upstream.load_record.record_sent();
             upstream.expect_response(dispatched.number(), due);
         }
         self.record_limited_choice(&request.service, &dispatched, now);
@@ -341,6 +360,7 @@
                 None => slots.saturating_mul(PLAIN_REQUESTS_PER_SLOT),
                 Some(_) => slots,
             },
+            prefill_tokens_per_ms: None,
             cached_tokens: eligible.cached_tokens,
             fetchable_tokens: eligible.fetchable_tokens,
             is_same_zone: upstream.entry.availability_zone == gateway.settings.availability_zone,
