feat(settings): add [overload] shed_by_cost and [platform] contracts

The platform names its contracts only in the template's fields, and queues need to know whether they may order by cost. Contracts that the gateway does not know, or an empty list, are no fault: the list is the platform's.

--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -32,8 +32,16 @@
     pub store_address: SocketAddr,
     /// Limits and times that the gateway has to keep.
     pub bounds: Bounds,
+    /// `contracts`: names of what the platform expects of the gateway beyond the usual.
+    pub contracts: Vec<String>,
+    /// `shed_by_cost`: whether queues order and refuse requests by priority and work; see
+    /// [`Self::sheds_by_cost`].
+    pub shed_by_cost: bool,
 }
 
+/// Contract under which queues order and refuse requests by priority and work.
+const PRESSURE_CONTRACT: &str = "pressure";
+
 /// Limits and times that the gateway has to keep.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Bounds {
@@ -95,6 +103,8 @@
             peer_seeds: Vec::new(),
             store_address: local(9000),
             bounds: Bounds::default(),
+            contracts: Vec::new(),
+            shed_by_cost: false,
         }
     }
 }
@@ -114,6 +124,13 @@
         }
     }
 
+    /// Returns whether queues order and refuse requests by priority and work, as set or as agreed
+    /// with the platform.
+    pub fn sheds_by_cost(&self) -> bool {
+        let is_agreed = || self.contracts.iter().any(|name| name == PRESSURE_CONTRACT);
+        self.shed_by_cost || is_agreed()
+    }
+
     /// Returns the share of a core that the VM provides, in percent.
     pub fn cpu_percent(&self) -> u8 {
         (self.cpu_share * 100.0).round() as u8
@@ -158,6 +175,8 @@
     ("store", STORE),
     ("peers", PEERS),
     ("bounds", BOUNDS),
+    ("overload", OVERLOAD),
+    ("platform", PLATFORM),
 ];
 
 const fn key(
@@ -322,3 +341,17 @@
         "Window in which a customer's units are counted.",
     ),
 ];
+
+const OVERLOAD: &[Key<GatewaySettings>] = &[key(
+    "shed_by_cost",
+    "",
+    Accessor::Flag(|settings| &mut settings.shed_by_cost),
+    "Whether queues order and refuse requests by priority and work; on with the contract `pressure`.",
+)];
+
+const PLATFORM: &[Key<GatewaySettings>] = &[key(
+    "contracts",
+    "",
+    Accessor::Labels(|settings| &mut settings.contracts),
+    "Names of what the platform expects of the gateway; `pressure` sets `shed_by_cost`.",
+)];
--- a/src/ini/key.rs
+++ b/src/ini/key.rs
@@ -32,6 +32,8 @@
     Name(Field<T, String>),
     OptionalName(Field<T, Option<String>>),
     Names(Field<T, Vec<String>>),
+    /// List whose entries another program chooses; unknown ones must not be faults.
+    Labels(Field<T, Vec<String>>),
     Credential(Field<T, Option<String>>),
     PathPrefix(Field<T, String>),
     U64(RangeInclusive<u64>, Field<T, u64>),
@@ -89,6 +91,7 @@
         match self {
             Self::Name(_) | Self::OptionalName(_) => Self::NAME_ALLOWED.into(),
             Self::Names(_) => "comma-separated list of distinct names".into(),
+            Self::Labels(_) => "comma-separated list, possibly empty".into(),
             Self::Credential(_) => {
                 "1 to 256 printable ASCII characters without spaces or \\, other than ***".into()
             }
@@ -124,6 +127,11 @@
             Self::Names(field) => {
                 *field(target) = parse_list(text, |part| validated(part, value_rules::is_name))?;
             }
+            Self::Labels(field) => {
+                let labels = text.split(',').map(str::trim);
+                let labels = labels.filter(|label| !label.is_empty());
+                *field(target) = labels.map(str::to_owned).collect();
+            }
             Self::Credential(field) => {
                 *field(target) = Some(validated(text, value_rules::is_credential)?)
             }
@@ -167,7 +175,7 @@
         match self {
             Self::Name(field) | Self::PathPrefix(field) => non_empty(field(source).clone()),
             Self::OptionalName(field) | Self::Credential(field) => field(source).clone(),
-            Self::Names(field) => non_empty(field(source).join(", ")),
+            Self::Names(field) | Self::Labels(field) => non_empty(field(source).join(", ")),
             Self::U64(_, field) => Some(field(source).to_string()),
             Self::U32(_, field) => Some(field(source).to_string()),
             Self::Usize(_, field) => Some(field(source).to_string()),
--- a/tests/gateway_settings.rs
+++ b/tests/gateway_settings.rs
@@ -78,6 +78,7 @@
         ("{{Ip}}", "10.0.0.1"),
         ("{{Platform.Address}}", "10.0.0.9:8601"),
         ("{{Seeds}}", "10.0.0.1:3,10.0.0.2:3"),
+        ("{{Contracts}}", "base,pressure"),
     ];
     let mut text = template.to_owned();
     for (name, value) in values {
@@ -108,4 +109,22 @@
     assert_eq!(settings.cpu_share, 0.25);
     assert_eq!(settings.bounds.contact_timeout, Duration::from_secs(3));
     assert_eq!(settings.peer_seeds.len(), 2);
+    assert!(settings.sheds_by_cost());
+}
+
+/// Guards against a gateway that changes its order without being told, and against one that does
+/// not start because the platform names no contract or one that the gateway does not know.
+#[test]
+fn costs_count_where_set_or_agreed() {
+    for (text, expected) in [
+        ("", false),
+        ("[platform]\ncontracts = \n", false),
+        ("[platform]\ncontracts = base,no such/name 7\n", false),
+        ("[platform]\ncontracts = base, pressure\n", true),
+        ("[overload]\nshed_by_cost = true\n", true),
+        ("[overload]\nshed_by_cost = false\n", false),
+    ] {
+        let settings = GatewaySettings::parse(&format!("{MINIMAL_SETTINGS}{text}")).unwrap();
+        assert_eq!(settings.sheds_by_cost(), expected, "{text}");
+    }
 }
