feat(queue): rank queued requests by priority and work, and shed by rank

In a shortage, urgent requests that have missed their objective went after less urgent ones that had not, a full queue refused newcomers whatever their rank, and waiting callers were refused late and told the same time to return.

With QueueSettings::shed_by_cost each request draws a rank: 15 in 100 go first whatever they are, the others go by priority and, within one, by a draw that falls with their work. A request whose start is forecast too late, by the work before it and the speed that the inflow of lower ranks leaves, is refused at once; a full queue refuses the highest rank. Retry-After lies between the time that the backlog takes and twice that, at most a third of the time left. Requests of higher rank may use less of the work ahead at engines, so that room that all VMs see goes to lower ranks elsewhere first.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -132,7 +132,9 @@
 pub use prefix_cache_index::{CachedPrefix, PrefixCacheIndex, PrefixHolder};
 pub use process_hash::{ProcessHash, hash_process};
 pub use prompt::{PartHash, Prompt, PromptPart, hash_part};
-pub use queue::{QueueSettings, QueuedRequest, RequestQueue, Ticket};
+pub use queue::{
+    Offered, QueueSettings, QueuedRequest, RequestCost, RequestQueue, Shed, ShedCause, Ticket,
+};
 pub use response_memory::{ResponseMemory, ResponseMemoryExhausted, ResponseShare};
 pub use retry_budgets::{RetryBudgetBounds, RetryBudgets};
 pub use rollout_schedule::{EngineView, RolloutAction, RolloutSchedule, RolloutSettings};
--- a/src/gateway/queue/mod.rs
+++ b/src/gateway/queue/mod.rs
@@ -3,12 +3,15 @@
 //! Load pattern: more prompts than the engines can process within their objectives.
 //!
 //! [`request_queue`] decides on order and refusal and performs no I/O; it forecasts waiting times
-//! from the speed that [`throughput`] measures. [`placing`] holds the queue of each service and the
+//! from the speed that [`throughput`] measures. [`shedding`] ranks requests by priority and work
+//! where the settings ask for it. [`placing`] holds the queue of each service and the
 //! requests that wait in it.
 
 mod placing;
 mod request_queue;
+mod shedding;
 mod throughput;
 
 pub(super) use placing::{PlacementError, ServiceQueue};
-pub use request_queue::{QueueSettings, QueuedRequest, RequestQueue, Ticket};
+pub use request_queue::{Offered, QueueSettings, QueuedRequest, RequestQueue, Ticket};
+pub use shedding::{RequestCost, Shed, ShedCause};
--- a/src/gateway/queue/request_queue.rs
+++ b/src/gateway/queue/request_queue.rs
@@ -4,10 +4,16 @@
 //! Requests that can still meet their objective go first, by priority and then by the least time
 //! left; late ones use the remaining capacity. A request that would not start before its deadline,
 //! at the speed at which requests left the queue recently, is rejected immediately.
+//!
+//! With [`QueueSettings::shed_by_cost`], requests are offered by [`RequestQueue::offer`] and go by
+//! the ranks of [`shedding`](super::shedding) instead.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use rand::Rng;
+
+use super::shedding::{Ranks, RequestCost, Shed, ShedCause};
 use super::throughput::Throughput;
 use crate::clock::Instant;
 use crate::ids::Tokens;
@@ -22,6 +28,8 @@
     pub requests_max: usize,
     /// Lateness per promotion: a late request gains priority each time this much has passed.
     pub late_promotion_interval: Duration,
+    /// Whether requests are ordered and refused by priority and work.
+    pub shed_by_cost: bool,
 }
 
 impl Default for QueueSettings {
@@ -29,6 +37,7 @@
         Self {
             requests_max: 512,
             late_promotion_interval: Duration::from_secs(2),
+            shed_by_cost: false,
         }
     }
 }
@@ -46,6 +55,17 @@
     pub deadline: Instant,
 }
 
+/// Request that has entered the queue, with the requests that were refused for it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Offered {
+    /// Number of the request.
+    pub ticket: Ticket,
+    /// Whether no waiting request goes before it.
+    pub is_first: bool,
+    /// Requests that left the full queue.
+    pub displaced: Vec<(Ticket, Shed)>,
+}
+
 /// Expected waiting times of a request.
 #[derive(Debug, Clone, Copy)]
 struct Forecast {
@@ -66,6 +86,8 @@
     throughput: Throughput,
     /// Prompt tokens of placed requests that were late.
     late_throughput: Throughput,
+    /// Ranks of the waiting requests, with [`QueueSettings::shed_by_cost`].
+    ranks: Ranks,
 }
 
 impl RequestQueue {
@@ -116,6 +138,112 @@
         Ok(ticket)
     }
 
+    /// Adds a request by its rank; a full queue refuses the request of the highest rank.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal of the request.
+    pub fn offer(
+        &mut self,
+        request: QueuedRequest,
+        cost: RequestCost,
+        tokens_per_s: f64,
+        now: Instant,
+        random: &mut impl Rng,
+    ) -> Result<Offered, Shed> {
+        let ranked = self.ranks.draw(&request, &cost, random);
+        let rank = ranked.rank_at(now);
+        let before = self
+            .waiting
+            .iter()
+            .filter(|(ticket, _)| self.ranks.rank(**ticket, now) <= rank);
+        let (mut requests_ahead, mut tokens_ahead) = (0, 0);
+        for (_, other) in before {
+            requests_ahead += 1;
+            tokens_ahead += other.prefill_tokens;
+        }
+        let speed = self.speed(tokens_per_s, now);
+        let starts_in = self.ranks.inflow(now).starts_in(rank, tokens_ahead, speed);
+        let backlog = self.backlog(speed);
+        let mut refuse = |cause| Shed {
+            cause,
+            retry_after: ranked.retry_after(backlog, now, random),
+        };
+        if now + starts_in > request.deadline {
+            return Err(refuse(ShedCause::LateStart));
+        }
+        let mut displaced = Vec::new();
+        if self.waiting.len() >= self.settings.requests_max {
+            if requests_ahead >= self.waiting.len() {
+                return Err(refuse(ShedCause::FullQueue));
+            }
+            displaced = self.shed_late(tokens_per_s, now, random);
+        }
+        if self.waiting.len() >= self.settings.requests_max {
+            displaced.extend(self.displace_last(backlog, now, random));
+        }
+        self.throughput.start(now);
+        let ticket = self.next_ticket;
+        self.next_ticket += 1;
+        self.prefill_tokens += request.prefill_tokens;
+        self.waiting.insert(ticket, request);
+        self.ranks
+            .insert(ticket, ranked, request.prefill_tokens, now);
+        Ok(Offered {
+            ticket,
+            is_first: requests_ahead == 0,
+            displaced,
+        })
+    }
+
+    /// Removes the requests that can no longer start in time, by their ranks; returns each with its
+    /// refusal.
+    pub fn shed_late(
+        &mut self,
+        tokens_per_s: f64,
+        now: Instant,
+        random: &mut impl Rng,
+    ) -> Vec<(Ticket, Shed)> {
+        let speed = self.speed(tokens_per_s, now);
+        let backlog = self.backlog(speed);
+        let inflow = self.ranks.inflow(now);
+        let mut tokens_ahead = 0;
+        let mut late = Vec::new();
+        for ticket in self.placement_order(now) {
+            let request = &self.waiting[&ticket];
+            let rank = self.ranks.rank(ticket, now);
+            if now + inflow.starts_in(rank, tokens_ahead, speed) <= request.deadline {
+                tokens_ahead += request.prefill_tokens;
+                continue;
+            }
+            let retry_after = self.ranks.retry_after(ticket, backlog, now, random);
+            let cause = ShedCause::LateInQueue;
+            late.push((ticket, Shed { cause, retry_after }));
+        }
+        for (ticket, _) in &late {
+            self.remove(*ticket);
+        }
+        late
+    }
+
+    fn displace_last(
+        &mut self,
+        backlog: Duration,
+        now: Instant,
+        random: &mut impl Rng,
+    ) -> Option<(Ticket, Shed)> {
+        let ticket = self.placement_order(now).pop()?;
+        let retry_after = self.ranks.retry_after(ticket, backlog, now, random);
+        self.remove(ticket);
+        let cause = ShedCause::Displaced;
+        Some((ticket, Shed { cause, retry_after }))
+    }
+
+    /// Returns the time that the waiting requests take to start.
+    fn backlog(&self, tokens_per_s: f64) -> Duration {
+        Duration::from_secs_f64(self.prefill_tokens as f64 / tokens_per_s)
+    }
+
     /// Removes a request that was placed, and counts it in the throughput.
     pub fn remove_placed(&mut self, ticket: Ticket, now: Instant) {
         let Some(request) = self.waiting.get(&ticket) else {
@@ -133,6 +261,7 @@
     pub fn remove(&mut self, ticket: Ticket) -> Option<QueuedRequest> {
         let request = self.waiting.remove(&ticket)?;
         self.prefill_tokens -= request.prefill_tokens;
+        self.ranks.remove(ticket);
         if self.waiting.is_empty() {
             self.throughput.reset();
             self.late_throughput.reset();
@@ -145,8 +274,17 @@
         self.waiting.get(&ticket).map(|request| request.deadline)
     }
 
+    /// Returns the fraction of the usual work ahead at an upstream up to which a waiting request may
+    /// be placed; 1 without [`QueueSettings::shed_by_cost`].
+    pub fn room_fraction(&self, ticket: Ticket, now: Instant) -> f64 {
+        self.ranks.room_fraction(ticket, now)
+    }
+
     /// Returns the waiting requests in placement order.
     pub fn placement_order(&self, now: Instant) -> Vec<Ticket> {
+        if self.settings.shed_by_cost {
+            return self.ranks.order(now);
+        }
         let mut tickets: Vec<_> = self.waiting.iter().collect();
         tickets.sort_by_key(|(ticket, request)| (self.sort_key(request, now), **ticket));
         tickets.into_iter().map(|(ticket, _)| *ticket).collect()
@@ -195,11 +333,7 @@
         tokens_per_s: f64,
         now: Instant,
     ) -> Forecast {
-        let expected = tokens_per_s.max(1.0);
-        let measured = self.throughput.tokens_per_s(now);
-        let speed = measured.map_or(expected, |measured| {
-            measured.max(expected * SPEED_FRACTION_MIN)
-        });
+        let speed = self.speed(tokens_per_s, now);
         let wait = Duration::from_secs_f64(ahead as f64 / speed);
         let retry_after = wait.min(RETRY_AFTER_MAX);
         let time_until_late = request.place_by.saturating_sub(now);
@@ -220,6 +354,18 @@
         }
     }
 
+    /// Returns the measured speed, or the nominal one until it is known.
+    fn speed(&self, tokens_per_s: f64, now: Instant) -> f64 {
+        let expected = tokens_per_s.max(1.0);
+        if self.settings.shed_by_cost {
+            return self.throughput.smoothed_tokens_per_s(expected, now);
+        }
+        let measured = self.throughput.tokens_per_s(now);
+        measured.map_or(expected, |measured| {
+            measured.max(expected * SPEED_FRACTION_MIN)
+        })
+    }
+
     fn tokens_ahead(&self, request: &QueuedRequest, now: Instant) -> Tokens {
         let sort_key = self.sort_key(request, now);
         let ahead = self
