feat(gateway): shed queued requests by cost where the setting asks for it

With sheds_by_cost(), requests of priority 0 no longer pass a queue: a request is tried at once if it ranks before all that wait. A displaced or late request is refused with 503 before it has run; each refusal has one log line (shed) and counts in gateway_shed by cause and priority. Without the setting the queue takes the same path as before.

--- a/src/gateway/log_event.rs
+++ b/src/gateway/log_event.rs
@@ -189,6 +189,15 @@
         tokens: Tokens,
         left_ms: u64,
     },
+    /// The queue refused the request by its priority and work.
+    Shed {
+        service: &'a str,
+        cause: &'static str,
+        priority: u8,
+        /// Time that the caller had left.
+        left_ms: u64,
+        retry_after_ms: u64,
+    },
     Placed {
         upstream: &'a str,
         attempt: u32,
@@ -342,6 +351,7 @@
             Self::Forwarded { .. } => "forwarded",
             Self::Answered { .. } => "answered",
             Self::Refused { .. } => "refused",
+            Self::Shed { .. } => "shed",
             Self::OriginUnknown { .. } => "origin_unknown",
             Self::AttemptFailed { .. } | Self::TakenUp { .. } | Self::Resumed { .. } => "failed",
             // Not suppressed by the attempts that fail at the same time.
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -19,6 +19,7 @@
 #[derive(Debug)]
 pub(super) struct GatewayMetrics {
     refusals: Counter<u64>,
+    shed: Counter<u64>,
     retries: Counter<u64>,
     attempt_failures: Counter<u64>,
     crashes: Counter<u64>,
@@ -62,6 +63,10 @@
         };
         Self {
             refusals: counter("gateway_refusals", "Requests refused, by result code"),
+            shed: counter(
+                "gateway_shed",
+                "Requests that queues refused by priority and work, by cause and priority",
+            ),
             retries: counter("gateway_repeats", "Requests sent once more, by reason"),
             attempt_failures: counter(
                 "gateway_attempt_failures",
@@ -134,6 +139,14 @@
         self.refusals.add(1, &[KeyValue::new("code", code.name())]);
     }
 
+    pub(super) fn count_shed(&self, cause: &'static str, priority: u8) {
+        let labels = [
+            KeyValue::new("cause", cause),
+            KeyValue::new("priority", i64::from(priority)),
+        ];
+        self.shed.add(1, &labels);
+    }
+
     pub(super) fn count_retry(&self, reason: &'static str) {
         self.retries.add(1, &[KeyValue::new("reason", reason)]);
     }
--- a/src/gateway/placement/request.rs
+++ b/src/gateway/placement/request.rs
@@ -1,5 +1,6 @@
 //! Properties of a request that determine its upstream.
 
+use std::borrow::Cow;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -37,6 +38,17 @@
 }
 
 impl PlacementRequest {
+    /// Returns the request with a part of the room that it may use at engines.
+    pub(in crate::gateway) fn with_room(&self, fraction: f64) -> Cow<'_, Self> {
+        if fraction >= 1.0 {
+            return Cow::Borrowed(self);
+        }
+        Cow::Owned(Self {
+            wait_objective: self.wait_objective.mul_f64(fraction),
+            ..self.clone()
+        })
+    }
+
     /// Returns whether an upstream may run the request: it has not been tried, and has begun the
     /// stream or runs the same software.
     pub(in crate::gateway) fn permits(&self, upstream: &Upstream) -> bool {
--- a/src/gateway/queue/placing.rs
+++ b/src/gateway/queue/placing.rs
@@ -6,7 +6,8 @@
 
 use tokio::sync::oneshot;
 
-use super::request_queue::{QueueSettings, QueuedRequest, RequestQueue, Ticket};
+use super::request_queue::{Offered, QueueSettings, QueuedRequest, RequestQueue, Ticket};
+use super::shedding::{RequestCost, Shed};
 use crate::clock::Instant;
 use crate::gateway::announcements::spread_return;
 use crate::gateway::crash_guard::Suspect;
@@ -32,12 +33,24 @@
 #[derive(Debug)]
 struct Waiter {
     request: PlacementRequest,
+    /// [`PlacementRequest::wait_objective`] while the request may use all the room there is.
+    wait_objective: Duration,
     sender: oneshot::Sender<PlacementResult>,
 }
 
 /// Result that a queued request receives.
 type PlacementResult = Result<DispatchedRequest, PlacementError>;
 
+/// Request that waits in a queue.
+#[derive(Debug)]
+struct QueueEntry {
+    ticket: Ticket,
+    receiver: oneshot::Receiver<PlacementResult>,
+    /// Whether the request may be placed before those that wait.
+    is_first: bool,
+    length_before: QueueLength,
+}
+
 /// Length of a queue before a request is added.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct QueueLength {
@@ -52,6 +65,8 @@
     NoUpstream,
     /// The request would not start before its deadline; holds the time after which to retry.
     WouldMissDeadline(Duration),
+    /// The queue refuses the request by its priority and work.
+    Shed(Shed),
     /// The request was queued and did not start before its deadline.
     DeadlinePassed,
     /// This crashes engines.
@@ -65,6 +80,8 @@
     /// `prefill_tokens` is ignored; both are recalculated when the request is queued.
     ///
     /// A request of priority 0 is placed immediately if possible; others join a non-empty queue.
+    /// Where the queue sheds by cost, a request is placed immediately if it goes before all that
+    /// wait.
     ///
     /// # Errors
     ///
@@ -75,29 +92,48 @@
         request_id: &str,
         request: &PlacementRequest,
         queued_request: QueuedRequest,
+        cost: RequestCost,
     ) -> Result<DispatchedRequest, PlacementError> {
-        let (ticket, receiver, queue_length) = {
+        let entry = {
             let now = self.now();
             let mut state = self.state();
             let has_queue = state
                 .queues
                 .get(&request.service)
                 .is_some_and(|queue| !queue.queue.is_empty());
-            let must_queue = has_queue && queued_request.priority > 0;
+            let sheds_by_cost = self.settings.sheds_by_cost();
+            let must_queue = has_queue && (queued_request.priority > 0 || sheds_by_cost);
             if !must_queue {
-                match state.try_place(self, request, now) {
+                let room_fraction = if sheds_by_cost {
+                    cost.room_fraction()
+                } else {
+                    1.0
+                };
+                match state.try_place(self, &request.with_room(room_fraction), now) {
                     Ok(dispatched) => return Ok(dispatched),
                     Err(Placement::NoCandidate) => return Err(PlacementError::NoUpstream),
                     Err(_) => {}
                 }
             }
-            state.enqueue(request, queued_request, now)?
+            let entry = state.enqueue(request, queued_request, cost, sheds_by_cost, now)?;
+            if must_queue && entry.is_first {
+                let room_fraction = state.room_fraction(&request.service, entry.ticket, now);
+                // Otherwise the next pass finds out why.
+                if let Ok(dispatched) =
+                    state.try_place(self, &request.with_room(room_fraction), now)
+                {
+                    state.remove_placed(&request.service, entry.ticket, now);
+                    return Ok(dispatched);
+                }
+            }
+            entry
         };
         let _guard = QueueGuard {
             gateway: self,
             service: &request.service,
-            ticket,
+            ticket: entry.ticket,
         };
+        let queue_length = entry.length_before;
         let left = queued_request.deadline.saturating_sub(self.now());
         let event = LogEvent::Queued {
             service: &request.service,
@@ -106,7 +142,7 @@
             left_ms: left.as_millis() as u64,
         };
         self.event_log.log_request(request_id, &event);
-        match tokio::time::timeout(left, receiver).await {
+        match tokio::time::timeout(left, entry.receiver).await {
             Ok(Ok(placed)) => placed,
             Ok(Err(_)) => Err(PlacementError::NoUpstream),
             Err(_) => Err(PlacementError::DeadlinePassed),
@@ -134,12 +170,19 @@
 }
 
 impl GatewayState {
+    /// Adds a request to the queue of its service.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal if the request would not start in time.
     fn enqueue(
         &mut self,
         request: &PlacementRequest,
         queued_request: QueuedRequest,
+        cost: RequestCost,
+        sheds_by_cost: bool,
         now: Instant,
-    ) -> Result<(Ticket, oneshot::Receiver<PlacementResult>, QueueLength), PlacementError> {
+    ) -> Result<QueueEntry, PlacementError> {
         let prefill_tokens = self.prefill_tokens(request, now);
         let engine_time_max = match request.prompt {
             Some(_) => first_event_time_max(
@@ -149,9 +192,14 @@
             ),
             None => Duration::ZERO,
         };
+        let latest_start = match sheds_by_cost {
+            true => cost.latest_start(engine_time_max, now),
+            false => queued_request.deadline,
+        };
         let queued_request = QueuedRequest {
             prefill_tokens,
             place_by: queued_request.place_by.saturating_sub(engine_time_max),
+            deadline: queued_request.deadline.min(latest_start),
             ..queued_request
         };
         let tokens_per_s = self.tokens_per_s(&request.service);
@@ -162,25 +210,67 @@
         if let Some(at) = self.late_start(request, &queued_request, requests_ahead, now) {
             return Err(PlacementError::WouldMissDeadline(spread_return(at, now)));
         }
+        let settings = QueueSettings {
+            shed_by_cost: sheds_by_cost,
+            ..QueueSettings::default()
+        };
         let service = self
             .queues
             .entry(request.service.clone())
             .or_insert_with(|| ServiceQueue {
-                queue: RequestQueue::new(QueueSettings::default()),
+                queue: RequestQueue::new(settings),
                 waiters: HashMap::new(),
             });
-        let queue_length = QueueLength {
+        let length_before = QueueLength {
             requests: service.queue.len(),
             prefill_tokens: service.queue.prefill_tokens(),
         };
-        let ticket = service
-            .queue
-            .push(queued_request, tokens_per_s, now)
-            .map_err(PlacementError::WouldMissDeadline)?;
+        let offered = match sheds_by_cost {
+            true => service
+                .queue
+                .offer(queued_request, cost, tokens_per_s, now, &mut rand::rng())
+                .map_err(PlacementError::Shed)?,
+            false => Offered {
+                ticket: service
+                    .queue
+                    .push(queued_request, tokens_per_s, now)
+                    .map_err(PlacementError::WouldMissDeadline)?,
+                is_first: false,
+                displaced: Vec::new(),
+            },
+        };
+        let ticket = offered.ticket;
+        for (displaced, shed) in offered.displaced {
+            if let Some(waiter) = service.waiters.remove(&displaced) {
+                // The receiver is gone if the caller has left.
+                drop(waiter.sender.send(Err(PlacementError::Shed(shed))));
+            }
+        }
         let (sender, receiver) = oneshot::channel();
-        let request = request.clone();
-        service.waiters.insert(ticket, Waiter { request, sender });
-        Ok((ticket, receiver, queue_length))
+        let waiter = Waiter {
+            request: request.clone(),
+            wait_objective: request.wait_objective,
+            sender,
+        };
+        service.waiters.insert(ticket, waiter);
+        Ok(QueueEntry {
+            ticket,
+            receiver,
+            is_first: offered.is_first,
+            length_before,
+        })
+    }
+
+    fn room_fraction(&self, service: &str, ticket: Ticket, now: Instant) -> f64 {
+        let service = self.queues.get(service);
+        service.map_or(1.0, |service| service.queue.room_fraction(ticket, now))
+    }
+
+    fn remove_placed(&mut self, service: &str, ticket: Ticket, now: Instant) {
+        if let Some(service) = self.queues.get_mut(service) {
+            service.queue.remove_placed(ticket, now);
+            service.waiters.remove(&ticket);
+        }
     }
 
     /// Returns the earliest time at which a request starts after some others, if its upstreams hold
@@ -243,10 +333,12 @@
                 .into_iter()
                 .take(REQUESTS_PER_PASS_MAX)
             {
-                let Some(waiter) = service.waiters.get(&ticket) else {
+                let Some(waiter) = service.waiters.get_mut(&ticket) else {
                     service.queue.remove(ticket);
                     continue;
                 };
+                let room_fraction = service.queue.room_fraction(ticket, now);
+                waiter.request.wait_objective = waiter.wait_objective.mul_f64(room_fraction);
                 match self.try_place(gateway, &waiter.request, now) {
                     Ok(dispatched) => {
                         service.queue.remove_placed(ticket, now);
@@ -276,11 +368,24 @@
             if requests_ahead > 0 {
                 self.record_held_back(id, now);
             }
-            for (ticket, retry_after) in service.queue.remove_unservable(self.tokens_per_s(id), now)
-            {
+            let tokens_per_s = self.tokens_per_s(id);
+            let refused: Vec<_> = match gateway.settings.sheds_by_cost() {
+                true => {
+                    let late = service.queue.shed_late(tokens_per_s, now, &mut rand::rng());
+                    let late = late.into_iter();
+                    late.map(|(ticket, shed)| (ticket, PlacementError::Shed(shed)))
+                        .collect()
+                }
+                false => {
+                    let late = service.queue.remove_unservable(tokens_per_s, now);
+                    let late = late.into_iter();
+                    late.map(|(ticket, wait)| (ticket, PlacementError::WouldMissDeadline(wait)))
+                        .collect()
+                }
+            };
+            for (ticket, error) in refused {
                 let waiter = service.waiters.remove(&ticket);
-                let refused = Err(PlacementError::WouldMissDeadline(retry_after));
-                placed.extend(waiter.map(|waiter| (waiter.sender, refused)));
+                placed.extend(waiter.map(|waiter| (waiter.sender, Err(error))));
             }
         }
         self.queues = queues;
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -16,7 +16,7 @@
 use super::placement::PlacementRequest;
 use super::platform_api::RequestHead;
 use super::queue::PlacementError;
-use super::queue::QueuedRequest;
+use super::queue::{QueuedRequest, RequestCost, Shed};
 use super::response::{draining_refusal, retryable_refusal};
 use super::state::Gateway;
 use super::stream;
@@ -180,10 +180,16 @@
             place_by: self.arrived_at + self.route.objective,
             deadline: now + left.mul_f64(QUEUE_TIME_FRACTION),
         };
+        let prompt = self.placement_request.prompt.as_ref();
+        let cost = RequestCost {
+            output_tokens: prompt.map_or(0, |prompt| prompt.expected_output_tokens()),
+            caller_deadline: self.deadline,
+            is_most_urgent: self.placement_request.wait_objective >= self.route.objective,
+        };
         let dispatched = loop {
             let gateway = &self.gateway;
             let mut dispatched = gateway
-                .place(&self.id, &placement_request, queued_request)
+                .place(&self.id, &placement_request, queued_request, cost)
                 .await?;
             if gateway.obtain_permit(&dispatched).await
                 && gateway
@@ -367,6 +373,7 @@
                 Code::Overloaded,
                 "no upstream of the service has free capacity",
             ),
+            PlacementError::Shed(shed) => self.refuse_shed(shed),
             PlacementError::DeadlinePassed => self.refuse(
                 Code::Overloaded,
                 "no upstream had free capacity before the deadline",
@@ -374,6 +381,26 @@
         }
     }
 
+    /// Logs and counts that the queue refuses the request; returns the refusal for the caller.
+    fn refuse_shed(&self, shed: Shed) -> Refusal {
+        let cause = shed.cause.name();
+        let left = self.deadline.saturating_sub(self.gateway.now());
+        self.gateway.metrics.count_shed(cause, self.priority());
+        let event = LogEvent::Shed {
+            service: &self.placement_request.service,
+            cause,
+            priority: self.priority(),
+            left_ms: left.as_millis() as u64,
+            retry_after_ms: shed.retry_after.as_millis() as u64,
+        };
+        self.gateway.event_log.log_request(&self.id, &event);
+        let reason = format!("no upstream has capacity for the request in time ({cause})");
+        match self.progress.may_have_run {
+            true => self.refuse(Code::Overloaded, &reason),
+            false => retryable_refusal(Code::Overloaded, reason, shed.retry_after),
+        }
+    }
+
     fn is_bound(&self) -> bool {
         self.placement_request.origin.is_some()
     }
