feat(gateway): settings of the VM's memory and descriptors

The platform names Limits.MemoryMb and Limits.MaxFds in each VM's configuration, but no setting takes them, so limits on what clients may make a gateway hold cannot be derived from them.

[process] memory_mb (default 512, the largest VM) and max_fds (default 10250) are read from the template. Nothing uses them yet.

--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -18,6 +18,10 @@
     pub availability_zone: AvailabilityZoneId,
     /// `cpu_share`: share of a core that the VM provides; VMs with more serve as relays.
     pub cpu_share: f64,
+    /// `memory_mb`: memory of the VM, from which the limits on what is held for others are derived.
+    pub memory_mb: u32,
+    /// `max_fds`: descriptors that the process may have open.
+    pub max_fds: u32,
     /// `caller_address`: address of the listener for callers.
     pub caller_address: SocketAddr,
     /// `ready_address`: address of the listener for readiness checks.
@@ -88,6 +92,8 @@
             vm: String::new(),
             availability_zone: String::new(),
             cpu_share: 1.0,
+            memory_mb: 512,
+            max_fds: 10_250,
             caller_address: local(8080),
             ready_address: local(8082),
             metrics_address: local(8081),
@@ -196,6 +202,22 @@
         Accessor::Fraction(|settings| &mut settings.cpu_share),
         "Share of a core that the VM provides; VMs with more serve as relays.",
     ),
+    key(
+        "memory_mb",
+        "MB",
+        Accessor::RoundedDown(&Accessor::U32(40..=1_048_576, |settings| {
+            &mut settings.memory_mb
+        })),
+        "Memory of the VM, from which the limits on what is held for others are derived.",
+    ),
+    key(
+        "max_fds",
+        "descriptors",
+        Accessor::RoundedDown(&Accessor::U32(216..=1_048_576, |settings| {
+            &mut settings.max_fds
+        })),
+        "Descriptors that the process may have open; 200 are reserved for files.",
+    ),
     key(
         "caller_address",
         "",
--- a/tests/gateway_settings.rs
+++ b/tests/gateway_settings.rs
@@ -85,6 +85,8 @@
     }
     for (name, value) in [
         ("Limits.CpuShare", "0.25"),
+        ("Limits.MemoryMb", "88"),
+        ("Limits.MaxFds", "3075"),
         ("Bounds.ContactMs", "3000"),
         ("Bounds.DrainMs", "2000"),
         ("Bounds.LeaseMs", "3000"),
@@ -106,6 +108,7 @@
     assert_eq!(settings.bounds.allowance_slack, 140_000);
     assert_eq!(settings.bounds.allowance_window, Duration::from_secs(8));
     assert_eq!(settings.cpu_share, 0.25);
+    assert_eq!((settings.memory_mb, settings.max_fds), (88, 3_075));
     assert_eq!(settings.bounds.contact_timeout, Duration::from_secs(3));
     assert_eq!(settings.peer_seeds.len(), 2);
 }
