feat(gateway): one memory budget for bodies, responses and connections

Request bodies were read without a common bound into buffers that grow by doubling, the HTTP library's read buffers grew to 408 KiB a connection, responses for slow readers had 16 MB on any VM, and the fleet's listeners had no limit at all.

caller_memory derives the parts of the budget from memory_mb and max_fds; bodies and responses are kept in segments that are reserved as they fill. The body or unread response without progress for longest is evicted, its memory freed before that of the newcomer is taken, and its request gets a 503 (it has not run) or its connection is closed. An announced length over the limit is refused before a byte is held; what is refused is read on up to 64 MiB, so that the 413 can be read. Listeners use one loop of their own instead of gotham::bind_server, with buffers of at most 64 KiB, reads of at most 16 KiB, and close the connection with an unfinished head or body for longest when there is no room. Counters gateway_caller_pressure and gateway_caller_memory and one log line in 5 s tell of it.

--- a/src/entry/app.rs
+++ b/src/entry/app.rs
@@ -6,8 +6,9 @@
 use arc_swap::ArcSwapOption;
 use tokio::sync::watch;
 
-use super::connections::Connections;
+use super::connections::{ConnectionLimits, Connections};
 use super::drain::Drain;
+use crate::caller_memory::{CallerMemory, MemoryLimits};
 use crate::clock::SharedClock;
 use crate::config::{EntryState, EntryStatus};
 use crate::document::{Customer, Snapshot};
@@ -24,6 +25,9 @@
 use crate::telemetry::{Metrics, Telemetry};
 use crate::upstream::{UnreachableUpstreams, UpstreamClient};
 
+/// Connections of operators, health checks and readers of metrics.
+const OPERATOR_CONNECTIONS_MAX: usize = 256;
+
 /// State shared by all requests of an entry: configuration, clients, limits and metrics.
 #[derive(Debug)]
 pub struct App {
@@ -36,6 +40,9 @@
     pub(super) router: Router,
     pub(super) drain: Drain,
     pub(super) connections: Connections,
+    /// Connections of operators, which do not delay a shutdown.
+    pub(super) operator_connections: Connections,
+    pub(super) memory: Arc<CallerMemory>,
     pub(super) retry_budget: SharedRetryBudget,
     pub(super) claims: Claims,
     membership: Membership,
@@ -60,6 +67,20 @@
             seed: rand::random(),
             ..ChooserSettings::default()
         };
+        let limits = &settings.limits;
+        let memory_limits = MemoryLimits::new(limits.memory_mb, u32::MAX);
+        let caller_limits = ConnectionLimits {
+            idle_timeout: limits.connection_idle_timeout,
+            connections_max: limits.connections_max,
+            descriptors_max: usize::MAX,
+            heads_max_bytes: memory_limits.heads_bytes,
+            may_close_idle: false,
+        };
+        let operator_limits = ConnectionLimits {
+            connections_max: OPERATOR_CONNECTIONS_MAX,
+            may_close_idle: true,
+            ..caller_limits.clone()
+        };
         let membership = Membership::new(&settings, incarnation, clock.clone());
         let holder_client = PeerHolderClient::new(membership.clone());
         let limiter = Limiter::new(
@@ -70,7 +91,13 @@
             Arc::new(holder_client.clone()),
         );
         Self {
-            connections: Connections::new(&settings.limits, clock.clone(), drain.clone()),
+            connections: Connections::new(caller_limits, clock.clone(), drain.clone()),
+            operator_connections: Connections::new(
+                operator_limits,
+                clock.clone(),
+                Drain::default(),
+            ),
+            memory: CallerMemory::new(&memory_limits, clock.clone()),
             claims: Claims::new(store, &ClaimSettings::default(), clock.clone()),
             unreachable: UnreachableUpstreams::new(clock.clone()),
             client: UpstreamClient::new(&settings.upstream, clock.clone()),
--- a/src/entry/body.rs
+++ b/src/entry/body.rs
@@ -3,20 +3,27 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use gotham::helpers::http::Body;
 use http::HeaderMap;
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http_body_util::BodyExt;
+use hyper::body::Body as _;
 
 use super::connections::ConnectionRequestGuard;
+use crate::caller_memory::{CallerMemory, HeldBytes};
 use crate::error::{Code, Refusal};
 use crate::settings::LimitSettings;
 
-/// Maximum size of the part of a refused request's body that is read.
-const DISCARD_MAX_BYTES: usize = 1024 * 1024;
+/// Maximum size of the part of a refused request's body that is read. Callers that send a body before
+/// they read the response get the refusal of one of up to this size.
+const DISCARD_MAX_BYTES: usize = 64 * 1024 * 1024;
 /// Maximum time for which the body of a refused request is read.
-const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(3);
+/// Maximum time between two parts of the body of a refused request.
+const DISCARD_STALL_TIMEOUT: Duration = Duration::from_secs(1);
+/// `Retry-After` of requests whose body found no room: bodies that stall are given up sooner.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Rejects a `Transfer-Encoding` header that two HTTP parsers could interpret differently.
 ///
@@ -43,17 +50,18 @@
 ///
 /// # Errors
 ///
-/// Returns [`Code::BodyTooLarge`], [`Code::BodyTimeout`] or [`Code::BodyMalformed`].
+/// Returns [`Code::BodyTooLarge`], [`Code::BodyTimeout`], [`Code::BodyMalformed`] or
+/// [`Code::Overloaded`].
 pub(super) async fn read_body(
     headers: &HeaderMap,
-    body: Body,
+    body: &mut Body,
     limits: &LimitSettings,
+    memory: &Arc<CallerMemory>,
 ) -> Result<Bytes, Refusal> {
     check_declared_length(headers, limits.body_max_bytes)?;
-    let mut body = body;
-    let read = collect_body(&mut body, limits.body_max_bytes);
+    let read = receive_body(body, limits.body_max_bytes, memory);
     match tokio::time::timeout(limits.body_timeout, read).await {
-        Ok(result) => result,
+        Ok(result) => result?.into_contiguous().map_err(|_| no_memory()),
         Err(_) => {
             let limit_ms = limits.body_timeout.as_millis();
             let message = format!("body: incomplete after the limit of {limit_ms} ms");
@@ -69,7 +77,9 @@
 pub(crate) async fn discard_body(mut body: Body, request: Option<Arc<ConnectionRequestGuard>>) {
     let discard = async {
         let mut discarded_bytes = 0;
-        while let Some(Ok(frame)) = body.frame().await {
+        while let Ok(Some(Ok(frame))) =
+            tokio::time::timeout(DISCARD_STALL_TIMEOUT, body.frame()).await
+        {
             discarded_bytes += frame.data_ref().map_or(0, Bytes::len);
             if discarded_bytes > DISCARD_MAX_BYTES {
                 return;
@@ -80,15 +90,32 @@
     drop(request);
 }
 
-/// Reads a whole body of at most `max_bytes` bytes.
+/// Reads a whole body of at most `max_bytes` bytes into the memory of the VM.
 ///
 /// # Errors
 ///
-/// Returns [`Code::BodyTooLarge`] if the body is larger, and [`Code::BodyMalformed`] if reading it
-/// fails before its end.
-pub(crate) async fn collect_body(body: &mut Body, max_bytes: usize) -> Result<Bytes, Refusal> {
-    let mut collected = BytesMut::new();
-    while let Some(frame) = body.frame().await {
+/// Returns [`Code::BodyTooLarge`] if the body is larger, before any of it is read if its length says
+/// so; [`Code::BodyMalformed`] if reading it fails before its end; and [`Code::Overloaded`] if the
+/// memory is used up or what had arrived was evicted.
+pub(crate) async fn receive_body(
+    body: &mut Body,
+    max_bytes: usize,
+    memory: &Arc<CallerMemory>,
+) -> Result<HeldBytes, Refusal> {
+    let announced_bytes = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    if announced_bytes > max_bytes {
+        return Err(body_too_large(max_bytes));
+    }
+    let mut receiving = memory.receive_request(Some(announced_bytes));
+    loop {
+        let frame = tokio::select! {
+            biased;
+            () = receiving.evicted() => return Err(no_memory()),
+            frame = body.frame() => frame,
+        };
+        let Some(frame) = frame else {
+            return receiving.finish().map_err(|_| no_memory());
+        };
         let frame = frame.map_err(|error| {
             Refusal::new(
                 Code::BodyMalformed,
@@ -98,12 +125,16 @@
         let Ok(data) = frame.into_data() else {
             continue;
         };
-        if collected.len() + data.len() > max_bytes {
+        if receiving.len() + data.len() > max_bytes {
             return Err(body_too_large(max_bytes));
         }
-        collected.extend_from_slice(&data);
+        receiving.push(&data).map_err(|_| no_memory())?;
     }
-    Ok(collected.freeze())
+}
+
+fn no_memory() -> Refusal {
+    let message = "the memory for request bodies is used up";
+    Refusal::new(Code::Overloaded, message).with_retry_after(MEMORY_RETRY_AFTER)
 }
 
 fn check_declared_length(headers: &HeaderMap, max_bytes: usize) -> Result<(), Refusal> {
--- a/src/entry/caller_stream.rs
+++ b/src/entry/caller_stream.rs
@@ -18,6 +18,9 @@
 const HEAD_MAX_BYTES: usize = 32_768;
 /// Maximum size of one read while no request is in flight.
 const HEAD_READ_MAX_BYTES: usize = 8_192;
+/// Maximum size of one read of a request body. The HTTP library's read buffer grows to twice this size
+/// while reads fill it.
+const BODY_READ_MAX_BYTES: usize = 16_384;
 /// Prefix of the HTTP library's own responses to a malformed request head.
 const ERROR_STATUS_PREFIX: &[u8] = b"HTTP/1.1 4";
 /// Header that only those responses contain: no response of the entry itself has an empty body.
@@ -76,16 +79,27 @@
         });
     }
 
-    fn read_head(
+    /// Reads at most `max_bytes` and returns how many bytes were read.
+    fn read_limited(
         &mut self,
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let size = buffer.remaining().min(HEAD_READ_MAX_BYTES);
+        max_bytes: usize,
+    ) -> (Poll<io::Result<()>>, usize) {
+        let size = buffer.remaining().min(max_bytes);
         let mut limited = ReadBuf::new(buffer.initialize_unfilled_to(size));
         let read = Pin::new(&mut self.stream).poll_read(context, &mut limited);
         let filled_bytes = limited.filled().len();
         buffer.advance(filled_bytes);
+        (read, filled_bytes)
+    }
+
+    fn read_head(
+        &mut self,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let (read, filled_bytes) = self.read_limited(context, buffer, HEAD_READ_MAX_BYTES);
         if filled_bytes == 0 {
             return read;
         }
@@ -107,8 +121,11 @@
     ) -> Poll<io::Result<()>> {
         let this = self.get_mut();
         let action = this.connection.action(context);
+        if this.connection.is_closing(context) {
+            return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
+        }
         if this.connection.is_busy() {
-            return Pin::new(&mut this.stream).poll_read(context, buffer);
+            return this.read_limited(context, buffer, BODY_READ_MAX_BYTES).0;
         }
         let read = this.read_head(context, buffer);
         match action {
@@ -133,6 +150,9 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         let this = self.get_mut();
+        if this.connection.is_closing(context) {
+            return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
+        }
         if this.is_library_error(bytes) {
             this.replace_library_error(bytes);
             return Poll::Ready(Ok(bytes.len()));
@@ -149,6 +169,9 @@
         slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let this = self.get_mut();
+        if this.connection.is_closing(context) {
+            return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
+        }
         let total_bytes = slices.iter().map(|slice| slice.len()).sum();
         let first = slices.iter().find(|slice| !slice.is_empty());
         if let Some(first) = first.filter(|first| this.is_library_error(first)) {
--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -10,11 +10,12 @@
 use gotham::state::{FromState, State};
 use http::header::CONNECTION;
 use http::{HeaderMap, HeaderValue, Method, Response, StatusCode, Uri};
+use hyper::body::Body as _;
 
 use super::app::App;
 use super::attempt::EngineCall;
 use super::auth::{Caller, authenticate, bearer_key};
-use super::body::{check_framing, read_body};
+use super::body::{check_framing, discard_body, read_body};
 use super::completion_request::{CompletionRequest, Endpoint};
 use super::drain::RequestGuard;
 use super::explain::RoutingExplanation;
@@ -286,8 +287,18 @@
     }
 
     async fn read_body(&mut self) -> Result<Bytes, Refusal> {
-        let body = std::mem::take(&mut self.body);
-        read_body(&self.headers, body, &self.app.settings.limits).await
+        let app = &self.app;
+        let read = read_body(
+            &self.headers,
+            &mut self.body,
+            &app.settings.limits,
+            &app.memory,
+        );
+        let result = read.await;
+        if result.is_err() && !self.body.is_end_stream() {
+            tokio::spawn(discard_body(std::mem::take(&mut self.body), None));
+        }
+        result
     }
 
     fn check_key_placement(&self, body: &[u8]) -> Result<(), Refusal> {
--- a/src/entry/operator.rs
+++ b/src/entry/operator.rs
@@ -10,11 +10,14 @@
 use tokio::net::TcpListener;
 
 use super::app::App;
+use super::caller_stream::CallerStream;
+use super::listener::serve_connections;
 use super::responses;
 
 /// Serves operators' requests until the future is dropped.
 pub async fn serve_operators(listener: TcpListener, app: Arc<App>) {
     let app = AssertUnwindSafe(app);
+    let accept_app = Arc::clone(&app);
     let new_handler = move || {
         let app = Arc::clone(&app);
         Ok(move |state: State| {
@@ -22,8 +25,14 @@
             (state, response)
         })
     };
-    gotham::bind_server(listener, new_handler, |stream| {
-        std::future::ready(Ok(stream))
+    let connections = &accept_app.operator_connections;
+    serve_connections(listener, connections, new_handler, |stream| {
+        let connection = connections.accept(stream.peer_addr().ok()?)?;
+        Some(CallerStream::new(
+            stream,
+            connection,
+            accept_app.metrics.clone(),
+        ))
     })
     .await;
 }
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -1,13 +1,13 @@
 //! HTTP listener for callers.
 
-use std::future::{Ready, ready};
 use std::net::Shutdown;
 use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
 use std::time::Duration;
 
 use gotham::handler::HandlerResult;
-use gotham::state::{State, client_addr};
+use gotham::helpers::http::Body;
+use gotham::state::{FromState, State, client_addr};
 use http::Response;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -18,6 +18,8 @@
 use super::backpressure::apply_backpressure;
 use super::caller_stream::CallerStream;
 use super::handler::handle;
+use super::listener::serve_connections;
+use super::request_body::track_body;
 use super::responses;
 use crate::error::{Code, Refusal};
 
@@ -46,7 +48,7 @@
         let app = Arc::clone(&app);
         Ok(move |state: State| respond(app, state))
     };
-    gotham::bind_server(listener, new_handler, move |stream| {
+    serve_connections(listener, &accept_app.connections, new_handler, |stream| {
         accept_connection(&accept_app, stream)
     })
     .await;
@@ -66,6 +68,8 @@
     let request = request.map(Arc::new);
     Box::pin(async move {
         let mut state = state;
+        let body = track_body(Body::take_from(&mut state), request.as_ref());
+        state.put(body);
         let (parts, body) = handle(app, &mut state).await.into_parts();
         Ok((
             state,
@@ -74,16 +78,13 @@
     })
 }
 
-fn accept_connection(app: &App, stream: TcpStream) -> Ready<Result<CallerStream, ()>> {
-    let Ok(peer) = set_socket_options(&stream).and_then(|()| stream.peer_addr()) else {
-        return ready(Err(()));
-    };
-    let Some(connection) = app.connections.accept(peer) else {
+fn accept_connection(app: &App, stream: TcpStream) -> Option<CallerStream> {
+    let peer = set_socket_options(&stream).and_then(|()| stream.peer_addr());
+    let Some(connection) = app.connections.accept(peer.ok()?) else {
         refuse_connection(app, stream);
-        return ready(Err(()));
+        return None;
     };
-    let metrics = app.metrics.clone();
-    ready(Ok(CallerStream::new(stream, connection, metrics)))
+    Some(CallerStream::new(stream, connection, app.metrics.clone()))
 }
 
 /// Refuses a connection because the limit on open connections is reached.
--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -18,7 +18,7 @@
 use super::response::{draining_refusal, retryable_refusal};
 use super::state::Gateway;
 use super::table::RoutingTable;
-use crate::entry::{collect_body, strip_hop_by_hop};
+use crate::entry::{receive_body, strip_hop_by_hop};
 use crate::error::{Code, Refusal};
 
 /// Timeout of a request whose caller sets none.
@@ -65,14 +65,13 @@
         .min(route.timeout);
     let deadline = arrived_at + timeout;
     let left = deadline.saturating_sub(gateway.now());
-    let body = tokio::time::timeout(left, collect_body(&mut received.body, table.body_max_bytes))
-        .await
-        .map_err(|_| {
-            Refusal::new(
-                Code::BodyTimeout,
-                "the request body did not arrive before the deadline",
-            )
-        })??;
+    let receive = receive_body(&mut received.body, table.body_max_bytes, &gateway.memory);
+    let body = tokio::time::timeout(left, receive).await.map_err(|_| {
+        Refusal::new(
+            Code::BodyTimeout,
+            "the request body did not arrive before the deadline",
+        )
+    })??;
     // The head may have arrived long before the end of the body.
     if gateway.drain.is_refusing() {
         return Err(draining_refusal());
@@ -112,7 +111,7 @@
         target: target.map_or("/", PathAndQuery::as_str),
         customer: customer.as_ref().map(|customer| customer.id.as_str()),
         prompt: prompt.as_deref(),
-        body: &body,
+        body: &body.segments(),
     };
     let placement_request = PlacementRequest {
         suspects: suspects(&content, prompt.as_deref()),
--- a/src/gateway/buffered.rs
+++ b/src/gateway/buffered.rs
@@ -2,10 +2,9 @@
 
 use std::sync::Arc;
 
-use bytes::{Bytes, BytesMut};
 use gotham::helpers::http::Body;
 use http::Response;
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
 use super::attempt_failure::AttemptFailure;
@@ -13,7 +12,7 @@
 use super::model::RouteKind;
 use super::placement::DispatchedRequest;
 use super::request::AdmittedRequest;
-use super::response_memory::{HeldBody, ResponseShare};
+use crate::caller_memory::{Receiving, SendingBody};
 use crate::entry::{RequestGuard, strip_hop_by_hop};
 use crate::error::Refusal;
 
@@ -76,8 +75,8 @@
         let gateway = self.gateway.clone();
         let left = self.deadline.saturating_sub(gateway.now());
         let (mut parts, body) = received.response.into_parts();
-        let share = ResponseShare::new(gateway.response_memory.clone());
-        let body = tokio::time::timeout(left, read_body(body, share))
+        let receiving = gateway.memory.receive_response();
+        let body = tokio::time::timeout(left, read_body(body, receiving))
             .await
             .map_err(|_| AttemptFailure::Timeout)??;
         if ends_with_connection(&parts.headers) {
@@ -95,20 +94,17 @@
             });
         }
         strip_hop_by_hop(&mut parts.headers);
-        let body = Full::new(body)
-            .map_err(|never| match never {})
-            .boxed_unsync();
-        Ok(Response::from_parts(parts, body))
+        parts.extensions.insert(body.handle());
+        Ok(Response::from_parts(parts, body.boxed_unsync()))
     }
 }
 
-/// Reads a body to its end; the result holds its share of the memory until it is dropped.
-async fn read_body(body: Incoming, share: ResponseShare) -> Result<Bytes, AttemptFailure> {
+/// Reads a body to its end into the memory of the VM.
+async fn read_body(
+    body: Incoming,
+    mut receiving: Receiving,
+) -> Result<SendingBody, AttemptFailure> {
     let mut body = body;
-    let mut held = HeldBody {
-        bytes: BytesMut::new(),
-        share,
-    };
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|error| {
             AttemptFailure::connection(format!("reading the response body failed: {error}"))
@@ -116,16 +112,13 @@
         let Ok(data) = frame.into_data() else {
             continue;
         };
-        let size = held.bytes.len() + data.len();
-        if size > RESPONSE_MAX_BYTES {
+        if receiving.len() + data.len() > RESPONSE_MAX_BYTES {
             let reason = "the response body exceeds the size limit";
             return Err(AttemptFailure::unusable(reason));
         }
-        held.bytes.extend_from_slice(&data);
-        // The buffer grows by more than it is filled.
-        held.share
-            .resize(held.bytes.capacity())
-            .map_err(|error| AttemptFailure::unusable(error.to_string()))?;
+        let pushed = receiving.push(&data);
+        pushed.map_err(|error| AttemptFailure::unusable(error.to_string()))?;
     }
-    Ok(Bytes::from_owner(held))
+    let finished = receiving.finish_response();
+    finished.map_err(|error| AttemptFailure::unusable(error.to_string()))
 }
--- a/src/gateway/crash_guard/fingerprint.rs
+++ b/src/gateway/crash_guard/fingerprint.rs
@@ -24,8 +24,8 @@
     pub customer: Option<&'a str>,
     /// Prompt, if the request is for a model.
     pub prompt: Option<&'a Prompt>,
-    /// Whole body.
-    pub body: &'a [u8],
+    /// Whole body, in segments.
+    pub body: &'a [&'a [u8]],
 }
 
 impl RequestContent<'_> {
@@ -48,16 +48,19 @@
             hasher.write_u8(0);
         }
         hasher.write_u8(0);
-        hasher.write(self.body);
+        for segment in self.body {
+            hasher.write(segment);
+        }
         hasher.finish()
     }
 
     /// Returns the parts that tell prompts apart which the body does not contain: it has fewer bytes
     /// than the prompt has tokens. The last part may be named anew for a copy.
     fn parts_beside_body(&self) -> &[PromptPart] {
+        let body_bytes: usize = self.body.iter().map(|segment| segment.len()).sum();
         let prompt = self
             .prompt
-            .filter(|prompt| prompt.prompt_tokens > self.body.len() as u64);
+            .filter(|prompt| prompt.prompt_tokens > body_bytes as u64);
         prompt.map_or(&[], Prompt::shared_parts)
     }
 }
--- a/src/gateway/engine_stream.rs
+++ b/src/gateway/engine_stream.rs
@@ -12,7 +12,7 @@
 use super::placement::DispatchedRequest;
 use super::pool::Connection;
 use super::request::AdmittedRequest;
-use super::response_memory::ResponseShare;
+use crate::caller_memory::Reservation;
 
 /// Time after the deadline in which a stream may end with what arrives without a wait.
 const PROMPT_END_TIME: Duration = Duration::from_millis(200);
@@ -26,7 +26,7 @@
     /// Whether the end of the stream is that of the connection.
     ends_with_connection: bool,
     /// Memory of the event that has not arrived completely.
-    share: ResponseShare,
+    share: Reservation,
     pub(super) dispatched: DispatchedRequest,
 }
 
@@ -59,7 +59,7 @@
         body,
         is_reusable: !closes_connection(&parts.headers),
         ends_with_connection: ends_with_connection(&parts.headers),
-        share: ResponseShare::new(admitted.gateway.response_memory.clone()),
+        share: admitted.gateway.memory.reserve_response(),
         keep_alive: keep_alive_timeout(&parts.headers),
         connection: Some(received.connection),
         dispatched,
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -2,9 +2,7 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::{Request, StatusCode};
-use http_body_util::Full;
 use hyper::body::Incoming;
 
 use super::attempt_failure::{AttemptFailure, FailureCause};
@@ -15,6 +13,7 @@
 use super::platform_api::{ResponseHead, UpstreamHeaders};
 use super::pool::{Connection, SendFailure, connect};
 use super::request::AdmittedRequest;
+use crate::caller_memory::OutgoingBody;
 
 /// Response of an upstream whose head has arrived and whose body has not been read.
 #[derive(Debug)]
@@ -191,7 +190,7 @@
         dispatched: &DispatchedRequest,
         left: Duration,
         last_event_id: Option<u64>,
-    ) -> Result<Request<Full<Bytes>>, http::Error> {
+    ) -> Result<Request<OutgoingBody>, http::Error> {
         let mut headers = self.headers.clone();
         let salt = self.cache_salt(dispatched);
         let upstream_headers = UpstreamHeaders {
@@ -221,7 +220,7 @@
         if let Some(current) = request.headers_mut() {
             *current = headers;
         }
-        request.body(Full::new(self.body.clone()))
+        request.body(self.body.clone().into())
     }
 }
 
--- a/src/gateway/log_event.rs
+++ b/src/gateway/log_event.rs
@@ -33,6 +33,15 @@
         code: u16,
         reason: String,
     },
+    /// Bodies, responses and connections for which there was no room since the last such line.
+    CallerMemoryFull {
+        evicted_bodies: u64,
+        refused_bodies: u64,
+        evicted_responses: u64,
+        refused_responses: u64,
+        closed_connections: u64,
+        held_bytes: u64,
+    },
     StoreLost {
         tracked: TrackedKind,
         reason: String,
@@ -356,6 +365,7 @@
             | Self::UpstreamHeldOff { .. }
             | Self::UpstreamLimit { .. } => "upstream",
             Self::ObjectUnusable { .. } => "object_unusable",
+            Self::CallerMemoryFull { .. } => "caller_memory",
             Self::StoreLost { .. } | Self::StoreBack { .. } | Self::StoreRestored { .. } => "store",
             _ => "state",
         }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -6,6 +6,7 @@
 use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter};
 
 use super::attempt_failure::FailureCause;
+use super::caller_memory::PressureCounts;
 use super::event_log::AbortStage;
 use super::platform_api::TrackedKind;
 use crate::error::Code;
@@ -33,6 +34,8 @@
     forwards: Counter<u64>,
     helped: Counter<u64>,
     aborts: Counter<u64>,
+    caller_pressure: Counter<u64>,
+    caller_memory: Gauge<u64>,
     responses: Counter<u64>,
     orders: Counter<u64>,
     first_event: Histogram<f64>,
@@ -112,6 +115,15 @@
                 "gateway_aborts",
                 "Requests ended by the shutdown, by what the caller had received",
             ),
+            caller_pressure: counter(
+                "gateway_caller_pressure",
+                "Bodies, responses and connections for which there was no room, by what was done",
+            ),
+            caller_memory: meter
+                .u64_gauge("gateway_caller_memory")
+                .with_unit("By")
+                .with_description("Memory held for callers' bodies and responses")
+                .build(),
             responses: counter("gateway_answers", "Answers passed on, by class of status"),
             orders: counter("gateway_orders", "Orders to engines, by reply"),
             first_event: seconds(
@@ -197,6 +209,22 @@
         self.aborts.add(1, &[KeyValue::new("stage", stage.name())]);
     }
 
+    /// Counts what did not fit since the last pass, and records the memory that is held.
+    pub(super) fn record_caller_memory(&self, added: &PressureCounts, held_bytes: u64) {
+        let counts = [
+            ("body_evicted", added.evicted_bodies),
+            ("body_refused", added.refused_bodies),
+            ("response_evicted", added.evicted_responses),
+            ("response_refused", added.refused_responses),
+            ("connection_closed", added.closed_connections),
+        ];
+        for (action, count) in counts.into_iter().filter(|(_, count)| *count > 0) {
+            let labels = [KeyValue::new("action", action)];
+            self.caller_pressure.add(count, &labels);
+        }
+        self.caller_memory.record(held_bytes, &[]);
+    }
+
     /// Records the time for which an engine had lacked target weights when its first event came.
     pub(super) fn record_older_weights(&self, behind: Duration) {
         self.older_weights.record(behind.as_secs_f64(), &[]);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 mod buffered;
 mod cache_group;
 mod cache_retention;
+mod caller_memory;
 mod catch_up;
 mod charge;
 mod connection_headers;
@@ -58,7 +59,6 @@
 mod request;
 mod request_log;
 mod response;
-mod response_memory;
 mod retry_budgets;
 mod rollout_schedule;
 mod rollout_task;
@@ -96,6 +96,7 @@
 };
 pub use cache_group::{CacheGroup, IsolatedSet, isolated_set};
 pub use cache_retention::{CacheRetention, is_store_likelier};
+pub use caller_memory::{PressureCounts, PressureLog};
 pub use coordinator_term::CoordinatorTerm;
 pub use crash_guard::{
     AnswerNews, BrokenConnection, Conclusion, CrashEvidence, CrashEvidenceSettings, CrashGuard,
@@ -133,7 +134,6 @@
 pub use process_hash::{ProcessHash, hash_process};
 pub use prompt::{PartHash, Prompt, PromptPart, hash_part};
 pub use queue::{QueueSettings, QueuedRequest, RequestQueue, Ticket};
-pub use response_memory::{ResponseMemory, ResponseMemoryExhausted, ResponseShare};
 pub use retry_budgets::{RetryBudgetBounds, RetryBudgets};
 pub use rollout_schedule::{EngineView, RolloutAction, RolloutSchedule, RolloutSettings};
 pub use run_times::{RunTimes, RunTimesSettings};
--- a/src/gateway/peer_forward/forward.rs
+++ b/src/gateway/peer_forward/forward.rs
@@ -5,15 +5,14 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use bytes::Bytes;
 use gotham::helpers::http::Body;
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode};
-use http_body_util::Full;
 use hyper::body::Incoming;
 
 use super::helpers::KnownVm;
 use super::paths::PathState;
 use super::relayed_body::RelayedBody;
+use crate::caller_memory::{HeldBytes, OutgoingBody};
 use crate::clock::Instant;
 use crate::entry::{RequestGuard, strip_hop_by_hop};
 use crate::error::{Code, Refusal};
@@ -73,7 +72,7 @@
     pub(in crate::gateway) method: http::Method,
     pub(in crate::gateway) target: String,
     pub(in crate::gateway) headers: HeaderMap,
-    pub(in crate::gateway) body: Bytes,
+    pub(in crate::gateway) body: HeldBytes,
     pub(in crate::gateway) deadline: Instant,
 }
 
@@ -205,11 +204,11 @@
         &self,
         request: &ForwardedRequest,
         left: Duration,
-    ) -> Result<Request<Full<Bytes>>, http::Error> {
+    ) -> Result<Request<OutgoingBody>, http::Error> {
         let mut message = Request::builder()
             .method(request.method.clone())
             .uri(&request.target)
-            .body(Full::new(request.body.clone()))?;
+            .body(request.body.clone().into())?;
         let headers = message.headers_mut();
         *headers = request.headers.clone();
         headers.insert(FORWARD_HEADER, HeaderValue::from_static("1"));
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -5,9 +5,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::{Request, Response};
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -17,6 +15,7 @@
 
 use super::bounded_io::{BoundedIo, HeadLimit};
 use super::upstream_registry::UpstreamInstance;
+use crate::caller_memory::OutgoingBody;
 use crate::clock::{Instant, SharedClock};
 
 /// Timeout of opening a connection; shorter than the second after which TCP retransmits a lost SYN.
@@ -54,7 +53,7 @@
 /// Connection in use by a request; closed on drop unless it is returned to the pool.
 #[derive(Debug)]
 pub(super) struct Connection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<OutgoingBody>,
     task: AbortHandle,
     head_limit: Arc<HeadLimit>,
     /// Whether an earlier request was sent over it.
@@ -75,11 +74,11 @@
     /// Sends a request, once the previous one has ended, and waits for the head of the response.
     pub(super) async fn request(
         &mut self,
-        request: Request<Full<Bytes>>,
+        request: Request<impl Into<OutgoingBody>>,
     ) -> Result<Response<Incoming>, hyper::Error> {
         self.sender.ready().await?;
         self.head_limit.start();
-        let response = self.sender.send_request(request).await;
+        let response = self.sender.send_request(request.map(Into::into)).await;
         self.head_limit.stop();
         response
     }
@@ -140,7 +139,7 @@
         mut connection: Connection,
         instance: &UpstreamInstance,
         address: SocketAddr,
-        mut request: Request<Full<Bytes>>,
+        mut request: Request<OutgoingBody>,
     ) -> Result<(Response<Incoming>, Connection), SendFailure> {
         loop {
             connection.head_limit.start();
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use gotham::helpers::http::Body;
 use http::{HeaderMap, Method, Response, Uri};
 
@@ -20,6 +19,7 @@
 use super::response::{draining_refusal, retryable_refusal};
 use super::state::Gateway;
 use super::stream;
+use crate::caller_memory::HeldBytes;
 use crate::clock::Instant;
 use crate::entry::RequestGuard;
 use crate::error::{Code, Refusal};
@@ -63,7 +63,7 @@
     pub(super) method: Method,
     pub(super) uri: Uri,
     pub(super) headers: HeaderMap,
-    pub(super) body: Bytes,
+    pub(super) body: HeldBytes,
     /// Whether another VM has passed it on, so that no further one is asked.
     pub(super) is_forwarded: bool,
     /// Whether the customer is to be charged before an upstream is chosen, as the request was
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -1,5 +1,6 @@
 //! Responses that the gateway generates itself.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use gotham::helpers::http::Body;
@@ -7,6 +8,7 @@
 use http::{HeaderValue, Response};
 use http_body_util::{BodyExt, Full};
 
+use crate::caller_memory::CallerMemory;
 use crate::error::{Code, Refusal};
 
 /// Retry delay returned during shutdown, when the retry should reach another VM.
@@ -46,6 +48,25 @@
     response
 }
 
+/// Returns a text whose memory counts until it was sent; 503 if there is none.
+pub(super) fn held_response(
+    memory: &Arc<CallerMemory>,
+    content_type: &'static str,
+    text: String,
+) -> Response<Body> {
+    let mut receiving = memory.receive_response();
+    let sending = receiving.push(text.as_bytes());
+    match sending.and_then(|()| receiving.finish_response()) {
+        Ok(body) => {
+            let mut response = text_response(200, content_type, String::new());
+            response.extensions_mut().insert(body.handle());
+            *response.body_mut() = body.boxed_unsync();
+            response
+        }
+        Err(error) => text_response(503, "text/plain", error.to_string()),
+    }
+}
+
 /// Returns a refusal of a request that has not run and may be sent again after a delay.
 pub(super) fn retryable_refusal(
     code: Code,
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -21,7 +21,11 @@
 use super::response;
 use super::state::Gateway;
 use super::store_relay;
-use crate::entry::{CallerStream, apply_backpressure, discard_body};
+use crate::caller_memory::SendingHandle;
+use crate::entry::{
+    CallerStream, ConnectionRequestGuard, Connections, apply_backpressure, discard_body,
+    serve_connections, track_body,
+};
 use crate::error::{Code, Refusal};
 use crate::ids::RequestId;
 
@@ -42,8 +46,9 @@
         let gateway = Arc::clone(&gateway);
         Ok(move |state: State| respond(gateway, state))
     };
-    gotham::bind_server(listener, new_handler, move |stream| {
-        std::future::ready(accept_connection(&accept_gateway, stream))
+    let connections = &accept_gateway.connections;
+    serve_connections(listener, connections, new_handler, |stream| {
+        accept_connection(&accept_gateway, connections, stream)
     })
     .await;
 }
@@ -51,26 +56,29 @@
 /// Serves readiness checks, metrics and reads by peers until dropped.
 pub(super) async fn serve_fleet(listener: TcpListener, gateway: Arc<Gateway>) {
     let gateway = AssertUnwindSafe(gateway);
+    let accept_gateway = Arc::clone(&gateway);
     let new_handler = move || {
         let gateway = Arc::clone(&gateway);
         Ok(move |state: State| {
+            let request = start_request(&gateway.fleet_connections, &state);
             async move {
                 let mut state = state;
                 let headers = HeaderMap::borrow_from(&state);
                 let response = match headers.contains_key(FORWARD_HEADER) {
-                    true => respond_forwarded(&gateway, &mut state).await,
+                    true => respond_forwarded(&gateway, &mut state, request.as_ref()).await,
                     false => {
                         let uri = Uri::borrow_from(&state).clone();
                         respond_fleet(&gateway, &uri).await
                     }
                 };
-                Ok((state, response))
+                Ok((state, count_until_sent(response, request)))
             }
             .boxed()
         })
     };
-    gotham::bind_server(listener, new_handler, |stream: TcpStream| {
-        std::future::ready(configure(&stream).map(|()| stream).map_err(drop))
+    let connections = &accept_gateway.fleet_connections;
+    serve_connections(listener, connections, new_handler, |stream| {
+        accept_connection(&accept_gateway, connections, stream)
     })
     .await;
 }
@@ -79,38 +87,58 @@
     gateway: Arc<Gateway>,
     state: State,
 ) -> std::pin::Pin<Box<dyn Future<Output = HandlerResult> + Send>> {
-    let peer = client_addr(&state);
-    let request = peer.and_then(|peer| gateway.connections.start_request(peer));
-    let request = request.map(Arc::new);
+    let request = start_request(&gateway.connections, &state);
     async move {
         let mut state = state;
-        let mut received = take_request(&mut state, false);
+        let mut received = take_request(&mut state, request.as_ref(), false);
         let response = handle_request(gateway, &mut received).await;
         if !received.body.is_end_stream() {
             tokio::spawn(discard_body(received.body, request.clone()));
         }
-        let (parts, body) = response.into_parts();
-        Ok((
-            state,
-            Response::from_parts(parts, apply_backpressure(body, request)),
-        ))
+        Ok((state, count_until_sent(response, request)))
     }
     .boxed()
 }
 
-fn take_request(state: &mut State, is_forwarded: bool) -> ReceivedRequest {
+fn start_request(connections: &Connections, state: &State) -> Option<Arc<ConnectionRequestGuard>> {
+    let request = connections.start_request(client_addr(state)?);
+    request.map(Arc::new)
+}
+
+/// Makes the request count as in flight until its response was sent, and closes its connection if the
+/// response is evicted before.
+fn count_until_sent(
+    mut response: Response<Body>,
+    request: Option<Arc<ConnectionRequestGuard>>,
+) -> Response<Body> {
+    let sending = response.extensions_mut().remove::<SendingHandle>();
+    if let (Some(sending), Some(request)) = (sending, &request) {
+        sending.set_on_eviction(request.closer());
+    }
+    response.map(|body| apply_backpressure(body, request))
+}
+
+fn take_request(
+    state: &mut State,
+    request: Option<&Arc<ConnectionRequestGuard>>,
+    is_forwarded: bool,
+) -> ReceivedRequest {
     ReceivedRequest {
         method: Method::take_from(state),
         uri: Uri::take_from(state),
         headers: HeaderMap::take_from(state),
-        body: Body::take_from(state),
+        body: track_body(Body::take_from(state), request),
         is_forwarded,
     }
 }
 
 /// Handles a request that another VM has passed on like one of this VM's own callers.
-async fn respond_forwarded(gateway: &Arc<Gateway>, state: &mut State) -> Response<Body> {
-    let mut received = take_request(state, true);
+async fn respond_forwarded(
+    gateway: &Arc<Gateway>,
+    state: &mut State,
+    request: Option<&Arc<ConnectionRequestGuard>>,
+) -> Response<Body> {
+    let mut received = take_request(state, request, true);
     let helped = match gateway.can_help(&received.headers, &received.uri) {
         true => gateway.accept_forwarded(),
         false => None,
@@ -204,15 +232,15 @@
     response
 }
 
-fn accept_connection(gateway: &Gateway, stream: TcpStream) -> Result<CallerStream, ()> {
+fn accept_connection(
+    gateway: &Gateway,
+    connections: &Connections,
+    stream: TcpStream,
+) -> Option<CallerStream> {
     let peer = configure(&stream).and_then(|()| stream.peer_addr());
-    let connection = peer.ok().and_then(|peer| gateway.connections.accept(peer));
-    let connection = connection.ok_or(())?;
-    Ok(CallerStream::new(
-        stream,
-        connection,
-        gateway.telemetry.metrics(),
-    ))
+    let connection = connections.accept(peer.ok()?)?;
+    let metrics = gateway.telemetry.metrics();
+    Some(CallerStream::new(stream, connection, metrics))
 }
 
 fn configure(stream: &TcpStream) -> std::io::Result<()> {
@@ -228,11 +256,8 @@
         return readiness(gateway);
     }
     if path == "/metrics" {
-        return response::text_response(
-            200,
-            "text/plain; version=0.0.4",
-            gateway.telemetry.render(),
-        );
+        let metrics = gateway.telemetry.render();
+        return response::held_response(&gateway.memory, "text/plain; version=0.0.4", metrics);
     }
     let peer_response = store_relay::respond_to_peer(gateway, path, uri.query()).await;
     peer_response.unwrap_or_else(|| response::text_response(404, "text/plain", String::new()))
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -12,6 +12,7 @@
 use super::allowance::{AllowanceSettings, Allowances};
 use super::brittle_upstream::{BrittleServices, KeeperTerms, SendLedgers, SendReply};
 use super::cache_retention::CacheRetention;
+use super::caller_memory::{PressureCounts, PressureLog};
 use super::charge::ChargeResponse;
 use super::coordinator_term::CoordinatorTerm;
 use super::crash_guard::{CrashGuard, QuarantineSource};
@@ -31,7 +32,6 @@
 use super::process_hash::{ProcessHash, hash_process};
 use super::process_outbox::ProcessOutbox;
 use super::queue::ServiceQueue;
-use super::response_memory::ResponseMemory;
 use super::retry_budgets::{RetryBudgetBounds, RetryBudgets};
 use super::run_times::RunTimes;
 use super::settings::GatewaySettings;
@@ -42,12 +42,17 @@
     Upstream, UpstreamLoad, UpstreamRegistry, UpstreamRegistrySettings,
 };
 use super::weight_history::WeightHistory;
+use crate::caller_memory::{CallerMemory, MemoryLimits};
 use crate::clock::{Instant, SharedClock};
-use crate::entry::{Connections, Drain};
+use crate::entry::{ConnectionLimits, Connections, Drain};
 use crate::ids::{Incarnation, ModelId, StoreEra, UpstreamId};
 use crate::settings::LimitSettings;
 use crate::telemetry::Telemetry;
 
+/// Time after which an unused connection of another VM or a reader of metrics is closed. Pools of other
+/// VMs close theirs after some seconds.
+const FLEET_IDLE_TIMEOUT: Duration = Duration::from_secs(600);
+
 /// State shared by all tasks of a gateway.
 #[derive(Debug)]
 pub(super) struct Gateway {
@@ -60,7 +65,10 @@
     pub(super) drain: Drain,
     pub(super) connections: Connections,
     pub(super) pool: ConnectionPool,
-    pub(super) response_memory: Arc<ResponseMemory>,
+    /// Connections of other VMs, readiness checks and readers of metrics.
+    pub(super) fleet_connections: Connections,
+    /// Memory held for callers.
+    pub(super) memory: Arc<CallerMemory>,
     pub(super) incarnation: Incarnation,
     pub(super) next_request_number: AtomicU64,
     /// Triggers a heartbeat before the interval has passed.
@@ -139,6 +147,9 @@
     pub(super) run_times: RunTimes,
     pub(super) upstream_paths: UpstreamPaths,
     pub(super) helpers: Helpers,
+    /// What did not fit into the memory for callers and is in the counters.
+    pub(super) counted_pressure: PressureCounts,
+    pub(super) pressure_log: PressureLog,
 }
 
 impl Gateway {
@@ -151,7 +162,22 @@
         incarnation: Incarnation,
     ) -> Self {
         let drain = Drain::default();
-        let limits = LimitSettings::default();
+        let memory_limits = MemoryLimits::new(settings.memory_mb, settings.max_fds);
+        let defaults = LimitSettings::default();
+        let caller_limits = ConnectionLimits {
+            idle_timeout: defaults.connection_idle_timeout,
+            connections_max: memory_limits
+                .caller_connections_max
+                .min(defaults.connections_max),
+            descriptors_max: memory_limits.caller_descriptors_max,
+            heads_max_bytes: memory_limits.heads_bytes,
+            may_close_idle: true,
+        };
+        let fleet_limits = ConnectionLimits {
+            idle_timeout: FLEET_IDLE_TIMEOUT,
+            connections_max: memory_limits.fleet_connections_max,
+            ..caller_limits.clone()
+        };
         let bounds = &settings.bounds;
         let mut peers = Peers::new(
             PeersSettings {
@@ -207,12 +233,16 @@
             run_times: RunTimes::default(),
             upstream_paths: UpstreamPaths::new(UpstreamPathsSettings::default()),
             helpers: Helpers::new(HelpersSettings::default()),
+            counted_pressure: PressureCounts::default(),
+            pressure_log: PressureLog::default(),
         };
         Self {
-            connections: Connections::new(&limits, clock.clone(), drain.clone()),
+            connections: Connections::new(caller_limits, clock.clone(), drain.clone()),
             metrics: GatewayMetrics::new(&telemetry.meter()),
             pool: ConnectionPool::new(clock.clone()),
-            response_memory: Arc::default(),
+            // They do not delay a shutdown.
+            fleet_connections: Connections::new(fleet_limits, clock.clone(), Drain::default()),
+            memory: CallerMemory::new(&memory_limits, clock.clone()),
             heartbeat_due: Notify::new(),
             next_request_number: AtomicU64::new(0),
             catch_up_due: Notify::new(),
@@ -330,6 +360,7 @@
         drop(state);
         self.record_quarantine_changes(&changes, QuarantineSource::Own);
         self.place_queued();
+        self.report_caller_memory();
     }
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 //! The daemons in `src/bin` contain no logic of their own: each reads its settings and runs a tree
 //! of supervised tasks from this library.
 
+pub mod caller_memory;
 pub mod clock;
 pub mod command;
 pub mod config;
--- a/src/settings/model.rs
+++ b/src/settings/model.rs
@@ -117,6 +117,8 @@
     pub requests_max: usize,
     /// `connections_max`: limit on open connections from callers.
     pub connections_max: usize,
+    /// `memory_mb`: memory of the VM, from which the limit on request bodies being held is derived.
+    pub memory_mb: u32,
     /// `connection_idle_ms`: time after which a connection without traffic is closed.
     pub connection_idle_timeout: Duration,
     /// `deadline_ms`: longest time for a request, also used where the caller sends no deadline.
@@ -130,6 +132,7 @@
             body_timeout: Duration::from_millis(10_000),
             requests_max: 4_096,
             connections_max: 8_192,
+            memory_mb: 512,
             connection_idle_timeout: Duration::from_millis(60_000),
             deadline_max: Duration::from_millis(120_000),
         }
--- a/src/settings/table.rs
+++ b/src/settings/table.rs
@@ -197,6 +197,13 @@
         accessor: Accessor::Usize(1..=1_000_000, |s| &mut s.limits.connections_max),
         meaning: "Limit on open connections from callers.",
     },
+    Key {
+        name: "memory_mb",
+        unit: "MB",
+        is_required: false,
+        accessor: Accessor::U32(40..=1_048_576, |s| &mut s.limits.memory_mb),
+        meaning: "Memory of the VM, from which the limit on request bodies being held is derived.",
+    },
     Key {
         name: "connection_idle_ms",
         unit: "ms",
--- a/tests/gateway_pure/fingerprints.rs
+++ b/tests/gateway_pure/fingerprints.rs
@@ -11,7 +11,7 @@
     target: "/book/a?page=1",
     customer: Some("teifi"),
     prompt: None,
-    body: b"slot=3",
+    body: &[b"slot=3"],
 };
 
 fn prompt(tokens: u64, ids: &[&str]) -> Prompt {
@@ -52,8 +52,8 @@
 #[case::query(RequestContent { target: "/book/a?page=2", ..CONTENT })]
 #[case::customer(RequestContent { customer: Some("small"), ..CONTENT })]
 #[case::no_customer(RequestContent { customer: None, ..CONTENT })]
-#[case::body(RequestContent { body: b"slot=4", ..CONTENT })]
-#[case::border(RequestContent { customer: Some("teifis"), body: b"lot=3", ..CONTENT })]
+#[case::body(RequestContent { body: &[b"slot=4"], ..CONTENT })]
+#[case::border(RequestContent { customer: Some("teifis"), body: &[b"lot=3"], ..CONTENT })]
 fn other_requests_have_another_one(#[case] other: RequestContent<'_>) {
     assert_ne!(other.fingerprint(), CONTENT.fingerprint());
 }
