--- a/tests/hostile.rs
+++ b/tests/hostile.rs
@@ -254,12 +254,44 @@
     assert!(memory < MEMORY_MAX_KB, "{memory} kB");
 }
 
+/// Guards against bodies that stop one byte short of their end and together exceed the memory.
+#[tokio::test(flavor = "multi_thread")]
+async fn stalled_bodies_take_no_more_memory_than_the_settings_give() {
+    const BODY_BYTES: usize = 2 * 1_024 * 1_024;
+    const CALLERS: usize = 40;
+    let fleet = fleet("[limits]\nmemory_mb = 64\n").await;
+    let process = fleet.entries[0].process.id();
+    let rest_kb = status_kb(process, "VmHWM:");
+    let mut crowd = tokio::task::JoinSet::new();
+    for _ in 0..CALLERS {
+        let mut stream = connect(&fleet).await;
+        crowd.spawn(async move {
+            let mut bytes = post(&format!("content-length: {BODY_BYTES}\r\n"), "");
+            bytes.resize(bytes.len() + BODY_BYTES - 1, b'x');
+            // A caller whose connection is closed stops sending.
+            let _ = tokio::time::timeout(Duration::from_secs(2), stream.write_all(&bytes)).await;
+            stream
+        });
+    }
+    let _stalled = crowd.join_all().await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let answer = fleet
+        .post("/v1/chat/completions", Some(KEY), &chat("x", 1, false))
+        .await;
+    assert_eq!(answer.status, 200);
+    let grown_kb = status_kb(process, "VmHWM:") - rest_kb;
+    // 64 MB less the 32 MB that are left to a process without load.
+    let bound_kb = 32_000_000 / 1_024;
+    assert!(grown_kb <= bound_kb, "{grown_kb} kB of {bound_kb} kB");
+}
+
 fn resident_kb(process: u32) -> u64 {
+    status_kb(process, "VmRSS:")
+}
+
+fn status_kb(process: u32, name: &str) -> u64 {
     let status = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap();
-    let line = status
-        .lines()
-        .find(|line| line.starts_with("VmRSS:"))
-        .unwrap();
+    let line = status.lines().find(|line| line.starts_with(name)).unwrap();
     line.split_whitespace().nth(1).unwrap().parse().unwrap()
 }
 
