test(queue): replay the shortage with 6 and 300 queues

A rank must not depend on how many VMs see a part of the arrivals. No target is missed with 6 queues at 60 and with 300 at 60 and 40 in 100 of the capacity.

--- a/tests/queue_shedding.rs
+++ b/tests/queue_shedding.rs
@@ -13,6 +13,7 @@
 use rand::{Rng, SeedableRng};
 use rstest::rstest;
 
+/// Queues of the fleet that the targets were stated for.
 const QUEUES: usize = 62;
 const CUSTOMERS: usize = 40;
 const STEP: Duration = Duration::from_millis(10);
@@ -192,25 +193,25 @@
 }
 
 impl Replay {
-    fn run(order: Order, load: Load, seed: u64) -> Self {
+    fn run(order: Order, load: Load, queue_count: usize) -> Self {
         let settings = QueueSettings {
             shed_by_cost: order == Order::Ranks,
             ..QueueSettings::default()
         };
-        let queues = (0..QUEUES).map(|_| TestQueue {
+        let queues = (0..queue_count).map(|_| TestQueue {
             queue: RequestQueue::new(settings),
             ..TestQueue::default()
         });
         let mut replay = Self {
             order,
             load,
-            random: StdRng::seed_from_u64(seed),
+            random: StdRng::seed_from_u64(1),
             queues: queues.collect(),
             callers: Vec::new(),
             returns: BTreeMap::new(),
             backlog_tokens: 0.0,
         };
-        let mut arrivals = StdRng::seed_from_u64(seed + 1_000);
+        let mut arrivals = StdRng::seed_from_u64(1_001);
         let mut now = Duration::ZERO;
         while now < ARRIVALS_END + Duration::from_secs(10) {
             replay.step(&mut arrivals, now);
@@ -283,13 +284,13 @@
 
     /// Handles a try at a queue drawn at random.
     fn handle(&mut self, request: Try, now: Instant) {
-        let number = self.random.random_range(0..QUEUES);
+        let number = self.random.random_range(0..self.queues.len());
         let is_empty = match self.order {
             Order::StrictPriority | Order::Ranks => self.queues[number].queue.is_empty(),
             _ => self.queues[number].waiting.is_empty(),
         };
         let goes_first = self.order == Order::StrictPriority && KINDS[request.kind].priority == 0;
-        let tokens_per_s = self.tokens_per_s(now) / QUEUES as f64;
+        let tokens_per_s = self.tokens_per_s(now) / self.queues.len() as f64;
         let kind = KINDS[request.kind];
         let cost = RequestCost {
             output_tokens: kind.output_tokens,
@@ -370,8 +371,9 @@
 
     /// Visits the queues in random order, as room is found by any of the VMs.
     fn place_queued(&mut self, now: Instant) {
-        let start = self.random.random_range(0..QUEUES);
-        for number in (0..QUEUES).map(|offset| (start + offset) % QUEUES) {
+        let start = self.random.random_range(0..self.queues.len());
+        let count = self.queues.len();
+        for number in (0..count).map(|offset| (start + offset) % count) {
             let order = self.placement_order(number, now);
             for ticket in order {
                 let Some(request) = self.queues[number].waiting.get(&ticket).copied() else {
@@ -395,7 +397,7 @@
 
     /// Refuses what can no longer start in time.
     fn shed(&mut self, number: usize, now: Instant) {
-        let tokens_per_s = self.tokens_per_s(now) / QUEUES as f64;
+        let tokens_per_s = self.tokens_per_s(now) / self.queues.len() as f64;
         let queue = &mut self.queues[number];
         let refused: Vec<(Ticket, Duration)> = match self.order {
             Order::StrictPriority => queue.queue.remove_unservable(tokens_per_s, now),
@@ -570,7 +572,7 @@
     let mut table = format!("{load:?}\n");
     let mut served = BTreeMap::new();
     for order in ORDERS {
-        let outcome = Replay::run(order, load, 1).served();
+        let outcome = Replay::run(order, load, QUEUES).served();
         let missed = outcome.missed_targets();
         table.push_str(&format!("{} {} |\n", outcome.row(order), missed.join(", ")));
         served.insert(order, outcome);
@@ -590,6 +592,18 @@
     assert_eq!(ranks.given_up, 0, "{table}");
 }
 
+/// Guards against shares that depend on how many VMs see a part of the arrivals.
+#[rstest]
+#[case::least(6, 0.6)]
+#[case::most(300, 0.6)]
+#[case::most_with_little_capacity(300, 0.4)]
+fn no_share_depends_on_the_number_of_queues(#[case] queues: usize, #[case] capacity: f64) {
+    let served = Replay::run(Order::Ranks, Load::Capacity(capacity), queues).served();
+    let row = format!("{queues} queues, {capacity}: {}", served.row(Order::Ranks));
+    writeln!(std::io::stdout(), "{row}").unwrap();
+    assert!(served.missed_targets().is_empty(), "{row}");
+}
+
 const MS: fn(u64) -> Duration = Duration::from_millis;
 
 fn queued_request(priority: u8, prefill_tokens: u64, deadline_ms: u64) -> QueuedRequest {
