fix(queue): tell when to return where the time in the queue ends

A request whose time in the queue ended between two passes was refused with a fixed 150 ms and neither logged as shed nor counted.

--- a/src/gateway/queue/placing.rs
+++ b/src/gateway/queue/placing.rs
@@ -145,7 +145,10 @@
         match tokio::time::timeout(left, entry.receiver).await {
             Ok(Ok(placed)) => placed,
             Ok(Err(_)) => Err(PlacementError::NoUpstream),
-            Err(_) => Err(PlacementError::DeadlinePassed),
+            Err(_) => {
+                let error = self.state().deadline_passed(self, request, entry.ticket);
+                Err(error)
+            }
         }
     }
 
@@ -261,6 +264,25 @@
         })
     }
 
+    /// Returns the refusal of a request that waited until its latest start.
+    fn deadline_passed(
+        &self,
+        gateway: &Gateway,
+        request: &PlacementRequest,
+        ticket: Ticket,
+    ) -> PlacementError {
+        let service = self.queues.get(&request.service);
+        match service.filter(|_| gateway.settings.sheds_by_cost()) {
+            Some(service) => PlacementError::Shed(service.queue.late_refusal(
+                ticket,
+                self.tokens_per_s(&request.service),
+                gateway.now(),
+                &mut rand::rng(),
+            )),
+            None => PlacementError::DeadlinePassed,
+        }
+    }
+
     fn room_fraction(&self, service: &str, ticket: Ticket, now: Instant) -> f64 {
         let service = self.queues.get(service);
         service.map_or(1.0, |service| service.queue.room_fraction(ticket, now))
--- a/src/gateway/queue/request_queue.rs
+++ b/src/gateway/queue/request_queue.rs
@@ -226,6 +226,21 @@
         late
     }
 
+    /// Returns the refusal of a waiting request whose time in the queue has ended.
+    pub fn late_refusal(
+        &self,
+        ticket: Ticket,
+        tokens_per_s: f64,
+        now: Instant,
+        random: &mut impl Rng,
+    ) -> Shed {
+        let backlog = self.backlog(self.speed(tokens_per_s, now));
+        Shed {
+            cause: ShedCause::LateInQueue,
+            retry_after: self.ranks.retry_after(ticket, backlog, now, random),
+        }
+    }
+
     fn displace_last(
         &mut self,
         backlog: Duration,
--- a/tests/queue_shedding.rs
+++ b/tests/queue_shedding.rs
@@ -720,6 +720,9 @@
         assert_eq!(shed.cause, ShedCause::LateInQueue);
         assert!(order[1..].contains(ticket));
     }
+    let shed = queue.late_refusal(order[0], 10_000.0, MS(2_500), &mut random);
+    assert_eq!(shed.cause, ShedCause::LateInQueue);
+    assert!((MS(100)..=MS(834)).contains(&shed.retry_after), "{shed:?}");
     assert_eq!(queue.len(), 20 - late.len());
     assert_eq!(queue.placement_order(MS(1_500))[0], order[0]);
 }
