feat(gateway): share the last room of engines between the VMs

Cause: each VM used all the room that it saw in heartbeats up to 400 ms old, so that engines near their slots or memory got requests of many VMs at once and rejected them.

Change: in load-aware services an engine's requests and memory are estimated from its announced load too. Where not every VM could send one more request, a VM sends at most its part of the places left in 400 ms, the age of the oldest heartbeats, rounded up or down at random once in that time; it may always replace its own requests that end. A rejection fills the engine for this VM until a later response, at most 200 ms. A request that may be sent once gets an engine at which each VM could send one more, or the one with the most places. Refusals are counted by cause.

--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -8,6 +8,7 @@
 use super::attempt_failure::FailureCause;
 use super::event_log::AbortStage;
 use super::platform_api::TrackedKind;
+use super::upstream_capacity::HeadroomRefusals;
 use crate::error::Code;
 use crate::ids::ObjectVersion;
 
@@ -28,6 +29,7 @@
     reports: Counter<u64>,
     permits: Counter<u64>,
     rejections: Counter<u64>,
+    headroom_refusals: Counter<u64>,
     origin_records: Counter<u64>,
     origin_lookups: Counter<u64>,
     forwards: Counter<u64>,
@@ -92,6 +94,10 @@
                 "gateway_rejections",
                 "Requests that upstreams had no room for, by whether they are known to be brittle",
             ),
+            headroom_refusals: counter(
+                "gateway_headroom_refusals",
+                "Engines passed over as this VM had used its share of their room, by cause",
+            ),
             origin_records: counter(
                 "gateway_stream_records",
                 "Streams whose origin other VMs were told of, by outcome",
@@ -171,6 +177,15 @@
             .add(1, &[KeyValue::new("brittle", is_brittle)]);
     }
 
+    pub(super) fn count_headroom_refusals(&self, refusals: &HeadroomRefusals) {
+        for (cause, engines) in refusals.by_cause() {
+            if engines > 0 {
+                let labels = [KeyValue::new("cause", cause.name())];
+                self.headroom_refusals.add(engines, &labels);
+            }
+        }
+    }
+
     pub(super) fn count_origin_record(&self, outcome: &'static str) {
         self.origin_records
             .add(1, &[KeyValue::new("outcome", outcome)]);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -149,8 +149,8 @@
 };
 pub use table::RoutingTable;
 pub use upstream_capacity::{
-    AnnouncedServerLoad, LoadEstimate, LoadRecord, PlainCandidate, PlainChoice, UsualSpeed,
-    choose_plain,
+    AnnouncedServerLoad, Headroom, HeadroomCause, LoadEstimate, LoadRecord, PlainCandidate,
+    PlainChoice, RecentUse, UsualSpeed, choose_plain,
 };
 pub use upstream_limit::{
     AnnouncedLimit, LimitChange, LimitNews, PermitAccounts, PermitDecision, PermitRequest,
