feat(gateway): types of rollouts of a software version

The wiring is built against these signatures: orders, counts of a VM and their report, the holder's merge, grants and the plan.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -66,6 +66,7 @@
 mod run_times;
 mod server;
 mod service_retries;
+mod service_rollout;
 mod settings;
 mod shutdown;
 mod stall;
@@ -137,6 +138,12 @@
 pub use retry_budgets::{RetryBudgetBounds, RetryBudgets};
 pub use rollout_schedule::{EngineView, RolloutAction, RolloutSchedule, RolloutSettings};
 pub use run_times::{RunTimes, RunTimesSettings};
+pub use service_rollout::{
+    BadReason, FleetCounts, GrantBook, RESPONSE_TIME_BUCKETS, RequestLog, RequestOutcome,
+    ResponseTimes, RolloutGrant, RolloutOrder, RolloutPlan, RolloutPlanSettings, RolloutReport,
+    RolloutState, RolloutStatus, RolloutStep, RouteCounts, RouteHash, SentRequest, SentTo,
+    UpstreamCounts, Verdict, VerdictSettings, VersionCounts, judge, route_hash,
+};
 pub use settings::{Bounds, GatewaySettings, gateway_settings_page};
 pub use shutdown::ShutdownPlan;
 pub use stall::{SilentStream, StallSettings};
--- /dev/null
+++ b/src/gateway/service_rollout/mod.rs
@@ -0,0 +1,31 @@
+//! Rollouts of a service's software version.
+//!
+//! An order in the store asks that the traffic of a service moves to upstreams of another software
+//! version. Each VM counts what it sent to either version and how that ended, and reports the
+//! totals to the holder of the lease on orders. The holder compares the versions and grants all VMs
+//! the share of their requests that the target may get; a VM without a fresh grant sends it none.
+//!
+//! Load pattern: 6 to 300 VMs, 10 to 3,000 requests a second of one service over all of them, one
+//! report per VM and interval, a few orders at a time. Everything here is pure: no I/O, the time is
+//! passed in. [`RolloutPlan`] and [`judge`] decide, [`RequestLog`] and [`GrantBook`] are the state
+//! of a VM, [`FleetCounts`] is what the holder knows.
+
+mod counts;
+mod fleet;
+mod grant;
+mod model;
+mod plan;
+mod request_log;
+mod response_times;
+mod verdict;
+
+pub use counts::{
+    RolloutReport, RouteCounts, RouteHash, UpstreamCounts, VersionCounts, route_hash,
+};
+pub use fleet::FleetCounts;
+pub use grant::{GrantBook, RolloutGrant};
+pub use model::{RolloutOrder, RolloutState, RolloutStatus};
+pub use plan::{RolloutPlan, RolloutPlanSettings, RolloutStep};
+pub use request_log::{RequestLog, RequestOutcome, SentRequest, SentTo};
+pub use response_times::{RESPONSE_TIME_BUCKETS, ResponseTimes};
+pub use verdict::{BadReason, Verdict, VerdictSettings, judge};
