feat(gateway): settings of rollouts of software versions

Rollouts need the exposure that a bad version may have and the time to stop it. exposure_share has no default: without it rollouts are disabled.

--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -61,6 +61,15 @@
     pub allowance_slack: u64,
     /// `allowance_window_s`: window in which a customer's units are counted.
     pub allowance_window: Duration,
+    /// `exposure_share`: maximum share of a service's requests that a bad software version gets;
+    /// rollouts of software versions are disabled without it.
+    pub exposure_share: Option<f64>,
+    /// `exposure_slack`: requests that a bad software version may get besides, from all VMs
+    /// together.
+    pub exposure_slack: u32,
+    /// `rollback_ms`: time after its 50th bad response from which a bad software version gets no
+    /// requests.
+    pub rollback_timeout: Duration,
 }
 
 impl Default for Bounds {
@@ -77,6 +86,9 @@
             allowance_overage: 0.1,
             allowance_slack: 0,
             allowance_window: Duration::from_secs(8),
+            exposure_share: None,
+            exposure_slack: 50,
+            rollback_timeout: Duration::from_millis(5_000),
         }
     }
 }
@@ -321,4 +333,26 @@
         })),
         "Window in which a customer's units are counted.",
     ),
+    key(
+        "exposure_share",
+        "",
+        Accessor::OptionalFraction(|settings| &mut settings.bounds.exposure_share),
+        "Maximum share of a service's requests that a bad software version gets; without it, rollouts of software versions are disabled.",
+    ),
+    key(
+        "exposure_slack",
+        "",
+        Accessor::RoundedDown(&Accessor::U32(0..=1_000_000, |settings| {
+            &mut settings.bounds.exposure_slack
+        })),
+        "Requests that a bad software version may get besides, from all VMs together.",
+    ),
+    key(
+        "rollback_ms",
+        "ms",
+        Accessor::RoundedDown(&Accessor::Millis(500..=600_000, |settings| {
+            &mut settings.bounds.rollback_timeout
+        })),
+        "Time after its 50th bad response from which a bad software version gets no requests.",
+    ),
 ];
--- a/src/ini/key.rs
+++ b/src/ini/key.rs
@@ -40,6 +40,7 @@
     Millis(RangeInclusive<u64>, Field<T, Duration>),
     Seconds(RangeInclusive<u64>, Field<T, Duration>),
     Fraction(Field<T, f64>),
+    OptionalFraction(Field<T, Option<f64>>),
     /// Value of another type with decimal places, which are dropped.
     RoundedDown(&'static Accessor<T>),
     Address(Field<T, SocketAddr>),
@@ -100,7 +101,7 @@
             | Self::Seconds(range, _) => {
                 format!("whole number from {} to {}", range.start(), range.end())
             }
-            Self::Fraction(_) => "number from 0 to 1".into(),
+            Self::Fraction(_) | Self::OptionalFraction(_) => "number from 0 to 1".into(),
             Self::RoundedDown(accessor) => format!(
                 "{}; decimal places are dropped",
                 accessor.allowed().replace("whole number", "number")
@@ -144,6 +145,7 @@
                 *field(target) = Duration::from_secs(parse_in_range(text, range)?);
             }
             Self::Fraction(field) => *field(target) = parse_fraction(text)?,
+            Self::OptionalFraction(field) => *field(target) = Some(parse_fraction(text)?),
             Self::RoundedDown(accessor) => accessor.parse(target, without_decimal_places(text)?)?,
             Self::Address(field) => *field(target) = text.parse().ok()?,
             Self::OptionalAddress(field) => *field(target) = Some(text.parse().ok()?),
@@ -174,6 +176,7 @@
             Self::Millis(_, field) => Some(field(source).as_millis().to_string()),
             Self::Seconds(_, field) => Some(field(source).as_secs().to_string()),
             Self::Fraction(field) => Some(field(source).to_string()),
+            Self::OptionalFraction(field) => field(source).map(|share| share.to_string()),
             Self::RoundedDown(accessor) => accessor.format(source),
             Self::Address(field) => Some(field(source).to_string()),
             Self::OptionalAddress(field) => field(source).map(|address| address.to_string()),
