feat(gateway): conduct rollouts of software versions

Kind rollouts is listed and watched where exposure_share is set. The holder of the lease on orders collects the reports of all VMs, makes the steps of the plan, sends grants and writes the status; a VM sends the target the share granted only. Heartbeats do not name the new kind, and relays that do not know it answer 404, upon which a VM watches the kind at the store itself.

--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -12,7 +12,7 @@
 use super::event_log::LogEvent;
 use super::model::{CostUnit, Customer, Route};
 use super::peer_forward::FORWARD_HEADER;
-use super::placement::{PlacementRequest, suspects};
+use super::placement::{PlacementRequest, ROLLOUT_DRAW_MAX, suspects};
 use super::platform_api::RequestHead;
 use super::request::{AdmittedRequest, ReceivedRequest};
 use super::response::{draining_refusal, retryable_refusal};
@@ -125,6 +125,7 @@
         tried_upstreams: Vec::new(),
         origin: None,
         preferred_upstream: None,
+        rollout_draw: rand::random_range(0..=ROLLOUT_DRAW_MAX),
     };
     let mut headers = std::mem::take(&mut received.headers);
     strip_hop_by_hop(&mut headers);
--- a/src/gateway/announcements.rs
+++ b/src/gateway/announcements.rs
@@ -90,11 +90,8 @@
         request: &PlacementRequest,
         now: Instant,
     ) -> Option<Instant> {
-        let untried = self
-            .upstreams
-            .ready(&request.service)
-            .filter(|upstream| request.permits(upstream));
-        let returns: Option<Vec<Instant>> = untried
+        let returns: Option<Vec<Instant>> = self
+            .permitted(request, now)
             .map(|upstream| self.unavailable_until(upstream, now))
             .collect();
         returns?.into_iter().min()
--- a/src/gateway/attempt_failure.rs
+++ b/src/gateway/attempt_failure.rs
@@ -40,6 +40,10 @@
     Withdrawn,
     /// The response does not belong to the request or cannot be forwarded.
     UnusableResponse,
+    /// The upstream refused the request for its own time or rate, without a statement whether it
+    /// ran.
+    #[serde(rename = "unusable_response")]
+    UnstatedRefusal,
     /// The deadline of the request passed.
     Deadline,
 }
@@ -55,7 +59,7 @@
             Self::Stalled => "stalled",
             Self::Unanswered => "unanswered",
             Self::Withdrawn => "withdrawn",
-            Self::UnusableResponse => "unusable_response",
+            Self::UnusableResponse | Self::UnstatedRefusal => "unusable_response",
             Self::Deadline => "deadline",
         }
     }
--- a/src/gateway/buffered.rs
+++ b/src/gateway/buffered.rs
@@ -11,9 +11,10 @@
 use super::attempt_failure::AttemptFailure;
 use super::connection_headers::{closes_connection, ends_with_connection, keep_alive_timeout};
 use super::model::RouteKind;
-use super::placement::DispatchedRequest;
+use super::placement::{DispatchedRequest, ROLLOUT_DRAW_MAX};
 use super::request::AdmittedRequest;
 use super::response_memory::{HeldBody, ResponseShare};
+use super::service_rollout::outcome_of_status;
 use crate::entry::{RequestGuard, strip_hop_by_hop};
 use crate::error::Refusal;
 
@@ -45,6 +46,7 @@
             let failure = match self.attempt(&dispatched).await {
                 Ok(response) => {
                     let status = response.status();
+                    dispatched.count_outcome(outcome_of_status(status));
                     dispatched.record_first_response();
                     if status.is_server_error() {
                         dispatched.record_failure(SERVER_ERROR_FAILURE_WEIGHT);
@@ -54,6 +56,7 @@
                         && self.progress.runs < self.route.attempts;
                     if status.is_server_error() && may_retry {
                         self.progress.last_failure = Some("own_error");
+                        self.placement_request.rollout_draw = ROLLOUT_DRAW_MAX;
                         error_response = Some(response);
                         continue;
                     }
@@ -73,6 +76,9 @@
         dispatched: &DispatchedRequest,
     ) -> Result<Response<Body>, AttemptFailure> {
         let received = self.send(dispatched, None).await?;
+        if !received.response.status().is_server_error() {
+            dispatched.count_response();
+        }
         let gateway = self.gateway.clone();
         let left = self.deadline.saturating_sub(gateway.now());
         let (mut parts, body) = received.response.into_parts();
--- a/src/gateway/catch_up.rs
+++ b/src/gateway/catch_up.rs
@@ -18,9 +18,9 @@
 pub(super) async fn catch_up(gateway: Arc<Gateway>) {
     loop {
         gateway.catch_up_due.notified().await;
-        let revisions = TrackedKind::ALL.map(|tracked| gateway.mirror_revision(tracked));
+        let revisions = TrackedKind::ALWAYS.map(|tracked| gateway.mirror_revision(tracked));
         tokio::time::sleep(CATCH_UP_DELAY).await;
-        for (tracked, earlier) in TrackedKind::ALL.into_iter().zip(revisions) {
+        for (tracked, earlier) in TrackedKind::ALWAYS.into_iter().zip(revisions) {
             // A watch that returns changes is not stuck, even if peers are a little ahead.
             let is_stuck = gateway.mirror_revision(tracked) == earlier;
             let newer = gateway.newer_peer(tracked).filter(|_| is_stuck);
@@ -97,7 +97,9 @@
     fn seen_revision(&self, tracked: TrackedKind) -> ObjectVersion {
         match tracked {
             TrackedKind::Config => self.table().map_or(0, |table| table.version),
-            TrackedKind::Upstreams | TrackedKind::Weights => self.mirror_revision(tracked),
+            TrackedKind::Upstreams | TrackedKind::Weights | TrackedKind::Rollouts => {
+                self.mirror_revision(tracked)
+            }
         }
     }
 
@@ -113,6 +115,8 @@
                 TrackedKind::Config => revisions.config,
                 TrackedKind::Upstreams => revisions.upstreams,
                 TrackedKind::Weights => revisions.weights,
+                // Heartbeats do not state it; the grants of the holder reach a VM without the store.
+                TrackedKind::Rollouts => 0,
             };
             (revision, peer)
         });
--- a/src/gateway/datagram.rs
+++ b/src/gateway/datagram.rs
@@ -10,7 +10,9 @@
 use super::crash_guard::{CrashNews, Suspect};
 use super::event_log::LogEvent;
 use super::heartbeat::Heartbeat;
+use super::model::{ServiceId, SoftwareVersion};
 use super::process_hash::ProcessHash;
+use super::service_rollout::{RolloutGrant, RolloutReport};
 use super::state::Gateway;
 use super::stream_origin::{HistoryReply, KeeperAnswer, OriginLookup, OriginRecord};
 use super::upstream_limit::{LimitNews, PermitCall, PermitReply};
@@ -73,6 +75,16 @@
     HistoryRequest,
     /// Reply to it.
     HistoryReply(Box<HistoryReply>),
+    /// Report of a VM on a rollout to the holder of the lease.
+    RolloutReport(Box<RolloutReport>),
+    /// Share of a service's requests that the holder of the lease grants.
+    RolloutGrant(RolloutGrant),
+    /// Conclusion of a rollout that the sender has seen and the store may have lost.
+    RolloutConclusion {
+        service: ServiceId,
+        target: SoftwareVersion,
+        is_done: bool,
+    },
 }
 
 /// Sends a message; returns whether it fits a datagram and the socket accepted it.
--- a/src/gateway/engine_stream.rs
+++ b/src/gateway/engine_stream.rs
@@ -13,6 +13,7 @@
 use super::pool::Connection;
 use super::request::AdmittedRequest;
 use super::response_memory::ResponseShare;
+use super::service_rollout::outcome_of_status;
 
 /// Time after the deadline in which a stream may end with what arrives without a wait.
 const PROMPT_END_TIME: Duration = Duration::from_millis(200);
@@ -47,6 +48,9 @@
 ) -> (http::response::Parts, EngineStream) {
     let (parts, body) = received.response.into_parts();
     let mut dispatched = dispatched;
+    if parts.status.is_server_error() {
+        dispatched.count_outcome(outcome_of_status(parts.status));
+    }
     let model = admitted
         .placement_request
         .prompt
@@ -121,6 +125,7 @@
         }
         if !events.bytes.is_empty() {
             if engine.dispatched.record_first_response() {
+                engine.dispatched.count_response();
                 admitted.record_first_event(&engine.dispatched);
             }
             return Ok(ReadOutcome::Events(events));
@@ -147,6 +152,7 @@
     mut engine: EngineStream,
     status: http::StatusCode,
 ) {
+    engine.dispatched.count_outcome(outcome_of_status(status));
     admitted.record_response(&engine.dispatched, status);
     let connection = engine.connection.take().filter(|_| engine.is_reusable);
     if let Some(connection) = connection {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -115,6 +115,7 @@
         let left = self.deadline.saturating_sub(self.gateway.now());
         let request = self.upstream_request(dispatched, left, last_event_id);
         let request = request.map_err(|error| AttemptFailure::NotSent(error.to_string()))?;
+        dispatched.count_run(&self.route.name);
         let (instance, address) = (&dispatched.instance, dispatched.address);
         let send = self
             .gateway
@@ -157,9 +158,14 @@
             )),
             StatusCode::SERVICE_UNAVAILABLE
             | StatusCode::TOO_MANY_REQUESTS
-            | StatusCode::REQUEST_TIMEOUT => Err(AttemptFailure::unusable(format!(
-                "status {status} without a statement whether the request ran"
-            ))),
+            | StatusCode::REQUEST_TIMEOUT => {
+                let cause = match status {
+                    StatusCode::SERVICE_UNAVAILABLE => FailureCause::UnusableResponse,
+                    _ => FailureCause::UnstatedRefusal,
+                };
+                let reason = format!("status {status} without a statement whether the request ran");
+                Err(AttemptFailure::Unknown(cause, reason))
+            }
             _ => Ok(UpstreamResponse {
                 response,
                 head,
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -133,6 +133,13 @@
             Ok(Message::SendReport(report)) => gateway.handle_send_report(report),
             Ok(Message::HistoryRequest) => gateway.handle_history_request(from),
             Ok(Message::HistoryReply(reply)) => gateway.apply_history(*reply),
+            Ok(Message::RolloutReport(report)) => gateway.handle_rollout_report(*report),
+            Ok(Message::RolloutGrant(grant)) => gateway.handle_rollout_grant(grant, from),
+            Ok(Message::RolloutConclusion {
+                service,
+                target,
+                is_done,
+            }) => gateway.handle_rollout_conclusion(&service, &target, is_done),
             Err(error) => {
                 let reason = format!("datagram cannot be decoded: {error}");
                 gateway.event_log.log(&LogEvent::BeatFailed { reason });
--- a/src/gateway/log_event.rs
+++ b/src/gateway/log_event.rs
@@ -133,6 +133,64 @@
         revision: ObjectVersion,
         age_ms: u64,
     },
+    /// The operator orders the rollout of a software version.
+    RolloutOrdered {
+        service: &'a str,
+        target: &'a str,
+        within_ms: u64,
+        #[serde(serialize_with = "serialize_position")]
+        revision: ObjectVersion,
+    },
+    /// The operator has removed the order.
+    RolloutRemoved {
+        service: &'a str,
+        #[serde(serialize_with = "serialize_position")]
+        revision: ObjectVersion,
+    },
+    /// The share that this VM may send to the target has changed.
+    RolloutShare {
+        service: &'a str,
+        target: &'a str,
+        share_permille: u16,
+        fencing: FencingNumber,
+    },
+    /// Step of the holder of the lease, with the requests of all VMs since the order.
+    RolloutStep {
+        service: &'a str,
+        target: &'a str,
+        share_permille: u16,
+        is_handover: bool,
+        sent: u64,
+        sent_to_target: u64,
+        elapsed_ms: u64,
+    },
+    /// What the holder of the lease found bad about the target.
+    RolloutBad {
+        service: &'a str,
+        target: &'a str,
+        reason: String,
+    },
+    /// This VM learns that a rollout is done or rolled back.
+    RolloutConcluded {
+        service: &'a str,
+        target: &'a str,
+        state: &'static str,
+        #[serde(serialize_with = "serialize_position")]
+        revision: ObjectVersion,
+    },
+    RolloutStatusWritten {
+        service: &'a str,
+        target: &'a str,
+        state: &'static str,
+        #[serde(serialize_with = "serialize_position")]
+        revision: ObjectVersion,
+        fencing: FencingNumber,
+    },
+    /// The status of a rollout was not written.
+    RolloutCallFailed {
+        service: &'a str,
+        reason: String,
+    },
     LeaseHeld {
         fencing: FencingNumber,
     },
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -8,6 +8,7 @@
 use super::attempt_failure::FailureCause;
 use super::event_log::AbortStage;
 use super::platform_api::TrackedKind;
+use super::service_rollout::{RequestOutcome, RolloutState};
 use crate::error::Code;
 use crate::ids::ObjectVersion;
 
@@ -42,6 +43,10 @@
     weights_in_place: Histogram<f64>,
     older_weights: Histogram<f64>,
     config_version: Gauge<u64>,
+    rollout_share: Gauge<u64>,
+    rollout_requests: Counter<u64>,
+    rollout_conclusions: Counter<u64>,
+    rollout_writes: Counter<u64>,
 }
 
 impl GatewayMetrics {
@@ -127,6 +132,22 @@
                 "Time for which an engine lacked target weights at a first event",
             ),
             config_version: meter.u64_gauge("gateway_config_version").build(),
+            rollout_share: meter
+                .u64_gauge("gateway_rollout_share_permille")
+                .with_description("Share granted to the target of a rollout, by service")
+                .build(),
+            rollout_requests: counter(
+                "gateway_rollout_requests",
+                "Requests of services with a rollout, by version and outcome",
+            ),
+            rollout_conclusions: counter(
+                "gateway_rollout_conclusions",
+                "Conclusions of rollouts, by state",
+            ),
+            rollout_writes: counter(
+                "gateway_rollout_writes",
+                "Statuses of rollouts written, by outcome",
+            ),
         }
     }
 
@@ -239,6 +260,38 @@
         self.weights_in_place.record(after.as_secs_f64(), &[]);
     }
 
+    pub(super) fn record_rollout_share(&self, service: &str, share_permille: u16) {
+        let labels = [KeyValue::new("service", service.to_owned())];
+        self.rollout_share
+            .record(u64::from(share_permille), &labels);
+    }
+
+    pub(super) fn count_rollout_request(&self, is_target: bool, outcome: RequestOutcome) {
+        let labels = [
+            KeyValue::new("version", if is_target { "target" } else { "old" }),
+            KeyValue::new(
+                "outcome",
+                match outcome {
+                    RequestOutcome::Success => "success",
+                    RequestOutcome::Failure => "failure",
+                    RequestOutcome::Refusal => "refusal",
+                    RequestOutcome::Abandoned => "abandoned",
+                },
+            ),
+        ];
+        self.rollout_requests.add(1, &labels);
+    }
+
+    pub(super) fn count_rollout_conclusion(&self, state: RolloutState) {
+        self.rollout_conclusions
+            .add(1, &[KeyValue::new("state", state.name())]);
+    }
+
+    pub(super) fn count_rollout_write(&self, outcome: &'static str) {
+        self.rollout_writes
+            .add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     pub(super) fn record_config_version(&self, version: ObjectVersion) {
         self.config_version.record(version, &[]);
     }
--- a/src/gateway/mirror_updates.rs
+++ b/src/gateway/mirror_updates.rs
@@ -127,11 +127,16 @@
                         revision,
                     });
                 }
+                let software = entry.software.as_ref();
+                let service = entry.service.as_str();
+                state.rollouts.observe_version(service, software, now);
                 state.upstreams.apply(name, Some(entry), now);
             }
             Some(ObjectRecord::Weights(target)) => {
                 self.apply_target_weights(&target, revision, target_times);
             }
+            Some(ObjectRecord::Rollout(entry)) => self.record_rollout(entry),
+            // An order that was rewritten and cannot be read stays in force as it was.
             Some(ObjectRecord::Unusable(reason)) => {
                 self.event_log.log(&LogEvent::ObjectUnusable {
                     tracked,
@@ -149,6 +154,7 @@
                 });
                 self.state().upstreams.apply(name, None, now);
             }
+            None if tracked == TrackedKind::Rollouts => self.remove_rollout(name, revision),
             None => {}
         }
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -127,8 +127,8 @@
 };
 pub use platform_api::{
     ChangeBatch, Dialect, EngineReport, Listing, ObjectChange, ObjectRecord, Order, OrderReply,
-    Platform, RequestHead, ResponseHead, Store, StoreCallFailure, TrackedKind, UpstreamHeaders,
-    WriteResult,
+    Platform, RequestHead, ResponseHead, StatusWriteResult, Store, StoreCallFailure, TrackedKind,
+    UpstreamHeaders, WriteResult,
 };
 pub use prefix_cache_index::{CachedPrefix, PrefixCacheIndex, PrefixHolder};
 pub use process_hash::{ProcessHash, hash_process};
@@ -140,9 +140,9 @@
 pub use run_times::{RunTimes, RunTimesSettings};
 pub use service_rollout::{
     BadReason, FleetCounts, GrantBook, RESPONSE_TIME_BUCKETS, RequestLog, RequestOutcome,
-    ResponseTimes, RolloutGrant, RolloutOrder, RolloutPlan, RolloutPlanSettings, RolloutReport,
-    RolloutState, RolloutStatus, RolloutStep, RouteCounts, RouteHash, SentRequest, SentTo,
-    UpstreamCounts, Verdict, VerdictSettings, VersionCounts, judge, route_hash,
+    ResponseTimes, RolloutEntry, RolloutGrant, RolloutOrder, RolloutPlan, RolloutPlanSettings,
+    RolloutReport, RolloutState, RolloutStatus, RolloutStep, RouteCounts, RouteHash, SentRequest,
+    SentTo, UpstreamCounts, Verdict, VerdictSettings, VersionCounts, judge, route_hash,
 };
 pub use settings::{Bounds, GatewaySettings, gateway_settings_page};
 pub use shutdown::ShutdownPlan;
--- a/src/gateway/object_mirror.rs
+++ b/src/gateway/object_mirror.rs
@@ -128,10 +128,11 @@
     }
 }
 
-/// Returns whether the operator writes the object, with a version that only rises.
+/// Returns whether the operator writes the object, so that a restored store that lacks it does not
+/// end what was in force.
 fn is_from_operator(record: &ObjectRecord) -> bool {
     match record {
-        ObjectRecord::Config(_) | ObjectRecord::Weights(_) => true,
+        ObjectRecord::Config(_) | ObjectRecord::Weights(_) | ObjectRecord::Rollout(_) => true,
         ObjectRecord::Upstream(_) | ObjectRecord::Unusable(_) => false,
     }
 }
--- a/src/gateway/placement/candidates.rs
+++ b/src/gateway/placement/candidates.rs
@@ -19,6 +19,7 @@
 use crate::gateway::name_hash::{NameHash, hash_name};
 use crate::gateway::prefix_cache_index::CachedPrefix;
 use crate::gateway::prompt::{PrefixHash, Prompt};
+use crate::gateway::service_rollout::VersionRule;
 use crate::gateway::state::{Gateway, GatewayState};
 use crate::gateway::upstream_registry::{Upstream, UpstreamLoad};
 use crate::ids::Tokens;
@@ -70,22 +71,23 @@
 }
 
 impl GatewayState {
-    /// Chooses an upstream and counts the request in its load.
+    /// Chooses an upstream of the permitted versions and counts the request in its load.
     ///
     /// # Errors
     ///
     /// Returns [`Placement::NoRoom`] or [`Placement::NoCandidate`] if no upstream was chosen.
-    pub(in crate::gateway) fn try_place(
+    pub(super) fn try_place_at(
         &mut self,
         gateway: &Arc<Gateway>,
         request: &PlacementRequest,
+        versions: &VersionRule,
         now: Instant,
     ) -> Result<DispatchedRequest, Placement> {
         self.refresh_peer_view(now);
         let prefixes = PromptPrefixes::new(request);
         let resource_demand = resource_demand(request);
         let eligible_upstreams =
-            self.eligible_upstreams(gateway, request, prefixes.as_ref(), now)?;
+            self.eligible_upstreams(gateway, request, versions, prefixes.as_ref(), now)?;
         let candidates: Vec<Candidate> = eligible_upstreams
             .iter()
             .enumerate()
@@ -172,8 +174,7 @@
             return 0;
         };
         let weights: HashSet<WeightNumber> = self
-            .upstreams
-            .ready(&request.service)
+            .serving(&request.service, now)
             .map(|upstream| upstream.weights(&prefixes.prompt.model).unwrap_or_default())
             .collect();
         let is_cached = |prefix: PrefixHash| {
@@ -200,13 +201,15 @@
         &'a self,
         gateway: &Gateway,
         request: &'a PlacementRequest,
+        versions: &VersionRule,
         prefixes: Option<&PromptPrefixes<'_>>,
         now: Instant,
     ) -> Result<Vec<EligibleUpstream<'a>>, Placement> {
         let untried = self
             .upstreams
             .ready(&request.service)
-            .filter(|upstream| request.permits(upstream));
+            .filter(|upstream| request.permits(upstream))
+            .filter(|upstream| versions.permits(upstream.entry.software.as_ref()));
         let upstreams: Vec<&Upstream> = untried.collect();
         if upstreams.is_empty() {
             return Err(Placement::NoCandidate);
--- a/src/gateway/placement/dispatch.rs
+++ b/src/gateway/placement/dispatch.rs
@@ -1,8 +1,8 @@
 //! Accounting of a request that was dispatched to an upstream.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use http::StatusCode;
@@ -14,6 +14,7 @@
 use crate::gateway::model::{ServiceId, SoftwareVersion, WeightNumber};
 use crate::gateway::platform_api::ResponseHead;
 use crate::gateway::process_hash::hash_process;
+use crate::gateway::service_rollout::{CountedRun, RequestOutcome};
 use crate::gateway::state::Gateway;
 use crate::gateway::upstream_limit::RequestRate;
 use crate::gateway::upstream_registry::{Upstream, UpstreamInstance, UpstreamLoad};
@@ -62,6 +63,8 @@
     pub(in crate::gateway) slots: u32,
     /// Permit of the request if the upstream is brittle.
     pub(in crate::gateway) send_permit: Option<SendPermit>,
+    /// Count of the run once the request is sent, if the service has a rollout.
+    counted_run: OnceLock<CountedRun>,
     number: u64,
     load: UpstreamLoad,
     is_awaiting_first_response: bool,
@@ -92,6 +95,7 @@
             needs_permit: false,
             slots: upstream.entry.slots,
             send_permit: None,
+            counted_run: OnceLock::new(),
             number: gateway.next_request_number.fetch_add(1, Ordering::Relaxed),
             load,
             is_awaiting_first_response: true,
@@ -169,6 +173,28 @@
         true
     }
 
+    /// Counts the request as sent if its service has a rollout.
+    pub(in crate::gateway) fn count_run(&self, route: &str) {
+        if let Some(run) = CountedRun::start(&self.gateway, self, route) {
+            // The request is sent once.
+            let _ = self.counted_run.set(run);
+        }
+    }
+
+    /// Counts the time to the first byte of a response that is no failure.
+    pub(in crate::gateway) fn count_response(&self) {
+        if let Some(run) = self.counted_run.get() {
+            run.respond();
+        }
+    }
+
+    /// Counts the outcome of the request.
+    pub(in crate::gateway) fn count_outcome(&self, outcome: RequestOutcome) {
+        if let Some(run) = self.counted_run.get() {
+            run.conclude(outcome);
+        }
+    }
+
     /// Records the weights that served the request.
     pub(in crate::gateway) fn record_weights(&mut self, weights: WeightNumber, model: &str) {
         if let Some(upstream) = self.gateway.state().upstreams.instance_mut(&self.instance) {
--- a/src/gateway/placement/mod.rs
+++ b/src/gateway/placement/mod.rs
@@ -3,13 +3,15 @@
 //! Load pattern: bursts of long prompts that share prefixes, seen by each VM in part only.
 //!
 //! [`choice`] decides by cost among candidates and performs no I/O. [`candidates`] collects them
-//! from the gateway's state, [`request`] says what a request needs, and [`dispatch`] accounts for a
+//! from the gateway's state, [`request`] says what a request needs, [`versions`] says at which software
+//! versions it may run, and [`dispatch`] accounts for a
 //! request from its dispatch to the end of its response.
 
 mod candidates;
 mod choice;
 mod dispatch;
 mod request;
+mod versions;
 
 pub(super) use candidates::older_weights_cutoff;
 pub use choice::{
@@ -17,4 +19,4 @@
     first_event_time_max, required_memory_tokens,
 };
 pub(super) use dispatch::DispatchedRequest;
-pub(super) use request::{PlacementRequest, suspects};
+pub(super) use request::{PlacementRequest, ROLLOUT_DRAW_MAX, suspects};
--- a/src/gateway/placement/request.rs
+++ b/src/gateway/placement/request.rs
@@ -11,6 +11,9 @@
 use crate::gateway::upstream_registry::Upstream;
 use crate::ids::UpstreamId;
 
+/// Highest number that is drawn; only a share of 1,000 per mille exceeds it.
+pub(in crate::gateway) const ROLLOUT_DRAW_MAX: u16 = 999;
+
 /// Properties of a request that determine its upstream.
 #[derive(Debug, Clone)]
 pub(in crate::gateway) struct PlacementRequest {
@@ -34,6 +37,9 @@
     pub(in crate::gateway) origin: Option<Arc<StreamOrigin>>,
     /// Upstream that the request is sent to if it is eligible.
     pub(in crate::gateway) preferred_upstream: Option<UpstreamId>,
+    /// Number drawn for the request, up to [`ROLLOUT_DRAW_MAX`]; the target of a rollout may get it
+    /// if the share granted is higher. Drawn once, as a request that waits is placed repeatedly.
+    pub(in crate::gateway) rollout_draw: u16,
 }
 
 impl PlacementRequest {
--- a/src/gateway/platform_api.rs
+++ b/src/gateway/platform_api.rs
@@ -14,6 +14,7 @@
 use super::crash_guard::{QuarantineRecord, Suspect};
 use super::model::{Member, RoutingConfig, TargetWeights, UpstreamEntry, WeightNumber};
 use super::prompt::Prompt;
+use super::service_rollout::{RolloutEntry, RolloutStatus};
 use super::upstream_limit::AnnouncedLimit;
 use crate::ids::{FencingNumber, ModelId, ObjectVersion, RequestId, StoreEra, UpstreamId, VmId};
 use crate::steward::{LeaseObject, LeaseRecord};
@@ -29,11 +30,17 @@
     Upstreams,
     /// Target weights of models, set by the operator.
     Weights,
+    /// Rollouts of software versions, ordered by the operator; watched where they are enabled.
+    Rollouts,
 }
 
 impl TrackedKind {
     /// All kinds.
-    pub const ALL: [Self; 3] = [Self::Config, Self::Upstreams, Self::Weights];
+    pub const ALL: [Self; 4] = [Self::Config, Self::Upstreams, Self::Weights, Self::Rollouts];
+    /// Kinds that every gateway watches.
+    ///
+    /// Heartbeats state the revisions of these only, and a VM is a store relay if it watches them.
+    pub const ALWAYS: [Self; 3] = [Self::Config, Self::Upstreams, Self::Weights];
 
     /// Returns the name used in logs and metrics.
     pub fn name(self) -> &'static str {
@@ -41,6 +48,7 @@
             Self::Config => "config",
             Self::Upstreams => "upstreams",
             Self::Weights => "weights",
+            Self::Rollouts => "rollouts",
         }
     }
 }
@@ -56,6 +64,8 @@
     Upstream(UpstreamEntry),
     /// Target weights of a model.
     Weights(TargetWeights),
+    /// Rollout of a software version.
+    Rollout(RolloutEntry),
     /// Object that cannot be used, with the reason.
     Unusable(String),
 }
@@ -126,6 +136,18 @@
     Conflict(LeaseObject),
 }
 
+/// Result of writing the status of a rollout.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum StatusWriteResult {
+    /// The status was written, and the object now has this revision.
+    Applied(ObjectVersion),
+    /// The object has another revision than expected; contains its current content, or the reason
+    /// why it cannot be used.
+    Conflict(Result<RolloutEntry, String>),
+    /// The object does not exist.
+    Missing,
+}
+
 /// Client of the platform's store.
 ///
 /// Every method returns a [`StoreCallFailure`] if the store refuses the call or no valid response
@@ -166,6 +188,13 @@
     ) -> BoxFuture<'_, Result<(), StoreCallFailure>>;
     /// Removes a state.
     fn remove_quarantined(&self, suspect: Suspect) -> BoxFuture<'_, Result<(), StoreCallFailure>>;
+    /// Writes the status of a rollout if its object has the expected revision.
+    fn put_rollout_status(
+        &self,
+        name: String,
+        expected: ObjectVersion,
+        status: RolloutStatus,
+    ) -> BoxFuture<'_, Result<StatusWriteResult, StoreCallFailure>>;
     /// Removes the record of a VM.
     fn unregister(&self, vm: VmId) -> BoxFuture<'_, Result<(), StoreCallFailure>>;
 }
--- a/src/gateway/queue/placing.rs
+++ b/src/gateway/queue/placing.rs
@@ -154,7 +154,7 @@
             place_by: queued_request.place_by.saturating_sub(engine_time_max),
             ..queued_request
         };
-        let tokens_per_s = self.tokens_per_s(&request.service);
+        let tokens_per_s = self.tokens_per_s(&request.service, now);
         let requests_ahead = self
             .queues
             .get(&request.service)
@@ -222,8 +222,8 @@
 
     /// Returns the nominal prompt speed, in tokens per second, of this VM's part of a service's
     /// engines.
-    fn tokens_per_s(&self, service: &str) -> f64 {
-        let engines = self.upstreams.ready(service).count() as f64;
+    fn tokens_per_s(&self, service: &str, now: Instant) -> f64 {
+        let engines = self.serving(service, now).count() as f64;
         engines * self.placement_settings.prefill_tokens_per_ms * 1_000.0 / self.fleet_size() as f64
     }
 
@@ -276,7 +276,9 @@
             if requests_ahead > 0 {
                 self.record_held_back(id, now);
             }
-            for (ticket, retry_after) in service.queue.remove_unservable(self.tokens_per_s(id), now)
+            for (ticket, retry_after) in service
+                .queue
+                .remove_unservable(self.tokens_per_s(id, now), now)
             {
                 let waiter = service.waiters.remove(&ticket);
                 let refused = Err(PlacementError::WouldMissDeadline(retry_after));
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -13,11 +13,12 @@
 use super::event_log::LogEvent;
 use super::model::{Customer, Route, RouteKind};
 use super::placement::DispatchedRequest;
-use super::placement::PlacementRequest;
+use super::placement::{PlacementRequest, ROLLOUT_DRAW_MAX};
 use super::platform_api::RequestHead;
 use super::queue::PlacementError;
 use super::queue::QueuedRequest;
 use super::response::{draining_refusal, retryable_refusal};
+use super::service_rollout::outcome_of_failure;
 use super::state::Gateway;
 use super::stream;
 use crate::clock::Instant;
@@ -233,6 +234,9 @@
         dispatched: &DispatchedRequest,
         failure: AttemptFailure,
     ) -> Result<(), Refusal> {
+        dispatched.count_outcome(outcome_of_failure(&failure));
+        // Another attempt goes to the old version unless the target serves all requests.
+        self.placement_request.rollout_draw = ROLLOUT_DRAW_MAX;
         let (outcome, cause, reason) = (failure.outcome(), failure.cause(), failure.to_string());
         self.gateway.metrics.count_attempt_failure(outcome, cause);
         self.gateway.event_log.log_request(
--- a/src/gateway/service_rollout/mod.rs
+++ b/src/gateway/service_rollout/mod.rs
@@ -7,25 +7,34 @@
 //!
 //! Load pattern: 6 to 300 VMs, 10 to 3,000 requests a second of one service over all of them, one
 //! report per VM and interval, a few orders at a time. Everything here is pure: no I/O, the time is
-//! passed in. [`RolloutPlan`] and [`judge`] decide, [`RequestLog`] and [`GrantBook`] are the state
+//! passed in, except in `task`, `exchange` and `counted_run`. [`RolloutPlan`] and [`judge`] decide, [`RequestLog`] and [`GrantBook`] are the state
 //! of a VM, [`FleetCounts`] is what the holder knows.
 
+mod counted_run;
 mod counts;
+mod exchange;
 mod fleet;
 mod grant;
+mod held_rollout;
 mod model;
+mod orders;
 mod plan;
 mod request_log;
 mod response_times;
+mod task;
 mod verdict;
 
+pub(super) use counted_run::{CountedRun, outcome_of_failure, outcome_of_status};
 pub use counts::{
     RolloutReport, RouteCounts, RouteHash, UpstreamCounts, VersionCounts, route_hash,
 };
+pub(super) use exchange::send_reports;
 pub use fleet::FleetCounts;
 pub use grant::{GrantBook, RolloutGrant};
-pub use model::{RolloutOrder, RolloutState, RolloutStatus};
+pub use model::{RolloutEntry, RolloutOrder, RolloutState, RolloutStatus};
+pub(super) use orders::{RolloutOrders, VersionQuery, VersionRule};
 pub use plan::{RolloutPlan, RolloutPlanSettings, RolloutStep};
 pub use request_log::{RequestLog, RequestOutcome, SentRequest, SentTo};
 pub use response_times::{RESPONSE_TIME_BUCKETS, ResponseTimes};
+pub(super) use task::run_service_rollouts;
 pub use verdict::{BadReason, Verdict, VerdictSettings, judge};
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -34,6 +34,7 @@
 use super::response_memory::ResponseMemory;
 use super::retry_budgets::{RetryBudgetBounds, RetryBudgets};
 use super::run_times::RunTimes;
+use super::service_rollout::RolloutOrders;
 use super::settings::GatewaySettings;
 use super::stream_origin::{KeeperAnswer, StreamOrigins};
 use super::table::RoutingTable;
@@ -137,6 +138,7 @@
     pub(super) stream_origins: StreamOrigins,
     /// Runs of requests that may not be repeated.
     pub(super) run_times: RunTimes,
+    pub(super) rollouts: RolloutOrders,
     pub(super) upstream_paths: UpstreamPaths,
     pub(super) helpers: Helpers,
 }
@@ -205,6 +207,7 @@
             coordinator_term: CoordinatorTerm::default(),
             stream_origins: StreamOrigins::new(clock.now()),
             run_times: RunTimes::default(),
+            rollouts: RolloutOrders::new(bounds.exposure_share.is_some(), bounds.contact_timeout),
             upstream_paths: UpstreamPaths::new(UpstreamPathsSettings::default()),
             helpers: Helpers::new(HelpersSettings::default()),
         };
@@ -322,6 +325,7 @@
         state.refresh_peer_view(now);
         state.sweep_stream_origins(now);
         state.run_times.sweep(now);
+        state.sweep_rollouts(now);
         state.helpers.sweep(now);
         state.prefix_cache_index.sweep(now);
         let is_coordinator = state.peers.is_complete(now) && state.peers.coordinator(now).is_none();
@@ -339,9 +343,9 @@
         self.peers.fleet_size()
     }
 
-    /// Returns whether this VM watches every kind at the store itself and receives responses.
+    /// Returns whether this VM watches the store itself and receives responses.
     pub(super) fn watches_store(&self) -> bool {
-        TrackedKind::ALL
+        TrackedKind::ALWAYS
             .iter()
             .all(|tracked| self.directly_watched.contains(tracked))
     }
--- a/src/gateway/status.rs
+++ b/src/gateway/status.rs
@@ -4,6 +4,7 @@
 
 use super::model::{Member, RoutingConfig, TargetWeights, UpstreamEntry, UpstreamStage};
 use super::platform_api::{ObjectRecord, Store, StoreCallFailure, TrackedKind};
+use super::service_rollout::{RolloutEntry, RolloutState};
 use crate::ids::{ObjectVersion, UpstreamId};
 use crate::steward::LeaseRecord;
 
@@ -24,6 +25,8 @@
     pub unusable: Vec<(String, String)>,
     /// Target weights set by the operator.
     pub weights: Vec<TargetWeights>,
+    /// Rollouts of software versions; empty if the store does not know the kind.
+    pub rollouts: Vec<RolloutEntry>,
     /// Registered VMs.
     pub vms: Vec<Member>,
     /// Lease that permits orders to engines.
@@ -44,6 +47,7 @@
             upstreams: Vec::new(),
             unusable: Vec::new(),
             weights: Vec::new(),
+            rollouts: Vec::new(),
             vms: Vec::new(),
             lease: None,
         };
@@ -60,7 +64,12 @@
             }
         }
         for tracked in TrackedKind::ALL {
-            for object in store.list(tracked).await?.objects {
+            let listed = match (tracked, store.list(tracked).await) {
+                // Only deployments with rollouts have objects of the kind.
+                (TrackedKind::Rollouts, Err(StoreCallFailure::Refused(_))) => continue,
+                (_, listed) => listed?,
+            };
+            for object in listed.objects {
                 status.add_object(object.name, object.record);
             }
         }
@@ -91,6 +100,7 @@
                 .iter()
                 .map(|target| format!("weights named: {} {}", target.model, target.weights)),
         );
+        lines.extend(self.rollouts.iter().map(rollout_line));
         lines.extend(self.vms.iter().map(|member| {
             format!(
                 "vm: {} in {} at {}",
@@ -119,6 +129,7 @@
             Some(ObjectRecord::Config(config)) => self.set_config(&config),
             Some(ObjectRecord::Upstream(entry)) => self.upstreams.push((name, entry)),
             Some(ObjectRecord::Weights(target)) => self.weights.push(target),
+            Some(ObjectRecord::Rollout(entry)) => self.rollouts.push(entry),
             Some(ObjectRecord::Unusable(reason)) => self.unusable.push((name, reason)),
             None => {}
         }
@@ -145,6 +156,19 @@
     }
 }
 
+fn rollout_line(entry: &RolloutEntry) -> String {
+    let order = &entry.order;
+    let state = match entry.state() {
+        None => "not begun".to_owned(),
+        Some(RolloutState::Running) => format!(
+            "running, within {} s; the holder of the lease on orders logs its steps",
+            order.within.as_secs_f64()
+        ),
+        Some(state) => state.name().to_owned(),
+    };
+    format!("rollout: {} to {}, {state}", order.service, order.target)
+}
+
 fn upstream_line(id: &str, entry: &UpstreamEntry) -> String {
     let stage = match entry.stage {
         UpstreamStage::Ready => "ready",
--- a/src/gateway/upstream_limit/placing.rs
+++ b/src/gateway/upstream_limit/placing.rs
@@ -65,7 +65,7 @@
         if self.upstream_limits.is_empty() {
             return None;
         }
-        let upstreams = self.upstreams.ready(service);
+        let upstreams = self.serving(service, now);
         let rates: Option<Vec<f64>> = upstreams
             .map(|upstream| {
                 let rate = self
