--- a/src/gateway/service_rollout/counts.rs
+++ b/src/gateway/service_rollout/counts.rs
@@ -69,6 +69,8 @@
     pub incarnation: Incarnation,
     /// Time for which it has seen the order.
     pub seen_for_ms: u32,
+    /// Time since the first request that it sent to the target; 0 if none.
+    pub target_since_ms: u32,
     /// Requests sent for the service, to either version.
     pub sent: u32,
     /// Requests and streams in flight at old upstreams.
--- a/src/gateway/service_rollout/request_log.rs
+++ b/src/gateway/service_rollout/request_log.rs
@@ -62,6 +62,8 @@
     service: ServiceId,
     target: SoftwareVersion,
     seen_at: Instant,
+    /// Time of the first request to the target.
+    target_at: Option<Instant>,
     sent: u32,
     next_id: u64,
     in_flight: HashMap<u64, InFlight>,
@@ -75,6 +77,7 @@
             service,
             target,
             seen_at: now,
+            target_at: None,
             sent: 0,
             // Ids of an earlier log of the same service do not occur again.
             next_id: now.as_nanos() as u64,
@@ -90,6 +93,9 @@
             SentTo::Old => None,
             SentTo::Target(name) => Some((hash_name(name) % UPSTREAM_HASHES) as u8),
         };
+        if upstream.is_some() {
+            self.target_at.get_or_insert(now);
+        }
         self.sent = self.sent.saturating_add(1);
         let counts = counts_of(&mut self.routes, route, upstream);
         counts.sent = counts.sent.saturating_add(1);
@@ -157,13 +163,17 @@
     ) -> RolloutReport {
         let last = grants.last(&self.service);
         let last = last.filter(|grant| grant.target == self.target);
-        let seen_for = now.saturating_sub(self.seen_at).as_millis();
+        let millis_since = |at: Instant| {
+            let millis = now.saturating_sub(at).as_millis();
+            u32::try_from(millis).unwrap_or(u32::MAX)
+        };
         RolloutReport {
             service: self.service.clone(),
             target: self.target.clone(),
             vm,
             incarnation,
-            seen_for_ms: u32::try_from(seen_for).unwrap_or(u32::MAX),
+            seen_for_ms: millis_since(self.seen_at),
+            target_since_ms: self.target_at.map_or(0, |at| millis_since(at).max(1)),
             sent: self.sent,
             old_in_flight: old_in_flight.max(self.old_in_flight()),
             grant_fencing: last.map_or(0, |grant| grant.fencing),
