--- a/src/gateway/service_rollout/mod.rs
+++ b/src/gateway/service_rollout/mod.rs
@@ -17,6 +17,8 @@
 mod plan;
 mod request_log;
 mod response_times;
+mod scores;
+mod slices;
 mod verdict;
 
 pub use counts::{
--- a/src/gateway/service_rollout/plan.rs
+++ b/src/gateway/service_rollout/plan.rs
@@ -1,12 +1,72 @@
-//! Steps of a rollout.
+//! Steps of a rollout: a small share, a larger one, then all requests.
+//!
+//! The share grows with the evidence, and only as far as the requests that may still be exposed
+//! cover finding the target bad at that share. A plan keeps nothing that the reports do not show,
+//! apart from its conclusion: a successor's plan takes the same steps from the same reports.
 
 use std::time::Duration;
 
-use super::fleet::FleetCounts;
+use super::fleet::{Drain, FleetCounts};
 use super::model::RolloutState;
-use super::verdict::{BadReason, VerdictSettings};
+use super::verdict::{BadReason, Evidence, VerdictSettings, weigh};
 use crate::clock::Instant;
 
+/// Requests to the target after which a bad one is found at the latest, apart from delays: five
+/// failures of 20 in 100.
+const EVIDENCE_REQUESTS: f64 = 25.0;
+
+/// Part of the exposure limit that is planned with: the rate of requests may fall.
+const PLANNED_PART: f64 = 0.95;
+const FUTURE_PART: f64 = 0.9;
+
+/// Part of the intervals of reports and grants that passes until most of the fleet has acted.
+const DELAY_PART: f64 = 0.85;
+
+/// Part of the exposure before the handover that the first share uses up, and the least part of
+/// the limit that is used before the handover.
+const TRIAL_PART: f64 = 0.7;
+const BEFORE_HANDOVER_MIN: f64 = 0.15;
+
+/// Highest shares before the handover, in thousandths.
+const TRIAL_PERMILLE_MAX: f64 = 450.0;
+const WIDENED_PERMILLE_MAX: f64 = 500.0;
+
+/// Parts of the time allowed: the old version is observed alone, the share may be widened, the
+/// handover may begin, it begins even if the exposure limit does not cover it, evidence is no
+/// longer required, a doubtful target is no longer waited for, and a handover is concluded.
+const OBSERVED_UNTIL: f64 = 0.05;
+const WIDENED_FROM: f64 = 0.28;
+const HANDOVER_FROM: f64 = 0.38;
+const HANDOVER_AT_ANY_COST_FROM: f64 = 0.5;
+const EVIDENCE_WAIVED_FROM: f64 = 0.55;
+const TRIAL_UNTIL: f64 = 0.8;
+const HANDOVER_UNTIL: f64 = 0.92;
+
+/// Evidence (as a log-likelihood ratio) required for a larger share, 1 in 100, and that against the
+/// target with which one that is not found bad is accepted at the end.
+const STEP_NATS: f64 = 4.6;
+const DOUBT_NATS: f64 = 1.0;
+
+/// Part of the evidence for a bad target from which the share does not grow.
+const SUSPICION_MAX: f64 = 0.4;
+
+/// Part of the time allowed, and bounds of the time, for which all requests go to the target before
+/// the rollout is done.
+const HANDOVER_PART: f64 = 0.08;
+const HANDOVER_MIN: Duration = Duration::from_millis(1_000);
+const HANDOVER_MAX: Duration = Duration::from_millis(3_000);
+
+/// Answers under full load before the rollout is done.
+const HANDOVER_ANSWERS: f64 = 20.0;
+
+/// Share of a target whose upstreams have got nothing yet, in thousandths: enough to notice them.
+const UNKNOWN_PERMILLE: u16 = 10;
+
+/// Failures of the target from which the time until it must be stopped counts.
+const BAD_RESPONSES: u64 = 50;
+
+const ALL_PERMILLE: u16 = 1_000;
+
 /// Bounds and times of a rollout.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RolloutPlanSettings {
@@ -49,7 +109,7 @@
     pub is_handover: bool,
     /// Conclusion to write to the store, if there is one; it never changes.
     pub conclusion: Option<RolloutState>,
-    /// What was found if the conclusion is [`RolloutState::RolledBack`].
+    /// What was found if this plan concluded [`RolloutState::RolledBack`].
     pub reason: Option<BadReason>,
 }
 
@@ -58,10 +118,43 @@
 pub struct RolloutPlan {
     within: Duration,
     settings: RolloutPlanSettings,
+    started_at: Option<Instant>,
+    /// Time at which [`BAD_RESPONSES`] failures of the target were known.
+    failures_at: Option<Instant>,
+    phase: Phase,
     conclusion: Option<RolloutState>,
     reason: Option<BadReason>,
 }
 
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Phase {
+    /// The VMs have not all reported, or the old version has been observed for too short a time.
+    Observing,
+    /// The target gets a small share.
+    Trial { permille: u16 },
+    /// The target gets a larger share since this time.
+    Widened { permille: u16, since: Instant },
+    /// The target gets all requests since this time.
+    Handover { since: Instant },
+}
+
+/// What is known at one call.
+struct Situation<'a> {
+    fleet: &'a FleetCounts,
+    elapsed: Duration,
+    now: Instant,
+    /// Time allowed that has passed, as a part.
+    progress: f64,
+    /// Time allowed for the target, which may have registered late.
+    span: Duration,
+    rate_per_s: f64,
+    /// Requests that may be exposed before the end.
+    budget: f64,
+    /// Requests exposed, with those not reported yet.
+    spent: f64,
+    evidence: Evidence,
+}
+
 impl RolloutPlan {
     /// Creates the plan of an order. `conclusion` is the one that the store already has.
     pub fn new(
@@ -72,6 +165,9 @@
         Self {
             within,
             settings,
+            started_at: None,
+            failures_at: None,
+            phase: Phase::Observing,
             conclusion: conclusion.filter(|state| *state != RolloutState::Running),
             reason: None,
         }
@@ -79,20 +175,276 @@
 
     /// Returns the step to take now. `elapsed` is the time since the order, as in
     /// [`FleetCounts::elapsed`].
-    pub fn next(&mut self, _fleet: &FleetCounts, elapsed: Duration, _now: Instant) -> RolloutStep {
-        if self.conclusion.is_none() && elapsed + self.settings.rollback_time > self.within {
-            self.conclusion = Some(RolloutState::RolledBack);
-            self.reason = Some(BadReason::TimeExceeded);
+    pub fn next(&mut self, fleet: &FleetCounts, elapsed: Duration, now: Instant) -> RolloutStep {
+        self.started_at.get_or_insert(now);
+        if self.conclusion.is_none() {
+            let situation = self.situation(fleet, elapsed, now);
+            if let Some(reason) = self.bad_reason(&situation) {
+                self.roll_back(reason);
+            } else {
+                self.advance(&situation);
+            }
         }
         let share_permille = match self.conclusion {
-            Some(RolloutState::Done) => 1_000,
-            _ => 0,
+            Some(RolloutState::Done) => ALL_PERMILLE,
+            Some(_) => 0,
+            None => self.phase.permille(),
         };
         RolloutStep {
             share_permille,
-            is_handover: share_permille == 1_000,
+            is_handover: share_permille == ALL_PERMILLE,
             conclusion: self.conclusion,
             reason: self.reason,
         }
     }
+
+    /// Returns why the target is bad, if it is. Less evidence suffices when the time in which a bad
+    /// target must be stopped after its 50th bad response is nearly over.
+    fn bad_reason(&mut self, situation: &Situation<'_>) -> Option<BadReason> {
+        let settings = &self.settings;
+        let evidence = &situation.evidence;
+        if situation.fleet.target_failures() < BAD_RESPONSES {
+            return evidence.bad;
+        }
+        let failures_at = *self.failures_at.get_or_insert(situation.now);
+        let delays = (settings.report_interval + settings.grant_interval) * 2;
+        let time = settings.rollback_time.saturating_sub(delays);
+        let is_due = situation.now.saturating_sub(failures_at) >= time;
+        let is_suspect = is_due && evidence.suspicion >= SUSPICION_MAX;
+        evidence.bad.or(evidence.suspect.filter(|_| is_suspect))
+    }
+
+    fn roll_back(&mut self, reason: BadReason) {
+        self.conclusion = Some(RolloutState::RolledBack);
+        self.reason = Some(reason);
+    }
+
+    fn situation<'a>(
+        &self,
+        fleet: &'a FleetCounts,
+        elapsed: Duration,
+        now: Instant,
+    ) -> Situation<'a> {
+        let settings = &self.settings;
+        let (start, span) = self.target_span(fleet, elapsed, now);
+        let progress = elapsed.saturating_sub(start).as_secs_f64() / span.as_secs_f64().max(0.001);
+        let rate_per_s = fleet.rate_per_s();
+        let left = (start + span).saturating_sub(elapsed).as_secs_f64();
+        let requests = fleet.sent() as f64 + FUTURE_PART * rate_per_s * left;
+        let limit = settings.exposure_share * requests + f64::from(settings.exposure_slack);
+        let unreported = rate_per_s * settings.report_interval.as_secs_f64() / 2.0;
+        let share = f64::from(self.phase.permille()) / 1_000.0;
+        let permille_min = match self.phase {
+            Phase::Handover { .. } => ALL_PERMILLE,
+            _ => 0,
+        };
+        Situation {
+            fleet,
+            elapsed,
+            now,
+            progress,
+            span,
+            rate_per_s,
+            budget: PLANNED_PART * limit,
+            spent: fleet.sent_to_target() as f64 + share * unreported,
+            evidence: weigh(fleet, &settings.verdict, permille_min),
+        }
+    }
+
+    /// Returns when the time allowed begins, since the order, and its duration. It begins later if
+    /// the target has registered late, and ends later if there is too little time left then.
+    fn target_span(
+        &self,
+        fleet: &FleetCounts,
+        elapsed: Duration,
+        now: Instant,
+    ) -> (Duration, Duration) {
+        let since = fleet.target_since(now);
+        let start = match since.is_zero() {
+            true => elapsed,
+            false => elapsed.saturating_sub(since),
+        };
+        match start {
+            start if start <= self.within / 4 => (Duration::ZERO, self.within),
+            start if start <= self.within / 2 => (start, self.within - start),
+            start => (start, self.within),
+        }
+    }
+
+    fn advance(&mut self, situation: &Situation<'_>) {
+        let fleet = situation.fleet;
+        match self.phase {
+            Phase::Observing => {
+                if self.is_observed(situation) {
+                    let permille = self.trial_permille(situation);
+                    self.phase = Phase::Trial { permille };
+                }
+            }
+            Phase::Trial { .. } if fleet.sent_to_target() == 0 => {
+                let permille = self.trial_permille(situation).min(UNKNOWN_PERMILLE);
+                self.phase = Phase::Trial { permille };
+            }
+            Phase::Trial { permille } => self.advance_trial(permille, situation),
+            Phase::Widened { since, .. } => {
+                let is_reported = situation.now.saturating_sub(since) >= self.delay(situation);
+                if is_reported && self.may_hand_over(situation) {
+                    self.hand_over(situation);
+                } else {
+                    self.end_doubtful_trial(situation);
+                }
+            }
+            Phase::Handover { since } => self.advance_handover(since, situation),
+        }
+    }
+
+    fn is_observed(&self, situation: &Situation<'_>) -> bool {
+        let waited = situation
+            .now
+            .saturating_sub(self.started_at.unwrap_or_default());
+        let has_reports =
+            situation.fleet.is_complete() || waited >= self.settings.report_interval * 2;
+        let time = self.within.mul_f64(OBSERVED_UNTIL);
+        let time = time.max(self.settings.report_interval + self.settings.report_interval / 4);
+        has_reports && situation.elapsed >= time && situation.fleet.sent() > 0
+    }
+
+    fn advance_trial(&mut self, permille: u16, situation: &Situation<'_>) {
+        if self.may_hand_over(situation) {
+            let widened = self.widened_permille(situation);
+            let is_late = situation.progress >= HANDOVER_FROM;
+            if !is_late && widened >= permille.saturating_mul(2) {
+                self.widen(widened, situation);
+            } else if is_late {
+                self.hand_over(situation);
+            }
+        } else if situation.spent
+            > self.before_handover(situation) + BEFORE_HANDOVER_MIN * situation.budget
+        {
+            // What is left is kept for the handover.
+            self.phase = Phase::Trial { permille: 0 };
+        }
+        self.end_doubtful_trial(situation);
+    }
+
+    fn widen(&mut self, permille: u16, situation: &Situation<'_>) {
+        let since = situation.now;
+        self.phase = Phase::Widened { permille, since };
+    }
+
+    fn hand_over(&mut self, situation: &Situation<'_>) {
+        let since = situation.now;
+        self.phase = Phase::Handover { since };
+    }
+
+    fn end_doubtful_trial(&mut self, situation: &Situation<'_>) {
+        let is_in_handover = matches!(self.phase, Phase::Handover { .. });
+        if situation.progress >= TRIAL_UNTIL && !is_in_handover {
+            self.roll_back(BadReason::TimeExceeded);
+        }
+    }
+
+    /// Returns whether there is enough evidence for a larger share, and enough exposure left for
+    /// all requests if it is time for them.
+    fn may_hand_over(&self, situation: &Situation<'_>) -> bool {
+        let progress = situation.progress;
+        if progress < WIDENED_FROM {
+            return false;
+        }
+        let is_covered =
+            situation.spent + self.exposure_until_found(1.0, situation) <= situation.budget;
+        let is_covered = is_covered || progress >= HANDOVER_AT_ANY_COST_FROM;
+        let is_trusted =
+            situation.evidence.suspicion < SUSPICION_MAX || progress >= EVIDENCE_WAIVED_FROM;
+        is_covered
+            && is_trusted
+            && situation.evidence.answers > 0.0
+            && situation.evidence.good_nats
+                >= required_nats(progress, HANDOVER_FROM, EVIDENCE_WAIVED_FROM)
+    }
+
+    fn advance_handover(&mut self, since: Instant, situation: &Situation<'_>) {
+        let settings = &self.settings;
+        let progress = situation.progress;
+        let hold = situation.span.mul_f64(HANDOVER_PART);
+        let hold = hold.clamp(HANDOVER_MIN, HANDOVER_MAX);
+        if situation.now.saturating_sub(since) < hold {
+            return;
+        }
+        let evidence = &situation.evidence;
+        let is_late = progress >= HANDOVER_UNTIL;
+        let required = required_nats(progress, EVIDENCE_WAIVED_FROM, TRIAL_UNTIL);
+        let is_good = evidence.good_nats >= required
+            && (evidence.answers >= HANDOVER_ANSWERS || progress >= TRIAL_UNTIL);
+        if is_late && !is_good {
+            return self.roll_back(BadReason::TimeExceeded);
+        }
+        let drain = situation
+            .fleet
+            .drain(since, settings.contact_timeout, situation.now);
+        let is_drained = match drain {
+            Drain::Complete => true,
+            Drain::SilentOnly => progress >= TRIAL_UNTIL,
+            Drain::Incomplete => false,
+        };
+        if is_good && is_drained {
+            self.conclusion = Some(RolloutState::Done);
+        }
+    }
+
+    /// Returns the time from a change of the share until most VMs have applied it, answers have
+    /// arrived and are reported.
+    fn delay(&self, situation: &Situation<'_>) -> Duration {
+        let intervals = self.settings.report_interval + self.settings.grant_interval;
+        intervals.mul_f64(DELAY_PART) + situation.fleet.old_response_time()
+    }
+
+    /// Returns the requests that a target which is bad at this share gets until it is stopped.
+    fn exposure_until_found(&self, share: f64, situation: &Situation<'_>) -> f64 {
+        let delay = self.delay(situation).as_secs_f64();
+        EVIDENCE_REQUESTS + share * situation.rate_per_s * delay
+    }
+
+    /// Returns the requests that may be exposed before the handover.
+    fn before_handover(&self, situation: &Situation<'_>) -> f64 {
+        let rest = situation.budget - self.exposure_until_found(1.0, situation);
+        rest.max(BEFORE_HANDOVER_MIN * situation.budget)
+    }
+
+    fn trial_permille(&self, situation: &Situation<'_>) -> u16 {
+        let requests = TRIAL_PART * (self.before_handover(situation) - situation.spent);
+        let left = (HANDOVER_FROM - situation.progress).max(0.1);
+        let time = situation.span.mul_f64(left).as_secs_f64();
+        permille(requests, situation.rate_per_s * time, TRIAL_PERMILLE_MAX)
+    }
+
+    fn widened_permille(&self, situation: &Situation<'_>) -> u16 {
+        let requests = self.before_handover(situation) - situation.spent;
+        let time = self.delay(situation).as_secs_f64();
+        permille(requests, situation.rate_per_s * time, WIDENED_PERMILLE_MAX)
+    }
+}
+
+impl Phase {
+    fn permille(self) -> u16 {
+        match self {
+            Self::Observing => 0,
+            Self::Trial { permille } | Self::Widened { permille, .. } => permille,
+            Self::Handover { .. } => ALL_PERMILLE,
+        }
+    }
+}
+
+/// Returns the share of `all` that `requests` are, in thousandths, at least one.
+fn permille(requests: f64, all: f64, max: f64) -> u16 {
+    (1_000.0 * requests.max(0.0) / all.max(1.0)).clamp(1.0, max) as u16
+}
+
+/// Returns the evidence required for the next step: [`STEP_NATS`] until `from`, then falling to
+/// none at `to`, and beyond to what [`DOUBT_NATS`] accepts.
+fn required_nats(progress: f64, from: f64, to: f64) -> f64 {
+    let part = ((to - progress) / (to - from)).clamp(0.0, 1.0);
+    match part > 0.0 {
+        true => STEP_NATS * part,
+        false => -DOUBT_NATS,
+    }
 }
--- a/src/gateway/service_rollout/response_times.rs
+++ b/src/gateway/service_rollout/response_times.rs
@@ -57,3 +57,8 @@
     let bucket = (millis.max(1.0).log2() * BUCKETS_PER_DOUBLING).floor();
     (bucket as usize).min(RESPONSE_TIME_BUCKETS - 1)
 }
+
+/// Returns the shortest time of a bucket.
+pub(super) fn bucket_start(bucket: usize) -> Duration {
+    Duration::from_secs_f64((bucket as f64 / BUCKETS_PER_DOUBLING).exp2() / 1_000.0)
+}
