--- a/src/gateway/service_rollout/mod.rs
+++ b/src/gateway/service_rollout/mod.rs
@@ -7,8 +7,8 @@
 //!
 //! Load pattern: 6 to 300 VMs, 10 to 3,000 requests a second of one service over all of them, one
 //! report per VM and interval, a few orders at a time. Everything here is pure: no I/O, the time is
-//! passed in, except in `task`, `exchange` and `counted_run`. [`RolloutPlan`] and [`judge`] decide, [`RequestLog`] and [`GrantBook`] are the state
-//! of a VM, [`FleetCounts`] is what the holder knows.
+//! passed in, except in `task`, `exchange` and `counted_run`. [`RolloutPlan`] and [`judge`] decide,
+//! [`RequestLog`] and [`GrantBook`] are the state of a VM, [`FleetCounts`] is what the holder knows.
 
 mod counted_run;
 mod counts;
@@ -21,6 +21,8 @@
 mod plan;
 mod request_log;
 mod response_times;
+mod scores;
+mod slices;
 mod task;
 mod verdict;
 
