--- a/src/gateway/service_rollout/task.rs
+++ b/src/gateway/service_rollout/task.rs
@@ -333,7 +333,7 @@
     match reason {
         BadReason::Failures(route) => format!("more failures {}", on_route(route)),
         BadReason::Slow(route) => format!("slower responses {}", on_route(route)),
-        BadReason::Refusals => "more refusals".to_owned(),
+        BadReason::Refusals(route) => format!("more refusals {}", on_route(route)),
         BadReason::TimeExceeded => "too little evidence in the time allowed".to_owned(),
     }
 }
