--- a/src/gateway/service_rollout/mod.rs
+++ b/src/gateway/service_rollout/mod.rs
@@ -31,3 +31,6 @@
 pub use request_log::{RequestLog, RequestOutcome, SentRequest, SentTo};
 pub use response_times::{RESPONSE_TIME_BUCKETS, ResponseTimes};
 pub use verdict::{BadReason, Verdict, VerdictSettings, judge};
+
+/// Share of all requests, in thousandths.
+const ALL_PERMILLE: u16 = 1_000;
--- a/src/gateway/service_rollout/plan.rs
+++ b/src/gateway/service_rollout/plan.rs
@@ -6,6 +6,7 @@
 
 use std::time::Duration;
 
+use super::ALL_PERMILLE;
 use super::fleet::{Drain, FleetCounts};
 use super::model::RolloutState;
 use super::verdict::{BadReason, Evidence, VerdictSettings, weigh};
@@ -25,22 +26,22 @@
 /// Part of the exposure before the handover that the first share uses up, and the least part of
 /// the limit that is used before the handover.
 const TRIAL_PART: f64 = 0.7;
-const BEFORE_HANDOVER_MIN: f64 = 0.15;
+const BEFORE_LOAD_MIN: f64 = 0.15;
 
 /// Highest shares before the handover, in thousandths.
 const TRIAL_PERMILLE_MAX: f64 = 450.0;
 const WIDENED_PERMILLE_MAX: f64 = 500.0;
 
-/// Parts of the time allowed: the old version is observed alone, the share may be widened, the
-/// handover may begin, it begins even if the exposure limit does not cover it, evidence is no
-/// longer required, a doubtful target is no longer waited for, and a handover is concluded.
+/// Parts of the time allowed: the old version is observed alone, the share may be widened, full load
+/// may begin, it begins even if the exposure limit does not cover it, evidence is no longer
+/// required, a doubtful target is no longer waited for, and neither is one under load.
 const OBSERVED_UNTIL: f64 = 0.05;
 const WIDENED_FROM: f64 = 0.28;
-const HANDOVER_FROM: f64 = 0.38;
-const HANDOVER_AT_ANY_COST_FROM: f64 = 0.5;
+const LOADED_FROM: f64 = 0.38;
+const LOADED_AT_ANY_COST_FROM: f64 = 0.5;
 const EVIDENCE_WAIVED_FROM: f64 = 0.55;
 const TRIAL_UNTIL: f64 = 0.8;
-const HANDOVER_UNTIL: f64 = 0.92;
+const LOAD_UNTIL: f64 = 0.92;
 
 /// Evidence (as a log-likelihood ratio) required for a larger share, 1 in 100, and that against the
 /// target with which one that is not found bad is accepted at the end.
@@ -50,23 +51,23 @@
 /// Part of the evidence for a bad target from which the share does not grow.
 const SUSPICION_MAX: f64 = 0.4;
 
-/// Part of the time allowed, and bounds of the time, for which all requests go to the target before
-/// the rollout is done.
-const HANDOVER_PART: f64 = 0.08;
-const HANDOVER_MIN: Duration = Duration::from_millis(1_000);
-const HANDOVER_MAX: Duration = Duration::from_millis(3_000);
+/// Part of the time allowed, and bounds of the time, for which nearly all requests go to the target
+/// before the handover.
+const LOAD_PART: f64 = 0.06;
+const LOAD_MIN: Duration = Duration::from_millis(700);
+const LOAD_MAX: Duration = Duration::from_millis(3_000);
 
-/// Answers under full load before the rollout is done.
-const HANDOVER_ANSWERS: f64 = 20.0;
+/// Answers under this load before the handover.
+const LOAD_ANSWERS: f64 = 20.0;
 
-/// Share of a target whose upstreams have got nothing yet, in thousandths: enough to notice them.
-const UNKNOWN_PERMILLE: u16 = 10;
+/// Share under which the target is tried at nearly full load, and after an alarm in the handover, in
+/// thousandths. The rest shows whether both versions are affected.
+const LOAD_PERMILLE: u16 = 900;
+const RECHECK_PERMILLE: u16 = 500;
 
 /// Failures of the target from which the time until it must be stopped counts.
 const BAD_RESPONSES: u64 = 50;
 
-const ALL_PERMILLE: u16 = 1_000;
-
 /// Bounds and times of a rollout.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RolloutPlanSettings {
@@ -134,6 +135,8 @@
     Trial { permille: u16 },
     /// The target gets a larger share since this time.
     Widened { permille: u16, since: Instant },
+    /// The target gets nearly all requests since this time.
+    Loaded { permille: u16, since: Instant },
     /// The target gets all requests since this time.
     Handover { since: Instant },
 }
@@ -235,7 +238,8 @@
         let unreported = rate_per_s * settings.report_interval.as_secs_f64() / 2.0;
         let share = f64::from(self.phase.permille()) / 1_000.0;
         let permille_min = match self.phase {
-            Phase::Handover { .. } => ALL_PERMILLE,
+            Phase::Loaded { permille, .. } => permille,
+            Phase::Handover { .. } => RECHECK_PERMILLE,
             _ => 0,
         };
         Situation {
@@ -280,19 +284,18 @@
                     self.phase = Phase::Trial { permille };
                 }
             }
-            Phase::Trial { .. } if fleet.sent_to_target() == 0 => {
-                let permille = self.trial_permille(situation).min(UNKNOWN_PERMILLE);
-                self.phase = Phase::Trial { permille };
-            }
+            // No upstream of the target is known: it gets nothing, whatever its share.
+            Phase::Trial { .. } if fleet.sent_to_target() == 0 => {}
             Phase::Trial { permille } => self.advance_trial(permille, situation),
             Phase::Widened { since, .. } => {
                 let is_reported = situation.now.saturating_sub(since) >= self.delay(situation);
-                if is_reported && self.may_hand_over(situation) {
-                    self.hand_over(situation);
+                if is_reported && self.may_load(situation) {
+                    self.load(LOAD_PERMILLE, situation);
                 } else {
                     self.end_doubtful_trial(situation);
                 }
             }
+            Phase::Loaded { since, .. } => self.advance_load(since, situation),
             Phase::Handover { since } => self.advance_handover(since, situation),
         }
     }
@@ -309,16 +312,15 @@
     }
 
     fn advance_trial(&mut self, permille: u16, situation: &Situation<'_>) {
-        if self.may_hand_over(situation) {
+        if self.may_load(situation) {
             let widened = self.widened_permille(situation);
-            let is_late = situation.progress >= HANDOVER_FROM;
+            let is_late = situation.progress >= LOADED_FROM;
             if !is_late && widened >= permille.saturating_mul(2) {
                 self.widen(widened, situation);
             } else if is_late {
-                self.hand_over(situation);
+                self.load(LOAD_PERMILLE, situation);
             }
-        } else if situation.spent
-            > self.before_handover(situation) + BEFORE_HANDOVER_MIN * situation.budget
+        } else if situation.spent > self.before_load(situation) + BEFORE_LOAD_MIN * situation.budget
         {
             // What is left is kept for the handover.
             self.phase = Phase::Trial { permille: 0 };
@@ -331,62 +333,74 @@
         self.phase = Phase::Widened { permille, since };
     }
 
+    fn load(&mut self, permille: u16, situation: &Situation<'_>) {
+        let since = situation.now;
+        self.phase = Phase::Loaded { permille, since };
+    }
+
     fn hand_over(&mut self, situation: &Situation<'_>) {
         let since = situation.now;
         self.phase = Phase::Handover { since };
     }
 
     fn end_doubtful_trial(&mut self, situation: &Situation<'_>) {
-        let is_in_handover = matches!(self.phase, Phase::Handover { .. });
-        if situation.progress >= TRIAL_UNTIL && !is_in_handover {
+        let is_trial = matches!(self.phase, Phase::Trial { .. } | Phase::Widened { .. });
+        if situation.progress >= TRIAL_UNTIL && is_trial {
             self.roll_back(BadReason::TimeExceeded);
         }
     }
 
     /// Returns whether there is enough evidence for a larger share, and enough exposure left for
     /// all requests if it is time for them.
-    fn may_hand_over(&self, situation: &Situation<'_>) -> bool {
+    fn may_load(&self, situation: &Situation<'_>) -> bool {
         let progress = situation.progress;
         if progress < WIDENED_FROM {
             return false;
         }
         let is_covered =
             situation.spent + self.exposure_until_found(1.0, situation) <= situation.budget;
-        let is_covered = is_covered || progress >= HANDOVER_AT_ANY_COST_FROM;
+        let is_covered = is_covered || progress >= LOADED_AT_ANY_COST_FROM;
         let is_trusted =
             situation.evidence.suspicion < SUSPICION_MAX || progress >= EVIDENCE_WAIVED_FROM;
         is_covered
             && is_trusted
             && situation.evidence.answers > 0.0
             && situation.evidence.good_nats
-                >= required_nats(progress, HANDOVER_FROM, EVIDENCE_WAIVED_FROM)
+                >= required_nats(progress, LOADED_FROM, EVIDENCE_WAIVED_FROM)
     }
 
-    fn advance_handover(&mut self, since: Instant, situation: &Situation<'_>) {
-        let settings = &self.settings;
+    fn advance_load(&mut self, since: Instant, situation: &Situation<'_>) {
         let progress = situation.progress;
-        let hold = situation.span.mul_f64(HANDOVER_PART);
-        let hold = hold.clamp(HANDOVER_MIN, HANDOVER_MAX);
-        if situation.now.saturating_sub(since) < hold {
-            return;
-        }
+        let hold = situation.span.mul_f64(LOAD_PART).clamp(LOAD_MIN, LOAD_MAX);
+        let is_held = situation.now.saturating_sub(since) >= hold;
         let evidence = &situation.evidence;
-        let is_late = progress >= HANDOVER_UNTIL;
         let required = required_nats(progress, EVIDENCE_WAIVED_FROM, TRIAL_UNTIL);
         let is_good = evidence.good_nats >= required
-            && (evidence.answers >= HANDOVER_ANSWERS || progress >= TRIAL_UNTIL);
-        if is_late && !is_good {
-            return self.roll_back(BadReason::TimeExceeded);
+            && evidence.suspicion < SUSPICION_MAX
+            && (evidence.answers >= LOAD_ANSWERS || progress >= TRIAL_UNTIL);
+        if is_held && is_good {
+            self.hand_over(situation);
+        } else if progress >= LOAD_UNTIL {
+            self.roll_back(BadReason::TimeExceeded);
         }
+    }
+
+    fn advance_handover(&mut self, since: Instant, situation: &Situation<'_>) {
+        if situation.evidence.alarm >= 1.0 {
+            return self.load(RECHECK_PERMILLE, situation);
+        }
+        let settings = &self.settings;
         let drain = situation
             .fleet
             .drain(since, settings.contact_timeout, situation.now);
         let is_drained = match drain {
             Drain::Complete => true,
-            Drain::SilentOnly => progress >= TRIAL_UNTIL,
+            Drain::SilentOnly => situation.progress >= TRIAL_UNTIL,
             Drain::Incomplete => false,
         };
-        if is_good && is_drained {
+        // One report and its answers after the grant, so that full load is seen.
+        let hold = settings.report_interval + situation.fleet.old_response_time();
+        if is_drained && situation.now.saturating_sub(since) >= hold {
             self.conclusion = Some(RolloutState::Done);
         }
     }
@@ -405,20 +419,20 @@
     }
 
     /// Returns the requests that may be exposed before the handover.
-    fn before_handover(&self, situation: &Situation<'_>) -> f64 {
+    fn before_load(&self, situation: &Situation<'_>) -> f64 {
         let rest = situation.budget - self.exposure_until_found(1.0, situation);
-        rest.max(BEFORE_HANDOVER_MIN * situation.budget)
+        rest.max(BEFORE_LOAD_MIN * situation.budget)
     }
 
     fn trial_permille(&self, situation: &Situation<'_>) -> u16 {
-        let requests = TRIAL_PART * (self.before_handover(situation) - situation.spent);
-        let left = (HANDOVER_FROM - situation.progress).max(0.1);
+        let requests = TRIAL_PART * (self.before_load(situation) - situation.spent);
+        let left = (LOADED_FROM - situation.progress).max(0.1);
         let time = situation.span.mul_f64(left).as_secs_f64();
         permille(requests, situation.rate_per_s * time, TRIAL_PERMILLE_MAX)
     }
 
     fn widened_permille(&self, situation: &Situation<'_>) -> u16 {
-        let requests = self.before_handover(situation) - situation.spent;
+        let requests = self.before_load(situation) - situation.spent;
         let time = self.delay(situation).as_secs_f64();
         permille(requests, situation.rate_per_s * time, WIDENED_PERMILLE_MAX)
     }
@@ -428,7 +442,9 @@
     fn permille(self) -> u16 {
         match self {
             Self::Observing => 0,
-            Self::Trial { permille } | Self::Widened { permille, .. } => permille,
+            Self::Trial { permille }
+            | Self::Widened { permille, .. }
+            | Self::Loaded { permille, .. } => permille,
             Self::Handover { .. } => ALL_PERMILLE,
         }
     }
--- a/src/gateway/service_rollout/scores.rs
+++ b/src/gateway/service_rollout/scores.rs
@@ -5,6 +5,7 @@
 
 use std::collections::BTreeMap;
 
+use super::ALL_PERMILLE;
 use super::counts::RouteHash;
 use super::response_times::RESPONSE_TIME_BUCKETS;
 use super::slices::{Slice, Tally, TargetKey};
@@ -41,6 +42,14 @@
 const TIME_NATS_MIN: f64 = -1.5;
 const TIME_NATS_MAX: f64 = 2.0;
 
+/// Share of the old version's responses that are later than a request which counts as overdue.
+///
+/// Younger requests are left out: those in flight are always the slower ones.
+const OVERDUE_SHARE: f64 = 0.25;
+
+/// Share of the old version among the answers of a slice from which it serves as a control.
+const CONTROL_SHARE: f64 = 0.03;
+
 /// Times of the old version on a route from which its histogram is used.
 const TIMES_MIN: f64 = 5.0;
 
@@ -58,6 +67,8 @@
 #[derive(Debug, Clone)]
 pub(super) struct Score {
     pub(super) key: TargetKey,
+    /// Whether the old version answered enough in the same slice to tell what affects both.
+    pub(super) has_control: bool,
     /// Requests that ended well or failed.
     pub(super) answers: f64,
     /// Log-likelihood ratio by test, where all requests sent count that have not failed yet.
@@ -102,7 +113,9 @@
     pub(super) fn score(&self, slice: &Slice) -> Vec<Score> {
         let no_waiting = [0.0; RESPONSE_TIME_BUCKETS];
         let mut ratios = BTreeMap::new();
-        for key in slice.target.keys() {
+        let mut target_answers = BTreeMap::<RouteHash, f64>::new();
+        for (key, tally) in &slice.target {
+            *target_answers.entry(key.route).or_default() += tally.answers();
             ratios
                 .entry(key.route)
                 .or_insert_with(|| self.ratios(key.route, slice, &no_waiting));
@@ -120,8 +133,11 @@
                 true => 0.0,
                 false => refusal_nats(tally),
             };
+            let old_answers = slice.old.get(&key.route).map_or(0.0, Tally::answers);
+            let control = old_answers / (old_answers + target_answers[&key.route]).max(1.0);
             Score {
                 key: *key,
+                has_control: key.permille < ALL_PERMILLE || control >= CONTROL_SHARE,
                 answers: tally.answers(),
                 nats: [
                     failure_nats + in_time * ratios.success,
@@ -222,7 +238,9 @@
         let old_all = old.timed() + rest(old_waiting);
         let good_rest = rest(&good).max(old_late / old_all.max(1.0));
         let nats = (rest(&bad) / good_rest).ln();
-        waiting[bucket] = nats.clamp(0.0, TIME_NATS_MAX);
+        if good_rest <= OVERDUE_SHARE {
+            waiting[bucket] = nats.clamp(0.0, TIME_NATS_MAX);
+        }
     }
     TimeRatios { response, waiting }
 }
--- a/src/gateway/service_rollout/verdict.rs
+++ b/src/gateway/service_rollout/verdict.rs
@@ -76,6 +76,9 @@
     pub(super) suspect: Option<BadReason>,
     /// Highest sum against the target, as a part of what it takes to be bad.
     pub(super) suspicion: f64,
+    /// Highest sum against the target, as a part of what it takes to be bad, if answers count too
+    /// for which there are none of the old version at the same time.
+    pub(super) alarm: f64,
     /// Log-likelihood ratio for the target, as the least that any test has.
     pub(super) good_nats: f64,
     /// Answers that this is based on.
@@ -115,6 +118,7 @@
         bad: None,
         suspect: None,
         suspicion: 0.0,
+        alarm: 0.0,
         good_nats: f64::MAX,
         answers: 0.0,
     };
@@ -126,14 +130,27 @@
     let total = answers(None);
     for scope in std::iter::once(None).chain(routes.iter().copied().map(Some)) {
         for test in 0..TESTS {
-            let highest =
-                |excluded: Option<u8>| highest_sum(&scores, &waiting, scope, test, excluded);
-            let mut suspicion = highest(None) / bad_nats;
-            if upstreams.len() > 1 && suspicion > 0.0 {
-                for upstream in &upstreams {
-                    suspicion = suspicion.min(highest(Some(*upstream)) / rest_nats);
-                }
-            }
+            let suspicion = |needs_control: bool| {
+                let highest = |excluded: Option<u8>| {
+                    let sums = Sums {
+                        scores: &scores,
+                        waiting: &waiting,
+                        scope,
+                        test,
+                        excluded,
+                    };
+                    sums.highest(needs_control)
+                };
+                let part = highest(None) / bad_nats;
+                let rest = upstreams
+                    .iter()
+                    .filter(|_| part > 0.0 && upstreams.len() > 1);
+                rest.fold(part, |part, upstream| {
+                    part.min(highest(Some(*upstream)) / rest_nats)
+                })
+            };
+            evidence.alarm = evidence.alarm.max(suspicion(false));
+            let suspicion = suspicion(true);
             if suspicion > evidence.suspicion {
                 evidence.suspicion = suspicion;
                 evidence.suspect = Some(match test {
@@ -159,24 +176,42 @@
     scope.is_none_or(|route| route == score.key.route)
 }
 
-/// Returns the highest sum of consecutive slices that ends now, without one upstream.
-fn highest_sum(
-    scores: &[Vec<Score>],
-    waiting: &BTreeMap<(RouteHash, u8), f64>,
+/// Evidence of one test on one route or all of them, without one upstream.
+struct Sums<'a> {
+    scores: &'a [Vec<Score>],
+    waiting: &'a BTreeMap<(RouteHash, u8), f64>,
     scope: Option<RouteHash>,
     test: usize,
     excluded: Option<u8>,
-) -> f64 {
-    let mut sum = 0.0_f64;
-    for slice in scores {
-        let scores = slice.iter().filter(|score| is_in(score, scope));
-        let scores = scores.filter(|score| excluded != Some(score.key.upstream));
-        sum = sum.max(0.0) + scores.map(|score| score.nats[test]).sum::<f64>();
-    }
-    if test == 1 {
-        sum = sum.max(0.0) + waiting_sum(waiting, scope, excluded);
+}
+
+impl Sums<'_> {
+    /// Returns the highest sum of consecutive slices that ends now.
+    ///
+    /// Requests that wait are added to a sum that has at least the slice before the open one, as
+    /// they were sent together with those that have been answered there.
+    fn highest(&self, needs_control: bool) -> f64 {
+        let sums = self.scores.iter().map(|slice| {
+            let scores = slice.iter().filter(|score| {
+                is_in(score, self.scope)
+                    && self.excluded != Some(score.key.upstream)
+                    && (score.has_control || !needs_control)
+            });
+            scores.map(|score| score.nats[self.test]).sum::<f64>()
+        });
+        let sums: Vec<f64> = sums.collect();
+        let (earlier, last) = sums.split_at(sums.len().saturating_sub(2));
+        let highest = earlier
+            .iter()
+            .fold(0.0_f64, |sum, nats| (sum + nats).max(0.0));
+        let waiting = match self.test {
+            1 => waiting_sum(self.waiting, self.scope, self.excluded),
+            _ => 0.0,
+        };
+        let with_waiting = highest + last.iter().sum::<f64>() + waiting;
+        let without = last.iter().fold(highest, |sum, nats| sum.max(0.0) + nats);
+        with_waiting.max(without)
     }
-    sum
 }
 
 fn waiting_sum(
