--- a/src/gateway/service_rollout/fleet.rs
+++ b/src/gateway/service_rollout/fleet.rs
@@ -211,16 +211,26 @@
                 add(sum, upstream.counts.waiting.counts());
             }
         }
-        let mut ratios = BTreeMap::new();
-        let nats = target.into_iter().map(|(key, counts)| {
-            let ratios = ratios.entry(key.0).or_insert_with(|| {
-                self.history
-                    .waiting_ratios(key.0, &self.open.1, &old[&key.0])
+        let mut routes = BTreeMap::new();
+        let mut nats = BTreeMap::new();
+        for (key, counts) in target {
+            let (ratios, sum) = routes.entry(key.0).or_insert_with(|| {
+                let ratios = self
+                    .history
+                    .waiting_ratios(key.0, &self.open.1, &old[&key.0]);
+                (ratios, 0.0)
             });
-            let nats = counts.iter().zip(ratios).map(|(count, nats)| count * *nats);
-            (key, nats.sum())
-        });
-        nats.collect()
+            let counts = counts.iter().zip(ratios.iter());
+            let of_upstream = counts.map(|(count, nats)| count * nats).sum::<f64>();
+            *sum += of_upstream;
+            nats.insert(key, of_upstream);
+        }
+        for (key, nats) in &mut nats {
+            let sum = routes[&key.0].1;
+            let max = self.history.waiting_max(key.0, &self.open.1);
+            *nats *= if sum > max { max / sum } else { 1.0 };
+        }
+        nats
     }
 
     fn target_sum(&self, count: impl Fn(&VersionCounts) -> u32) -> u64 {
--- a/src/gateway/service_rollout/plan.rs
+++ b/src/gateway/service_rollout/plan.rs
@@ -17,15 +17,15 @@
 const EVIDENCE_REQUESTS: f64 = 25.0;
 
 /// Part of the exposure limit that is planned with: the rate of requests may fall.
-const PLANNED_PART: f64 = 0.95;
-const FUTURE_PART: f64 = 0.9;
+const PLANNED_PART: f64 = 0.97;
+const FUTURE_PART: f64 = 0.95;
 
 /// Part of the intervals of reports and grants that passes until most of the fleet has acted.
 const DELAY_PART: f64 = 0.85;
 
 /// Part of the exposure before the handover that the first share uses up, and the least part of
 /// the limit that is used before the handover.
-const TRIAL_PART: f64 = 0.7;
+const TRIAL_PART: f64 = 0.6;
 const BEFORE_LOAD_MIN: f64 = 0.15;
 
 /// Highest shares before the handover, in thousandths.
@@ -39,7 +39,7 @@
 const WIDENED_FROM: f64 = 0.28;
 const LOADED_FROM: f64 = 0.38;
 const LOADED_AT_ANY_COST_FROM: f64 = 0.5;
-const EVIDENCE_WAIVED_FROM: f64 = 0.55;
+const EVIDENCE_WAIVED_FROM: f64 = 0.5;
 const TRIAL_UNTIL: f64 = 0.8;
 const LOAD_UNTIL: f64 = 0.92;
 
@@ -53,12 +53,14 @@
 
 /// Part of the time allowed, and bounds of the time, for which nearly all requests go to the target
 /// before the handover.
-const LOAD_PART: f64 = 0.06;
-const LOAD_MIN: Duration = Duration::from_millis(700);
+const LOAD_PART: f64 = 0.05;
+const LOAD_MIN: Duration = Duration::from_millis(600);
 const LOAD_MAX: Duration = Duration::from_millis(3_000);
 
-/// Answers under this load before the handover.
-const LOAD_ANSWERS: f64 = 20.0;
+/// Answers under this load before the handover: those of this time, within these bounds.
+const LOAD_ANSWERS_TIME: Duration = Duration::from_millis(1_000);
+const LOAD_ANSWERS_MIN: f64 = 8.0;
+const LOAD_ANSWERS_MAX: f64 = 200.0;
 
 /// Share under which the target is tried at nearly full load, and after an alarm in the handover, in
 /// thousandths. The rest shows whether both versions are affected.
@@ -156,6 +158,8 @@
     /// Requests exposed, with those not reported yet.
     spent: f64,
     evidence: Evidence,
+    /// Evidence for the target from VMs that apply the present share.
+    load_evidence: Evidence,
 }
 
 impl RolloutPlan {
@@ -213,7 +217,7 @@
         let delays = (settings.report_interval + settings.grant_interval) * 2;
         let time = settings.rollback_time.saturating_sub(delays);
         let is_due = situation.now.saturating_sub(failures_at) >= time;
-        let is_suspect = is_due && evidence.suspicion >= SUSPICION_MAX;
+        let is_suspect = is_due && evidence.suspicion >= SUSPICION_MAX && evidence.good_nats < 0.0;
         evidence.bad.or(evidence.suspect.filter(|_| is_suspect))
     }
 
@@ -237,11 +241,6 @@
         let limit = settings.exposure_share * requests + f64::from(settings.exposure_slack);
         let unreported = rate_per_s * settings.report_interval.as_secs_f64() / 2.0;
         let share = f64::from(self.phase.permille()) / 1_000.0;
-        let permille_min = match self.phase {
-            Phase::Loaded { permille, .. } => permille,
-            Phase::Handover { .. } => RECHECK_PERMILLE,
-            _ => 0,
-        };
         Situation {
             fleet,
             elapsed,
@@ -251,7 +250,8 @@
             rate_per_s,
             budget: PLANNED_PART * limit,
             spent: fleet.sent_to_target() as f64 + share * unreported,
-            evidence: weigh(fleet, &settings.verdict, permille_min),
+            evidence: weigh(fleet, &settings.verdict, 0),
+            load_evidence: weigh(fleet, &settings.verdict, self.phase.permille()),
         }
     }
 
@@ -375,9 +375,12 @@
         let is_held = situation.now.saturating_sub(since) >= hold;
         let evidence = &situation.evidence;
         let required = required_nats(progress, EVIDENCE_WAIVED_FROM, TRIAL_UNTIL);
+        let answers = situation.rate_per_s * LOAD_ANSWERS_TIME.as_secs_f64();
+        let answers = answers.clamp(LOAD_ANSWERS_MIN, LOAD_ANSWERS_MAX);
         let is_good = evidence.good_nats >= required
+            && situation.load_evidence.good_nats >= 0.0
             && evidence.suspicion < SUSPICION_MAX
-            && (evidence.answers >= LOAD_ANSWERS || progress >= TRIAL_UNTIL);
+            && (situation.load_evidence.answers >= answers || progress >= TRIAL_UNTIL);
         if is_held && is_good {
             self.hand_over(situation);
         } else if progress >= LOAD_UNTIL {
@@ -398,9 +401,8 @@
             Drain::SilentOnly => situation.progress >= TRIAL_UNTIL,
             Drain::Incomplete => false,
         };
-        // One report and its answers after the grant, so that full load is seen.
-        let hold = settings.report_interval + situation.fleet.old_response_time();
-        if is_drained && situation.now.saturating_sub(since) >= hold {
+        // Each VM has reported under full load, as it is drained only then.
+        if is_drained {
             self.conclusion = Some(RolloutState::Done);
         }
     }
--- a/src/gateway/service_rollout/scores.rs
+++ b/src/gateway/service_rollout/scores.rs
@@ -26,9 +26,9 @@
 const GOOD_REFUSAL_SHARE: f64 = 0.05;
 const BAD_REFUSAL_SHARE: f64 = 0.4;
 
-/// Half-doublings by which the responses of a bad target are later: two are a factor of 2, five one
-/// of 5.7.
-const BAD_SHIFTS: [usize; 4] = [2, 3, 4, 5];
+/// Half-doublings by which the responses of a bad target are later: three are a factor of 2.8, five
+/// one of 5.7.
+const BAD_SHIFTS: [usize; 3] = [3, 4, 5];
 
 /// Share of the old version's responses taken to be one bucket later and earlier, so that a target
 /// that is a tenth slower and crosses the edge of a bucket is not bad.
@@ -60,6 +60,13 @@
 /// Factor by which earlier answers count less from slice to slice.
 const HISTORY_DECAY: f64 = 0.93;
 
+/// Log-likelihood ratio that "both versions are affected in this slice" costs against "only the
+/// target is", by assumption: one slice in 12.
+const DISTURBANCE_NATS: f64 = 2.5;
+
+/// What each response of the old version in the same slice adds to that, if it is as usual.
+const UNDISTURBED_NATS: f64 = 0.5;
+
 /// Number of tests: failures, times and refusals.
 pub(super) const TESTS: usize = 3;
 
@@ -82,10 +89,14 @@
 pub(super) struct History {
     routes: BTreeMap<RouteHash, Tally>,
     has_refused: bool,
+    /// Slice that was added last.
+    last: Slice,
 }
 
 /// Log-likelihood ratios of single answers on a route.
 struct Ratios {
+    /// Share of failures of the old version.
+    good: f64,
     failure: f64,
     success: f64,
     times: Option<TimeRatios>,
@@ -107,6 +118,7 @@
             self.has_refused |= tally.refusals > 0.0;
             self.routes.entry(*route).or_default().add(tally, 1.0);
         }
+        self.last = slice.clone();
     }
 
     /// Returns the scores of a slice.
@@ -124,10 +136,7 @@
         let scores = slice.target.iter().map(|(key, tally)| {
             let ratios = &ratios[&key.route];
             let in_time = tally.sent.max(tally.failures) - tally.failures;
-            let time_nats = ratios.times.as_ref().map_or(0.0, |ratios| {
-                let times = tally.times.iter().zip(&ratios.response);
-                times.map(|(count, nats)| count * nats).sum()
-            });
+            let time_nats = ratios.time_nats(tally);
             let failure_nats = tally.failures * ratios.failure;
             let refusal_nats = match has_refused {
                 true => 0.0,
@@ -151,7 +160,30 @@
                 ],
             }
         });
-        scores.collect()
+        let mut scores: Vec<_> = scores.collect();
+        for (route, ratios) in &ratios {
+            let mut target = Tally::default();
+            for (_, tally) in slice.target.iter().filter(|(key, _)| key.route == *route) {
+                target.add(tally, 1.0);
+            }
+            let old = slice.old.get(route);
+            let old = old.cloned().unwrap_or_default();
+            let of_route = || scores.iter().filter(|score| score.key.route == *route);
+            let sum = |test: usize| of_route().map(|score| score.nats[test]).sum::<f64>();
+            let sums = [sum(0), sum(1)];
+            let kept = [
+                sums[0] - ratios.disturbance_nats(&target, &old),
+                sums[1].min(DISTURBANCE_NATS - ratios.time_nats(&old)),
+            ];
+            for score in scores.iter_mut().filter(|score| score.key.route == *route) {
+                for test in [0, 1] {
+                    if sums[test] > kept[test] && sums[test] > 0.0 {
+                        score.nats[test] *= kept[test].max(0.0) / sums[test];
+                    }
+                }
+            }
+        }
+        scores
     }
 
     /// Returns the log-likelihood ratios of requests that wait at the target for their first byte,
@@ -166,6 +198,14 @@
         times.map_or([0.0; RESPONSE_TIME_BUCKETS], |times| times.waiting)
     }
 
+    /// Returns what requests that wait at the target can prove at most, as the old version may be
+    /// affected alike.
+    pub(super) fn waiting_max(&self, route: RouteHash, slice: &Slice) -> f64 {
+        let last = self.last.old.get(&route).map_or(0.0, Tally::timed);
+        let open = slice.old.get(&route).map_or(0.0, Tally::timed);
+        DISTURBANCE_NATS + UNDISTURBED_NATS * (last + open)
+    }
+
     /// Returns the middle time of the old version's responses, as a bucket.
     pub(super) fn median_bucket(&self) -> Option<usize> {
         let mut all = Tally::default();
@@ -198,6 +238,7 @@
         let good = good.clamp(OLD_FAILURES_MIN, OLD_FAILURES_MAX);
         let bad = good + (1.0 - good) * BAD_FAILURE_SHARE;
         Ratios {
+            good,
             failure: (bad / good).ln(),
             success: ((1.0 - bad) / (1.0 - good)).ln(),
             times: (old.timed() >= TIMES_MIN).then(|| time_ratios(&old, old_waiting)),
@@ -205,6 +246,30 @@
     }
 }
 
+impl Ratios {
+    fn time_nats(&self, tally: &Tally) -> f64 {
+        let times = self.times.as_ref().map(|ratios| {
+            let times = tally.times.iter().zip(&ratios.response);
+            times.map(|(count, nats)| count * nats).sum()
+        });
+        times.unwrap_or_default()
+    }
+
+    /// Returns the log-likelihood ratio of "both versions fail alike, more than usual" to "both are
+    /// as usual"; zero if the latter is likelier.
+    fn disturbance_nats(&self, target: &Tally, old: &Tally) -> f64 {
+        let failures = target.failures + old.failures;
+        let successes = target.successes + old.successes;
+        let share = (failures + 0.5) / (failures + successes + 1.0);
+        if share <= self.good {
+            return 0.0;
+        }
+        let nats = failures * (share / self.good).ln()
+            + successes * ((1.0 - share) / (1.0 - self.good)).ln();
+        (nats - DISTURBANCE_NATS).max(0.0)
+    }
+}
+
 fn refusal_nats(tally: &Tally) -> f64 {
     let refused = (BAD_REFUSAL_SHARE / GOOD_REFUSAL_SHARE).ln();
     let accepted = ((1.0 - BAD_REFUSAL_SHARE) / (1.0 - GOOD_REFUSAL_SHARE)).ln();
