--- a/src/gateway/service_rollout/plan.rs
+++ b/src/gateway/service_rollout/plan.rs
@@ -21,12 +21,12 @@
 const FUTURE_PART: f64 = 0.95;
 
 /// Part of the intervals of reports and grants that passes until most of the fleet has acted.
-const DELAY_PART: f64 = 0.85;
+const DELAY_PART: f64 = 0.8;
 
 /// Part of the exposure before the handover that the first share uses up, and the least part of
 /// the limit that is used before the handover.
 const TRIAL_PART: f64 = 0.6;
-const BEFORE_LOAD_MIN: f64 = 0.15;
+const BEFORE_LOAD_MIN: f64 = 0.1;
 
 /// Highest shares before the handover, in thousandths.
 const TRIAL_PERMILLE_MAX: f64 = 450.0;
@@ -39,7 +39,7 @@
 const WIDENED_FROM: f64 = 0.28;
 const LOADED_FROM: f64 = 0.38;
 const LOADED_AT_ANY_COST_FROM: f64 = 0.5;
-const EVIDENCE_WAIVED_FROM: f64 = 0.5;
+const EVIDENCE_WAIVED_FROM: f64 = 0.48;
 const TRIAL_UNTIL: f64 = 0.8;
 const LOAD_UNTIL: f64 = 0.92;
 
@@ -58,13 +58,17 @@
 const LOAD_MAX: Duration = Duration::from_millis(3_000);
 
 /// Answers under this load before the handover: those of this time, within these bounds.
-const LOAD_ANSWERS_TIME: Duration = Duration::from_millis(1_000);
-const LOAD_ANSWERS_MIN: f64 = 8.0;
+const LOAD_ANSWERS_TIME: Duration = Duration::from_millis(700);
+const LOAD_ANSWERS_MIN: f64 = 5.0;
 const LOAD_ANSWERS_MAX: f64 = 200.0;
 
-/// Share under which the target is tried at nearly full load, and after an alarm in the handover, in
-/// thousandths. The rest shows whether both versions are affected.
-const LOAD_PERMILLE: u16 = 900;
+/// Requests per second that the old version gets at least while the target is tried under nearly
+/// full load, to show whether both versions are affected, and bounds of their share.
+const CONTROL_PER_S: f64 = 20.0;
+const CONTROL_SHARE_MIN: f64 = 0.1;
+const CONTROL_SHARE_MAX: f64 = 0.4;
+
+/// Share of the target, in thousandths, when it is suspect under load: both versions get the same.
 const RECHECK_PERMILLE: u16 = 500;
 
 /// Failures of the target from which the time until it must be stopped counts.
@@ -125,6 +129,8 @@
     /// Time at which [`BAD_RESPONSES`] failures of the target were known.
     failures_at: Option<Instant>,
     phase: Phase,
+    /// Whether the target was bad under full load, where both versions may have been affected.
+    has_alarmed: bool,
     conclusion: Option<RolloutState>,
     reason: Option<BadReason>,
 }
@@ -175,6 +181,7 @@
             started_at: None,
             failures_at: None,
             phase: Phase::Observing,
+            has_alarmed: false,
             conclusion: conclusion.filter(|state| *state != RolloutState::Running),
             reason: None,
         }
@@ -290,12 +297,12 @@
             Phase::Widened { since, .. } => {
                 let is_reported = situation.now.saturating_sub(since) >= self.delay(situation);
                 if is_reported && self.may_load(situation) {
-                    self.load(LOAD_PERMILLE, situation);
+                    self.load(load_permille(situation.rate_per_s), situation);
                 } else {
                     self.end_doubtful_trial(situation);
                 }
             }
-            Phase::Loaded { since, .. } => self.advance_load(since, situation),
+            Phase::Loaded { permille, since } => self.advance_load(permille, since, situation),
             Phase::Handover { since } => self.advance_handover(since, situation),
         }
     }
@@ -318,7 +325,7 @@
             if !is_late && widened >= permille.saturating_mul(2) {
                 self.widen(widened, situation);
             } else if is_late {
-                self.load(LOAD_PERMILLE, situation);
+                self.load(load_permille(situation.rate_per_s), situation);
             }
         } else if situation.spent > self.before_load(situation) + BEFORE_LOAD_MIN * situation.budget
         {
@@ -369,7 +376,7 @@
                 >= required_nats(progress, LOADED_FROM, EVIDENCE_WAIVED_FROM)
     }
 
-    fn advance_load(&mut self, since: Instant, situation: &Situation<'_>) {
+    fn advance_load(&mut self, permille: u16, since: Instant, situation: &Situation<'_>) {
         let progress = situation.progress;
         let hold = situation.span.mul_f64(LOAD_PART).clamp(LOAD_MIN, LOAD_MAX);
         let is_held = situation.now.saturating_sub(since) >= hold;
@@ -381,8 +388,15 @@
             && situation.load_evidence.good_nats >= 0.0
             && evidence.suspicion < SUSPICION_MAX
             && (situation.load_evidence.answers >= answers || progress >= TRIAL_UNTIL);
+        let has_answers = situation.load_evidence.answers >= answers;
+        let is_doubtful = evidence.suspicion >= SUSPICION_MAX
+            || has_answers && situation.load_evidence.good_nats < 0.0;
         if is_held && is_good {
             self.hand_over(situation);
+        } else if is_doubtful && situation.spent > situation.budget {
+            self.roll_back(BadReason::ExposureExceeded);
+        } else if is_doubtful && permille > RECHECK_PERMILLE {
+            self.load(RECHECK_PERMILLE, situation);
         } else if progress >= LOAD_UNTIL {
             self.roll_back(BadReason::TimeExceeded);
         }
@@ -390,7 +404,13 @@
 
     fn advance_handover(&mut self, since: Instant, situation: &Situation<'_>) {
         if situation.evidence.alarm >= 1.0 {
-            return self.load(RECHECK_PERMILLE, situation);
+            return match self.has_alarmed {
+                true => self.roll_back(BadReason::UnderFullLoad),
+                false => {
+                    self.has_alarmed = true;
+                    self.load(RECHECK_PERMILLE, situation);
+                }
+            };
         }
         let settings = &self.settings;
         let drain = situation
@@ -452,6 +472,13 @@
     }
 }
 
+/// Returns the share of the target under nearly full load, in thousandths.
+fn load_permille(rate_per_s: f64) -> u16 {
+    let control = CONTROL_PER_S / rate_per_s.max(1.0);
+    let control = control.clamp(CONTROL_SHARE_MIN, CONTROL_SHARE_MAX);
+    (1_000.0 * (1.0 - control)) as u16
+}
+
 /// Returns the share of `all` that `requests` are, in thousandths, at least one.
 fn permille(requests: f64, all: f64, max: f64) -> u16 {
     (1_000.0 * requests.max(0.0) / all.max(1.0)).clamp(1.0, max) as u16
--- a/src/gateway/service_rollout/scores.rs
+++ b/src/gateway/service_rollout/scores.rs
@@ -67,7 +67,12 @@
 /// What each response of the old version in the same slice adds to that, if it is as usual.
 const UNDISTURBED_NATS: f64 = 0.5;
 
-/// Number of tests: failures, times and refusals.
+/// Shares of failures by which both versions may be affected.
+const DISTURBED_FAILURES: [f64; 4] = [0.1, 0.2, 0.4, 0.7];
+
+/// Tests.
+pub(super) const FAILURES: usize = 0;
+pub(super) const TIMES: usize = 1;
 pub(super) const TESTS: usize = 3;
 
 /// Evidence of one slice on an upstream of the target.
@@ -78,6 +83,8 @@
     pub(super) has_control: bool,
     /// Requests that ended well or failed.
     pub(super) answers: f64,
+    /// Log-likelihood ratio by test, if nothing affects both versions.
+    pub(super) raw_nats: [f64; TESTS],
     /// Log-likelihood ratio by test, where all requests sent count that have not failed yet.
     pub(super) nats: [f64; TESTS],
     /// The same where only requests that have ended count.
@@ -144,15 +151,17 @@
             };
             let old_answers = slice.old.get(&key.route).map_or(0.0, Tally::answers);
             let control = old_answers / (old_answers + target_answers[&key.route]).max(1.0);
+            let nats = [
+                failure_nats + in_time * ratios.success,
+                time_nats,
+                refusal_nats,
+            ];
             Score {
                 key: *key,
                 has_control: key.permille < ALL_PERMILLE || control >= CONTROL_SHARE,
                 answers: tally.answers(),
-                nats: [
-                    failure_nats + in_time * ratios.success,
-                    time_nats,
-                    refusal_nats,
-                ],
+                nats,
+                raw_nats: nats,
                 ended_nats: [
                     failure_nats + tally.successes * ratios.success,
                     time_nats,
@@ -161,6 +170,7 @@
             }
         });
         let mut scores: Vec<_> = scores.collect();
+        let disturbed = self.disturbed(slice);
         for (route, ratios) in &ratios {
             let mut target = Tally::default();
             for (_, tally) in slice.target.iter().filter(|(key, _)| key.route == *route) {
@@ -168,17 +178,29 @@
             }
             let old = slice.old.get(route);
             let old = old.cloned().unwrap_or_default();
-            let of_route = || scores.iter().filter(|score| score.key.route == *route);
-            let sum = |test: usize| of_route().map(|score| score.nats[test]).sum::<f64>();
-            let sums = [sum(0), sum(1)];
-            let kept = [
-                sums[0] - ratios.disturbance_nats(&target, &old),
-                sums[1].min(DISTURBANCE_NATS - ratios.time_nats(&old)),
-            ];
-            for score in scores.iter_mut().filter(|score| score.key.route == *route) {
-                for test in [0, 1] {
-                    if sums[test] > kept[test] && sums[test] > 0.0 {
-                        score.nats[test] *= kept[test].max(0.0) / sums[test];
+            let kept_failures = ratios.disturbance_nats(&target, &old);
+            let kept_times = DISTURBANCE_NATS - ratios.time_nats(&old);
+            let mut of_route: Vec<_> = scores
+                .iter_mut()
+                .filter(|score| score.key.route == *route)
+                .collect();
+            type Nats = fn(&mut Score) -> &mut [f64; TESTS];
+            let nats: [Nats; 2] = [|score| &mut score.nats, |score| &mut score.ended_nats];
+            for nats in nats {
+                for test in [FAILURES, TIMES] {
+                    let sum = of_route
+                        .iter_mut()
+                        .map(|score| nats(score)[test])
+                        .sum::<f64>();
+                    let kept = match test {
+                        FAILURES => sum - kept_failures,
+                        _ => sum.min(kept_times),
+                    };
+                    if sum > 0.0 {
+                        let part = kept.max(0.0) / sum * (1.0 - disturbed[test]);
+                        for score in &mut of_route {
+                            nats(score)[test] *= part;
+                        }
                     }
                 }
             }
@@ -186,6 +208,29 @@
         scores
     }
 
+    /// Returns the probabilities that both versions are affected in a slice, by failures and by
+    /// slow responses, as the old version's answers on all routes show.
+    fn disturbed(&self, slice: &Slice) -> [f64; 2] {
+        let mut failure_odds = DISTURBED_FAILURES.map(|_| 0.0);
+        let mut time_nats = 0.0;
+        let no_slice = Slice::default();
+        for (route, tally) in &slice.old {
+            // What is usual, without this slice.
+            let usual = self.ratios(*route, &no_slice, &[0.0; RESPONSE_TIME_BUCKETS]);
+            time_nats += usual.time_nats(tally);
+            for (nats, share) in failure_odds.iter_mut().zip(DISTURBED_FAILURES) {
+                let disturbed = usual.good + (1.0 - usual.good) * share;
+                *nats += tally.failures * (disturbed / usual.good).ln()
+                    + tally.successes * ((1.0 - disturbed) / (1.0 - usual.good)).ln();
+            }
+        }
+        let odds = failure_odds.map(f64::exp).iter().sum::<f64>() / failure_odds.len() as f64;
+        [odds, time_nats.exp()].map(|odds| {
+            let odds = odds.min(1e9) * (-DISTURBANCE_NATS).exp();
+            odds / (1.0 + odds)
+        })
+    }
+
     /// Returns the log-likelihood ratios of requests that wait at the target for their first byte,
     /// by bucket of their age. `old_waiting` are those that wait at the old version.
     pub(super) fn waiting_ratios(
--- a/src/gateway/service_rollout/verdict.rs
+++ b/src/gateway/service_rollout/verdict.rs
@@ -9,7 +9,7 @@
 
 use super::counts::RouteHash;
 use super::fleet::FleetCounts;
-use super::scores::{Score, TESTS};
+use super::scores::{FAILURES, Score, TESTS, TIMES};
 
 /// Probability that one upstream of a good target is bad, as assumed before any answer.
 const BAD_UPSTREAM_SHARE: f64 = 0.05;
@@ -49,6 +49,10 @@
     Slow(Option<RouteHash>),
     /// Refusals, where the old version refuses nothing.
     Refusals(Option<RouteHash>),
+    /// More failures, slower responses or refusals twice whenever it got all requests.
+    UnderFullLoad,
+    /// The exposure limit is used up, and the evidence is against the target.
+    ExposureExceeded,
     /// Too little evidence of a good version at the end of the time allowed.
     TimeExceeded,
 }
@@ -154,8 +158,8 @@
             if suspicion > evidence.suspicion {
                 evidence.suspicion = suspicion;
                 evidence.suspect = Some(match test {
-                    0 => BadReason::Failures(scope),
-                    1 => BadReason::Slow(scope),
+                    FAILURES => BadReason::Failures(scope),
+                    TIMES => BadReason::Slow(scope),
                     _ => BadReason::Refusals(scope),
                 });
             }
@@ -197,7 +201,11 @@
                     && self.excluded != Some(score.key.upstream)
                     && (score.has_control || !needs_control)
             });
-            scores.map(|score| score.nats[self.test]).sum::<f64>()
+            let nats = scores.map(|score| match score.has_control {
+                true => score.nats[self.test],
+                false => score.raw_nats[self.test],
+            });
+            nats.sum::<f64>()
         });
         let sums: Vec<f64> = sums.collect();
         let (earlier, last) = sums.split_at(sums.len().saturating_sub(2));
@@ -205,7 +213,7 @@
             .iter()
             .fold(0.0_f64, |sum, nats| (sum + nats).max(0.0));
         let waiting = match self.test {
-            1 => waiting_sum(self.waiting, self.scope, self.excluded),
+            TIMES => waiting_sum(self.waiting, self.scope, self.excluded),
             _ => 0.0,
         };
         let with_waiting = highest + last.iter().sum::<f64>() + waiting;
@@ -234,13 +242,13 @@
     permille_min: u16,
     upstreams: usize,
 ) -> f64 {
-    let tests = [0, 1].map(|test| {
+    let tests = [FAILURES, TIMES].map(|test| {
         let mut sums = BTreeMap::<u8, f64>::new();
         let scores = scores.iter().flatten().filter(|score| is_in(score, scope));
         for score in scores.filter(|score| score.key.permille >= permille_min) {
             *sums.entry(score.key.upstream).or_default() += score.ended_nats[test];
         }
-        if test == 1 {
+        if test == TIMES {
             for ((route, upstream), nats) in waiting {
                 if scope.is_none_or(|scope| scope == *route) {
                     *sums.entry(*upstream).or_default() += nats;
