--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -141,8 +141,9 @@
 pub use service_rollout::{
     BadReason, FleetCounts, GrantBook, RESPONSE_TIME_BUCKETS, RequestLog, RequestOutcome,
     ResponseTimes, RolloutEntry, RolloutGrant, RolloutOrder, RolloutPlan, RolloutPlanSettings,
-    RolloutReport, RolloutState, RolloutStatus, RolloutStep, RouteCounts, RouteHash, SentRequest,
-    SentTo, UpstreamCounts, Verdict, VerdictSettings, VersionCounts, judge, route_hash,
+    RolloutProgress, RolloutReport, RolloutState, RolloutStatus, RolloutStep, RouteCounts,
+    RouteHash, SentRequest, SentTo, UpstreamCounts, Verdict, VerdictSettings, VersionCounts, judge,
+    route_hash,
 };
 pub use settings::{Bounds, GatewaySettings, gateway_settings_page};
 pub use shutdown::ShutdownPlan;
--- a/src/gateway/service_rollout/held_rollout.rs
+++ b/src/gateway/service_rollout/held_rollout.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use super::{
-    BadReason, FleetCounts, RolloutOrder, RolloutPlan, RolloutPlanSettings, RolloutReport,
-    RolloutState, RolloutStatus, RolloutStep,
+    BadReason, FleetCounts, RolloutOrder, RolloutPlan, RolloutPlanSettings, RolloutProgress,
+    RolloutReport, RolloutState, RolloutStatus, RolloutStep,
 };
 use crate::clock::Instant;
 use crate::gateway::model::{ServiceId, SoftwareVersion};
@@ -13,8 +13,11 @@
 
 /// Time beyond the interval of the reports in which those of all VMs arrive at a new holder.
 const SETTLE_MARGIN: Duration = Duration::from_millis(300);
-/// Time after a failed write of a status before the next one.
+/// Time after the first of several failed writes of a status before the next one; it doubles with
+/// each.
 const WRITE_RETRY_DELAY: Duration = Duration::from_millis(300);
+/// Number of times that it doubles: an object that was lost from the store may not return.
+const WRITE_RETRY_DOUBLINGS: u32 = 5;
 /// Number of contact timeouts after a conclusion for which grants are sent: VMs that do not hear of
 /// it from the store within the first one have lost contact.
 const CONCLUDED_GRANTS_TIMEOUTS: u32 = 3;
@@ -68,6 +71,7 @@
     is_claimed: bool,
     is_writing: bool,
     write_after: Instant,
+    failed_writes: u32,
     written: Option<(RolloutState, ObjectVersion)>,
 }
 
@@ -89,6 +93,7 @@
             is_claimed: false,
             is_writing: false,
             write_after: now,
+            failed_writes: 0,
             written: None,
         }
     }
@@ -190,9 +195,26 @@
         match applied {
             Some(revision) => {
                 self.is_claimed = true;
+                self.failed_writes = 0;
                 self.written = Some((state, revision));
             }
-            None => self.write_after = now + WRITE_RETRY_DELAY,
+            None => {
+                let doublings = self.failed_writes.min(WRITE_RETRY_DOUBLINGS);
+                self.write_after = now + WRITE_RETRY_DELAY * 2_u32.pow(doublings);
+                self.failed_writes += 1;
+            }
+        }
+    }
+
+    /// Returns how far the rollout is.
+    pub(super) fn progress(&self, now: Instant) -> RolloutProgress {
+        RolloutProgress {
+            service: self.service.clone(),
+            target: self.target.clone(),
+            share_permille: self.share_permille,
+            sent: self.fleet.sent(),
+            sent_to_target: self.fleet.sent_to_target(),
+            elapsed_ms: self.fleet.elapsed(now).as_millis() as u64,
         }
     }
 
--- a/src/gateway/service_rollout/mod.rs
+++ b/src/gateway/service_rollout/mod.rs
@@ -33,10 +33,13 @@
 pub(super) use exchange::send_reports;
 pub use fleet::FleetCounts;
 pub use grant::{GrantBook, RolloutGrant};
-pub use model::{RolloutEntry, RolloutOrder, RolloutState, RolloutStatus};
+pub use model::{RolloutEntry, RolloutOrder, RolloutProgress, RolloutState, RolloutStatus};
 pub(super) use orders::{RolloutOrders, VersionQuery, VersionRule};
 pub use plan::{RolloutPlan, RolloutPlanSettings, RolloutStep};
 pub use request_log::{RequestLog, RequestOutcome, SentRequest, SentTo};
 pub use response_times::{RESPONSE_TIME_BUCKETS, ResponseTimes};
 pub(super) use task::run_service_rollouts;
 pub use verdict::{BadReason, Verdict, VerdictSettings, judge};
+
+/// Share of all requests, in thousandths.
+const ALL_PERMILLE: u16 = 1_000;
--- a/src/gateway/service_rollout/model.rs
+++ b/src/gateway/service_rollout/model.rs
@@ -80,3 +80,22 @@
         (status.target == self.order.target).then_some(status.state)
     }
 }
+
+/// How far a rollout is, by the VM that conducts it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct RolloutProgress {
+    /// Service of the order.
+    pub service: ServiceId,
+    /// Target of the order.
+    pub target: SoftwareVersion,
+    /// Share granted, in thousandths.
+    pub share_permille: u16,
+    /// Requests of all VMs for the service since the order.
+    pub sent: u64,
+    /// Those of them that were sent to the target.
+    pub sent_to_target: u64,
+    /// Time since the order.
+    pub elapsed_ms: u64,
+}
--- a/src/gateway/service_rollout/orders.rs
+++ b/src/gateway/service_rollout/orders.rs
@@ -7,7 +7,7 @@
 use super::grant::GrantBook;
 use super::model::{RolloutEntry, RolloutState};
 use super::request_log::RequestLog;
-use super::{RolloutGrant, RolloutReport};
+use super::{RolloutGrant, RolloutProgress, RolloutReport};
 use crate::clock::Instant;
 use crate::gateway::model::{ServiceId, SoftwareVersion};
 use crate::ids::StoreEra;
@@ -99,6 +99,8 @@
     first_seen: HashMap<(ServiceId, Option<SoftwareVersion>), Instant>,
     /// Reports for the holder's next pass; `None` while this VM does not hold the lease.
     inbox: Option<Vec<RolloutReport>>,
+    /// How far the rollouts are that this VM conducts.
+    pub(in crate::gateway) progress: Vec<RolloutProgress>,
 }
 
 impl RolloutOrders {
@@ -112,6 +114,7 @@
             grantor: None,
             first_seen: HashMap::new(),
             inbox: None,
+            progress: Vec::new(),
         }
     }
 
@@ -290,7 +293,10 @@
             true => {
                 self.inbox.get_or_insert_default();
             }
-            false => self.inbox = None,
+            false => {
+                self.inbox = None;
+                self.progress.clear();
+            }
         }
     }
 
--- a/src/gateway/service_rollout/scores.rs
+++ b/src/gateway/service_rollout/scores.rs
@@ -5,6 +5,7 @@
 
 use std::collections::BTreeMap;
 
+use super::ALL_PERMILLE;
 use super::counts::RouteHash;
 use super::response_times::RESPONSE_TIME_BUCKETS;
 use super::slices::{Slice, Tally, TargetKey};
@@ -25,9 +26,9 @@
 const GOOD_REFUSAL_SHARE: f64 = 0.05;
 const BAD_REFUSAL_SHARE: f64 = 0.4;
 
-/// Half-doublings by which the responses of a bad target are later: two are a factor of 2, five one
-/// of 5.7.
-const BAD_SHIFTS: [usize; 4] = [2, 3, 4, 5];
+/// Half-doublings by which the responses of a bad target are later: three are a factor of 2.8, five
+/// one of 5.7.
+const BAD_SHIFTS: [usize; 3] = [3, 4, 5];
 
 /// Share of the old version's responses taken to be one bucket later and earlier, so that a target
 /// that is a tenth slower and crosses the edge of a bucket is not bad.
@@ -41,6 +42,14 @@
 const TIME_NATS_MIN: f64 = -1.5;
 const TIME_NATS_MAX: f64 = 2.0;
 
+/// Share of the old version's responses that are later than a request which counts as overdue.
+///
+/// Younger requests are left out: those in flight are always the slower ones.
+const OVERDUE_SHARE: f64 = 0.25;
+
+/// Share of the old version among the answers of a slice from which it serves as a control.
+const CONTROL_SHARE: f64 = 0.03;
+
 /// Times of the old version on a route from which its histogram is used.
 const TIMES_MIN: f64 = 5.0;
 
@@ -51,15 +60,31 @@
 /// Factor by which earlier answers count less from slice to slice.
 const HISTORY_DECAY: f64 = 0.93;
 
-/// Number of tests: failures, times and refusals.
+/// Log-likelihood ratio that "both versions are affected in this slice" costs against "only the
+/// target is", by assumption: one slice in 12.
+const DISTURBANCE_NATS: f64 = 2.5;
+
+/// What each response of the old version in the same slice adds to that, if it is as usual.
+const UNDISTURBED_NATS: f64 = 0.5;
+
+/// Shares of failures by which both versions may be affected.
+const DISTURBED_FAILURES: [f64; 4] = [0.1, 0.2, 0.4, 0.7];
+
+/// Tests.
+pub(super) const FAILURES: usize = 0;
+pub(super) const TIMES: usize = 1;
 pub(super) const TESTS: usize = 3;
 
 /// Evidence of one slice on an upstream of the target.
 #[derive(Debug, Clone)]
 pub(super) struct Score {
     pub(super) key: TargetKey,
+    /// Whether the old version answered enough in the same slice to tell what affects both.
+    pub(super) has_control: bool,
     /// Requests that ended well or failed.
     pub(super) answers: f64,
+    /// Log-likelihood ratio by test, if nothing affects both versions.
+    pub(super) raw_nats: [f64; TESTS],
     /// Log-likelihood ratio by test, where all requests sent count that have not failed yet.
     pub(super) nats: [f64; TESTS],
     /// The same where only requests that have ended count.
@@ -71,10 +96,14 @@
 pub(super) struct History {
     routes: BTreeMap<RouteHash, Tally>,
     has_refused: bool,
+    /// Slice that was added last.
+    last: Slice,
 }
 
 /// Log-likelihood ratios of single answers on a route.
 struct Ratios {
+    /// Share of failures of the old version.
+    good: f64,
     failure: f64,
     success: f64,
     times: Option<TimeRatios>,
@@ -96,13 +125,16 @@
             self.has_refused |= tally.refusals > 0.0;
             self.routes.entry(*route).or_default().add(tally, 1.0);
         }
+        self.last = slice.clone();
     }
 
     /// Returns the scores of a slice.
     pub(super) fn score(&self, slice: &Slice) -> Vec<Score> {
         let no_waiting = [0.0; RESPONSE_TIME_BUCKETS];
         let mut ratios = BTreeMap::new();
-        for key in slice.target.keys() {
+        let mut target_answers = BTreeMap::<RouteHash, f64>::new();
+        for (key, tally) in &slice.target {
+            *target_answers.entry(key.route).or_default() += tally.answers();
             ratios
                 .entry(key.route)
                 .or_insert_with(|| self.ratios(key.route, slice, &no_waiting));
@@ -111,23 +143,25 @@
         let scores = slice.target.iter().map(|(key, tally)| {
             let ratios = &ratios[&key.route];
             let in_time = tally.sent.max(tally.failures) - tally.failures;
-            let time_nats = ratios.times.as_ref().map_or(0.0, |ratios| {
-                let times = tally.times.iter().zip(&ratios.response);
-                times.map(|(count, nats)| count * nats).sum()
-            });
+            let time_nats = ratios.time_nats(tally);
             let failure_nats = tally.failures * ratios.failure;
             let refusal_nats = match has_refused {
                 true => 0.0,
                 false => refusal_nats(tally),
             };
+            let old_answers = slice.old.get(&key.route).map_or(0.0, Tally::answers);
+            let control = old_answers / (old_answers + target_answers[&key.route]).max(1.0);
+            let nats = [
+                failure_nats + in_time * ratios.success,
+                time_nats,
+                refusal_nats,
+            ];
             Score {
                 key: *key,
+                has_control: key.permille < ALL_PERMILLE || control >= CONTROL_SHARE,
                 answers: tally.answers(),
-                nats: [
-                    failure_nats + in_time * ratios.success,
-                    time_nats,
-                    refusal_nats,
-                ],
+                nats,
+                raw_nats: nats,
                 ended_nats: [
                     failure_nats + tally.successes * ratios.success,
                     time_nats,
@@ -135,7 +169,66 @@
                 ],
             }
         });
-        scores.collect()
+        let mut scores: Vec<_> = scores.collect();
+        let disturbed = self.disturbed(slice);
+        for (route, ratios) in &ratios {
+            let mut target = Tally::default();
+            for (_, tally) in slice.target.iter().filter(|(key, _)| key.route == *route) {
+                target.add(tally, 1.0);
+            }
+            let old = slice.old.get(route);
+            let old = old.cloned().unwrap_or_default();
+            let kept_failures = ratios.disturbance_nats(&target, &old);
+            let kept_times = DISTURBANCE_NATS - ratios.time_nats(&old);
+            let mut of_route: Vec<_> = scores
+                .iter_mut()
+                .filter(|score| score.key.route == *route)
+                .collect();
+            type Nats = fn(&mut Score) -> &mut [f64; TESTS];
+            let nats: [Nats; 2] = [|score| &mut score.nats, |score| &mut score.ended_nats];
+            for nats in nats {
+                for test in [FAILURES, TIMES] {
+                    let sum = of_route
+                        .iter_mut()
+                        .map(|score| nats(score)[test])
+                        .sum::<f64>();
+                    let kept = match test {
+                        FAILURES => sum - kept_failures,
+                        _ => sum.min(kept_times),
+                    };
+                    if sum > 0.0 {
+                        let part = kept.max(0.0) / sum * (1.0 - disturbed[test]);
+                        for score in &mut of_route {
+                            nats(score)[test] *= part;
+                        }
+                    }
+                }
+            }
+        }
+        scores
+    }
+
+    /// Returns the probabilities that both versions are affected in a slice, by failures and by
+    /// slow responses, as the old version's answers on all routes show.
+    fn disturbed(&self, slice: &Slice) -> [f64; 2] {
+        let mut failure_odds = DISTURBED_FAILURES.map(|_| 0.0);
+        let mut time_nats = 0.0;
+        let no_slice = Slice::default();
+        for (route, tally) in &slice.old {
+            // What is usual, without this slice.
+            let usual = self.ratios(*route, &no_slice, &[0.0; RESPONSE_TIME_BUCKETS]);
+            time_nats += usual.time_nats(tally);
+            for (nats, share) in failure_odds.iter_mut().zip(DISTURBED_FAILURES) {
+                let disturbed = usual.good + (1.0 - usual.good) * share;
+                *nats += tally.failures * (disturbed / usual.good).ln()
+                    + tally.successes * ((1.0 - disturbed) / (1.0 - usual.good)).ln();
+            }
+        }
+        let odds = failure_odds.map(f64::exp).iter().sum::<f64>() / failure_odds.len() as f64;
+        [odds, time_nats.exp()].map(|odds| {
+            let odds = odds.min(1e9) * (-DISTURBANCE_NATS).exp();
+            odds / (1.0 + odds)
+        })
     }
 
     /// Returns the log-likelihood ratios of requests that wait at the target for their first byte,
@@ -150,6 +243,14 @@
         times.map_or([0.0; RESPONSE_TIME_BUCKETS], |times| times.waiting)
     }
 
+    /// Returns what requests that wait at the target can prove at most, as the old version may be
+    /// affected alike.
+    pub(super) fn waiting_max(&self, route: RouteHash, slice: &Slice) -> f64 {
+        let last = self.last.old.get(&route).map_or(0.0, Tally::timed);
+        let open = slice.old.get(&route).map_or(0.0, Tally::timed);
+        DISTURBANCE_NATS + UNDISTURBED_NATS * (last + open)
+    }
+
     /// Returns the middle time of the old version's responses, as a bucket.
     pub(super) fn median_bucket(&self) -> Option<usize> {
         let mut all = Tally::default();
@@ -182,6 +283,7 @@
         let good = good.clamp(OLD_FAILURES_MIN, OLD_FAILURES_MAX);
         let bad = good + (1.0 - good) * BAD_FAILURE_SHARE;
         Ratios {
+            good,
             failure: (bad / good).ln(),
             success: ((1.0 - bad) / (1.0 - good)).ln(),
             times: (old.timed() >= TIMES_MIN).then(|| time_ratios(&old, old_waiting)),
@@ -189,6 +291,30 @@
     }
 }
 
+impl Ratios {
+    fn time_nats(&self, tally: &Tally) -> f64 {
+        let times = self.times.as_ref().map(|ratios| {
+            let times = tally.times.iter().zip(&ratios.response);
+            times.map(|(count, nats)| count * nats).sum()
+        });
+        times.unwrap_or_default()
+    }
+
+    /// Returns the log-likelihood ratio of "both versions fail alike, more than usual" to "both are
+    /// as usual"; zero if the latter is likelier.
+    fn disturbance_nats(&self, target: &Tally, old: &Tally) -> f64 {
+        let failures = target.failures + old.failures;
+        let successes = target.successes + old.successes;
+        let share = (failures + 0.5) / (failures + successes + 1.0);
+        if share <= self.good {
+            return 0.0;
+        }
+        let nats = failures * (share / self.good).ln()
+            + successes * ((1.0 - share) / (1.0 - self.good)).ln();
+        (nats - DISTURBANCE_NATS).max(0.0)
+    }
+}
+
 fn refusal_nats(tally: &Tally) -> f64 {
     let refused = (BAD_REFUSAL_SHARE / GOOD_REFUSAL_SHARE).ln();
     let accepted = ((1.0 - BAD_REFUSAL_SHARE) / (1.0 - GOOD_REFUSAL_SHARE)).ln();
@@ -222,7 +348,9 @@
         let old_all = old.timed() + rest(old_waiting);
         let good_rest = rest(&good).max(old_late / old_all.max(1.0));
         let nats = (rest(&bad) / good_rest).ln();
-        waiting[bucket] = nats.clamp(0.0, TIME_NATS_MAX);
+        if good_rest <= OVERDUE_SHARE {
+            waiting[bucket] = nats.clamp(0.0, TIME_NATS_MAX);
+        }
     }
     TimeRatios { response, waiting }
 }
--- a/src/gateway/service_rollout/task.rs
+++ b/src/gateway/service_rollout/task.rs
@@ -136,6 +136,9 @@
                 send_grant(gateway, grant);
             }
         }
+        let progress = self.rollouts.values();
+        let progress = progress.map(|rollout| rollout.progress(now)).collect();
+        gateway.state().rollouts.progress = progress;
     }
 }
 
@@ -334,6 +337,8 @@
         BadReason::Failures(route) => format!("more failures {}", on_route(route)),
         BadReason::Slow(route) => format!("slower responses {}", on_route(route)),
         BadReason::Refusals(route) => format!("more refusals {}", on_route(route)),
+        BadReason::UnderFullLoad => "worse under all requests than under some".to_owned(),
+        BadReason::ExposureExceeded => "doubtful when the exposure was used up".to_owned(),
         BadReason::TimeExceeded => "too little evidence in the time allowed".to_owned(),
     }
 }
--- a/src/gateway/service_rollout/verdict.rs
+++ b/src/gateway/service_rollout/verdict.rs
@@ -9,7 +9,7 @@
 
 use super::counts::RouteHash;
 use super::fleet::FleetCounts;
-use super::scores::{Score, TESTS};
+use super::scores::{FAILURES, Score, TESTS, TIMES};
 
 /// Probability that one upstream of a good target is bad, as assumed before any answer.
 const BAD_UPSTREAM_SHARE: f64 = 0.05;
@@ -49,6 +49,10 @@
     Slow(Option<RouteHash>),
     /// Refusals, where the old version refuses nothing.
     Refusals(Option<RouteHash>),
+    /// More failures, slower responses or refusals twice whenever it got all requests.
+    UnderFullLoad,
+    /// The exposure limit is used up, and the evidence is against the target.
+    ExposureExceeded,
     /// Too little evidence of a good version at the end of the time allowed.
     TimeExceeded,
 }
@@ -76,6 +80,9 @@
     pub(super) suspect: Option<BadReason>,
     /// Highest sum against the target, as a part of what it takes to be bad.
     pub(super) suspicion: f64,
+    /// Highest sum against the target, as a part of what it takes to be bad, if answers count too
+    /// for which there are none of the old version at the same time.
+    pub(super) alarm: f64,
     /// Log-likelihood ratio for the target, as the least that any test has.
     pub(super) good_nats: f64,
     /// Answers that this is based on.
@@ -115,6 +122,7 @@
         bad: None,
         suspect: None,
         suspicion: 0.0,
+        alarm: 0.0,
         good_nats: f64::MAX,
         answers: 0.0,
     };
@@ -126,19 +134,32 @@
     let total = answers(None);
     for scope in std::iter::once(None).chain(routes.iter().copied().map(Some)) {
         for test in 0..TESTS {
-            let highest =
-                |excluded: Option<u8>| highest_sum(&scores, &waiting, scope, test, excluded);
-            let mut suspicion = highest(None) / bad_nats;
-            if upstreams.len() > 1 && suspicion > 0.0 {
-                for upstream in &upstreams {
-                    suspicion = suspicion.min(highest(Some(*upstream)) / rest_nats);
-                }
-            }
+            let suspicion = |needs_control: bool| {
+                let highest = |excluded: Option<u8>| {
+                    let sums = Sums {
+                        scores: &scores,
+                        waiting: &waiting,
+                        scope,
+                        test,
+                        excluded,
+                    };
+                    sums.highest(needs_control)
+                };
+                let part = highest(None) / bad_nats;
+                let rest = upstreams
+                    .iter()
+                    .filter(|_| part > 0.0 && upstreams.len() > 1);
+                rest.fold(part, |part, upstream| {
+                    part.min(highest(Some(*upstream)) / rest_nats)
+                })
+            };
+            evidence.alarm = evidence.alarm.max(suspicion(false));
+            let suspicion = suspicion(true);
             if suspicion > evidence.suspicion {
                 evidence.suspicion = suspicion;
                 evidence.suspect = Some(match test {
-                    0 => BadReason::Failures(scope),
-                    1 => BadReason::Slow(scope),
+                    FAILURES => BadReason::Failures(scope),
+                    TIMES => BadReason::Slow(scope),
                     _ => BadReason::Refusals(scope),
                 });
             }
@@ -159,24 +180,46 @@
     scope.is_none_or(|route| route == score.key.route)
 }
 
-/// Returns the highest sum of consecutive slices that ends now, without one upstream.
-fn highest_sum(
-    scores: &[Vec<Score>],
-    waiting: &BTreeMap<(RouteHash, u8), f64>,
+/// Evidence of one test on one route or all of them, without one upstream.
+struct Sums<'a> {
+    scores: &'a [Vec<Score>],
+    waiting: &'a BTreeMap<(RouteHash, u8), f64>,
     scope: Option<RouteHash>,
     test: usize,
     excluded: Option<u8>,
-) -> f64 {
-    let mut sum = 0.0_f64;
-    for slice in scores {
-        let scores = slice.iter().filter(|score| is_in(score, scope));
-        let scores = scores.filter(|score| excluded != Some(score.key.upstream));
-        sum = sum.max(0.0) + scores.map(|score| score.nats[test]).sum::<f64>();
-    }
-    if test == 1 {
-        sum = sum.max(0.0) + waiting_sum(waiting, scope, excluded);
+}
+
+impl Sums<'_> {
+    /// Returns the highest sum of consecutive slices that ends now.
+    ///
+    /// Requests that wait are added to a sum that has at least the slice before the open one, as
+    /// they were sent together with those that have been answered there.
+    fn highest(&self, needs_control: bool) -> f64 {
+        let sums = self.scores.iter().map(|slice| {
+            let scores = slice.iter().filter(|score| {
+                is_in(score, self.scope)
+                    && self.excluded != Some(score.key.upstream)
+                    && (score.has_control || !needs_control)
+            });
+            let nats = scores.map(|score| match score.has_control {
+                true => score.nats[self.test],
+                false => score.raw_nats[self.test],
+            });
+            nats.sum::<f64>()
+        });
+        let sums: Vec<f64> = sums.collect();
+        let (earlier, last) = sums.split_at(sums.len().saturating_sub(2));
+        let highest = earlier
+            .iter()
+            .fold(0.0_f64, |sum, nats| (sum + nats).max(0.0));
+        let waiting = match self.test {
+            TIMES => waiting_sum(self.waiting, self.scope, self.excluded),
+            _ => 0.0,
+        };
+        let with_waiting = highest + last.iter().sum::<f64>() + waiting;
+        let without = last.iter().fold(highest, |sum, nats| sum.max(0.0) + nats);
+        with_waiting.max(without)
     }
-    sum
 }
 
 fn waiting_sum(
@@ -199,13 +242,13 @@
     permille_min: u16,
     upstreams: usize,
 ) -> f64 {
-    let tests = [0, 1].map(|test| {
+    let tests = [FAILURES, TIMES].map(|test| {
         let mut sums = BTreeMap::<u8, f64>::new();
         let scores = scores.iter().flatten().filter(|score| is_in(score, scope));
         for score in scores.filter(|score| score.key.permille >= permille_min) {
             *sums.entry(score.key.upstream).or_default() += score.ended_nats[test];
         }
-        if test == 1 {
+        if test == TIMES {
             for ((route, upstream), nats) in waiting {
                 if scope.is_none_or(|scope| scope == *route) {
                     *sums.entry(*upstream).or_default() += nats;
--- a/src/gateway/status.rs
+++ b/src/gateway/status.rs
@@ -4,7 +4,8 @@
 
 use super::model::{Member, RoutingConfig, TargetWeights, UpstreamEntry, UpstreamStage};
 use super::platform_api::{ObjectRecord, Store, StoreCallFailure, TrackedKind};
-use super::service_rollout::{RolloutEntry, RolloutState};
+use super::service_rollout::{RolloutEntry, RolloutProgress, RolloutState};
+use super::store_relay::RelayClient;
 use crate::ids::{ObjectVersion, UpstreamId};
 use crate::steward::LeaseRecord;
 
@@ -27,6 +28,8 @@
     pub weights: Vec<TargetWeights>,
     /// Rollouts of software versions; empty if the store does not know the kind.
     pub rollouts: Vec<RolloutEntry>,
+    /// How far they are, from the VM that holds the lease if it replies.
+    pub rollout_progress: Vec<RolloutProgress>,
     /// Registered VMs.
     pub vms: Vec<Member>,
     /// Lease that permits orders to engines.
@@ -48,6 +51,7 @@
             unusable: Vec::new(),
             weights: Vec::new(),
             rollouts: Vec::new(),
+            rollout_progress: Vec::new(),
             vms: Vec::new(),
             lease: None,
         };
@@ -73,9 +77,24 @@
                 status.add_object(object.name, object.record);
             }
         }
+        status.rollout_progress = status.read_progress().await;
         Ok(status)
     }
 
+    /// Returns how far the rollouts are; nothing if the holder of the lease does not reply.
+    async fn read_progress(&self) -> Vec<RolloutProgress> {
+        let holder = self.lease.as_ref().and_then(|lease| lease.holder.as_ref());
+        let member = holder.and_then(|holder| self.vms.iter().find(|vm| vm.vm == holder.vm));
+        let is_running = |entry: &RolloutEntry| !entry.state().is_some_and(RolloutState::is_final);
+        match member.filter(|_| self.rollouts.iter().any(is_running)) {
+            Some(member) => {
+                let mut client = RelayClient::new(member.peer_address);
+                client.rollout_progress().await.unwrap_or_default()
+            }
+            None => Vec::new(),
+        }
+    }
+
     /// Returns the state as text, one line per item.
     pub fn text(&self) -> String {
         let version = self
@@ -100,7 +119,7 @@
                 .iter()
                 .map(|target| format!("weights named: {} {}", target.model, target.weights)),
         );
-        lines.extend(self.rollouts.iter().map(rollout_line));
+        lines.extend(self.rollouts.iter().map(|entry| self.rollout_line(entry)));
         lines.extend(self.vms.iter().map(|member| {
             format!(
                 "vm: {} in {} at {}",
@@ -124,6 +143,26 @@
         lines.join("\n")
     }
 
+    fn rollout_line(&self, entry: &RolloutEntry) -> String {
+        let order = &entry.order;
+        let state = entry.state().map_or("not begun", RolloutState::name);
+        let mut progress = self.rollout_progress.iter();
+        let progress = progress
+            .find(|progress| progress.service == order.service && progress.target == order.target);
+        let progress = progress.map(|progress| {
+            format!(
+                ", {} per mille granted, {} of {} requests in {} ms",
+                progress.share_permille,
+                progress.sent_to_target,
+                progress.sent,
+                progress.elapsed_ms
+            )
+        });
+        let (service, target) = (&order.service, &order.target);
+        let progress = progress.unwrap_or_default();
+        format!("rollout: {service} to {target}, {state}{progress}")
+    }
+
     fn add_object(&mut self, name: String, record: Option<ObjectRecord>) {
         match record {
             Some(ObjectRecord::Config(config)) => self.set_config(&config),
@@ -156,19 +195,6 @@
     }
 }
 
-fn rollout_line(entry: &RolloutEntry) -> String {
-    let order = &entry.order;
-    let state = match entry.state() {
-        None => "not begun".to_owned(),
-        Some(RolloutState::Running) => format!(
-            "running, within {} s; the holder of the lease on orders logs its steps",
-            order.within.as_secs_f64()
-        ),
-        Some(state) => state.name().to_owned(),
-    };
-    format!("rollout: {} to {}, {state}", order.service, order.target)
-}
-
 fn upstream_line(id: &str, entry: &UpstreamEntry) -> String {
     let stage = match entry.stage {
         UpstreamStage::Ready => "ready",
--- a/src/gateway/store_relay.rs
+++ b/src/gateway/store_relay.rs
@@ -20,6 +20,7 @@
 use super::platform_api::{ChangeBatch, Listing, TrackedKind};
 use super::pool::{Connection, connect};
 use super::response;
+use super::service_rollout::RolloutProgress;
 use super::state::Gateway;
 use crate::clock::Instant;
 use crate::ids::{ModelId, ObjectVersion};
@@ -32,6 +33,8 @@
 const RESPONSE_MAX_BYTES: usize = 16 * 1024 * 1024;
 /// Prefix of the paths at which a VM serves its mirrors of the store.
 const SEEN_PATH: &str = "/seen/";
+/// Path at which a VM states how far the rollouts are that it conducts.
+const ROLLOUTS_PATH: &str = "/rollouts";
 /// Query of a call that waits for changes; the revision follows.
 const WATCH_QUERY: &str = "after=";
 /// Query of a call that returns the changes so far; the revision follows.
@@ -145,6 +148,16 @@
         self.get(path, RESPONSE_TIME_MARGIN).await
     }
 
+    /// Reads how far the rollouts are that the peer conducts.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no complete response was received.
+    pub(super) async fn rollout_progress(&mut self) -> Result<Vec<RolloutProgress>, String> {
+        let answer = self.get(ROLLOUTS_PATH.to_owned(), RESPONSE_TIME_MARGIN);
+        Ok(answer.await?.unwrap_or_default())
+    }
+
     async fn get<T: DeserializeOwned>(
         &mut self,
         path: String,
@@ -174,6 +187,10 @@
     path: &str,
     query: Option<&str>,
 ) -> Option<Response<Body>> {
+    if path == ROLLOUTS_PATH {
+        let progress = gateway.state().rollouts.progress.clone();
+        return Some(json_response(to_json(Some(progress))));
+    }
     let name = path.strip_prefix(SEEN_PATH)?;
     let tracked = TrackedKind::ALL
         .into_iter()
@@ -190,11 +207,15 @@
         }
         (None, None) => to_json(gateway.peer_answer(tracked, gateway.listing(tracked))),
     };
-    Some(match body {
+    Some(json_response(body))
+}
+
+fn json_response(body: Result<Option<String>, serde_json::Error>) -> Response<Body> {
+    match body {
         Ok(Some(body)) => response::text_response(200, "application/json", body),
         Ok(None) => response::text_response(STATUS_GONE, "text/plain", String::new()),
         Err(error) => response::text_response(500, "text/plain", error.to_string()),
-    })
+    }
 }
 
 /// Waits until there are changes after a revision or the time has passed.
