--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -15,17 +15,15 @@
 use super::crash_guard::quarantine_task::maintain_quarantine;
 use super::event_log::{EventLog, LogEvent};
 use super::platform_api::{Platform, TrackedKind};
+use super::service_rollout;
 use super::settings::GatewaySettings;
 use super::shutdown::ShutdownPlan;
 use super::state::Gateway;
-use super::{
-    catch_up, gossip, lease_task, membership, rollout_task, server, service_rollout, store_watch,
-};
+use super::{catch_up, gossip, lease_task, membership, rollout_task, server, store_watch};
 use crate::clock::SystemClock;
 use crate::daemon::{SharedListener, run_until_stopped, wait_for_stop_signal, wait_until_accepted};
 use crate::entry::stop_listening;
 use crate::ids::new_incarnation;
-use crate::steward::HeldTerm;
 use crate::supervisor::{
     ChildError, ChildSettings, Supervisor, SupervisorContext, SupervisorError,
 };
@@ -154,10 +152,6 @@
     let supervisor = watch(supervisor, "config", TrackedKind::Config);
     let supervisor = watch(supervisor, "upstreams", TrackedKind::Upstreams);
     let supervisor = watch(supervisor, "weights", TrackedKind::Weights);
-    let supervisor = match gateway.settings.bounds.exposure_share {
-        Some(_) => watch(supervisor, "rollouts", TrackedKind::Rollouts),
-        None => supervisor,
-    };
     let gateway = gateway.clone();
     supervisor.child("catch_up", ChildSettings::default(), move |stop| {
         run_until_stopped(catch_up::catch_up(gateway.clone()), stop)
@@ -226,11 +220,7 @@
     let ordering = Arc::new(watch::Sender::new(None));
     let (lease_gateway, rollout_gateway) = (gateway.clone(), gateway.clone());
     let (lease_held, lease_ordering) = (held.clone(), ordering.clone());
-    let supervisor = match gateway.settings.bounds.exposure_share {
-        Some(_) => with_service_rollouts(supervisor, gateway, held.clone()),
-        None => supervisor,
-    };
-    supervisor
+    service_rollout::supervise(supervisor, gateway, held.clone())
         .child("lease", ChildSettings::default(), move |stop| {
             let (gateway, held) = (lease_gateway.clone(), lease_held.clone());
             let work = lease_task::maintain_lease(gateway, held, lease_ordering.subscribe(), stop);
@@ -246,24 +236,6 @@
         })
 }
 
-fn with_service_rollouts(
-    supervisor: Supervisor,
-    gateway: &Arc<Gateway>,
-    held: Arc<watch::Sender<Option<HeldTerm>>>,
-) -> Supervisor {
-    let (rollout_gateway, report_gateway) = (gateway.clone(), gateway.clone());
-    supervisor
-        .child("service_rollout", ChildSettings::default(), move |stop| {
-            let gateway = rollout_gateway.clone();
-            let work = service_rollout::run_service_rollouts(gateway, held.subscribe());
-            run_until_stopped(work, stop)
-        })
-        .child("rollout_reports", ChildSettings::default(), move |stop| {
-            let gateway = report_gateway.clone();
-            run_until_stopped(service_rollout::send_reports(gateway), stop)
-        })
-}
-
 fn with_operator_listeners(
     supervisor: Supervisor,
     gateway: &Arc<Gateway>,
--- a/src/gateway/event_log.rs
+++ b/src/gateway/event_log.rs
@@ -4,9 +4,10 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
+use serde::Serialize;
 use slog::{KV, Key, Logger, Record, Serializer, info};
 
-pub(super) use super::log_event::{AbortStage, LogEvent};
+pub(super) use super::log_event::LogEvent;
 use crate::clock::{Instant, SharedClock};
 
 /// Log lines per kind and second; enough for one decision on each request of a busy VM.
@@ -109,6 +110,27 @@
     }
 }
 
+/// Progress of a request that the shutdown aborts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize)]
+#[serde(rename_all = "snake_case")]
+pub(super) enum AbortStage {
+    /// The caller has received nothing and gets a complete refusal.
+    BeforeResponse,
+    /// The caller has received part of a stream, which ends early.
+    Streaming,
+}
+
+impl AbortStage {
+    /// Returns the name that is used in metrics.
+    pub(super) fn name(self) -> &'static str {
+        match self {
+            Self::BeforeResponse => "before_response",
+            Self::Streaming => "streaming",
+        }
+    }
+}
+
 /// Fields of an event, as key-value pairs of a log line.
 struct Fields(serde_json::Map<String, serde_json::Value>);
 
--- a/src/gateway/log_event.rs
+++ b/src/gateway/log_event.rs
@@ -3,6 +3,7 @@
 use serde::Serialize;
 
 use super::attempt_failure::FailureCause;
+use super::event_log::AbortStage;
 use super::model::WeightNumber;
 use super::platform_api::TrackedKind;
 use crate::ids::{FencingNumber, ObjectVersion, StoreEra, Tokens};
@@ -141,7 +142,6 @@
         #[serde(serialize_with = "serialize_position")]
         revision: ObjectVersion,
     },
-    /// The operator has removed the order.
     RolloutRemoved {
         service: &'a str,
         #[serde(serialize_with = "serialize_position")]
@@ -369,27 +369,6 @@
     },
 }
 
-/// Progress of a request that the shutdown aborts.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-#[derive(Serialize)]
-#[serde(rename_all = "snake_case")]
-pub(super) enum AbortStage {
-    /// The caller has received nothing and gets a complete refusal.
-    BeforeResponse,
-    /// The caller has received part of a stream, which ends early.
-    Streaming,
-}
-
-impl AbortStage {
-    /// Returns the name that is used in metrics.
-    pub(super) fn name(self) -> &'static str {
-        match self {
-            Self::BeforeResponse => "before_response",
-            Self::Streaming => "streaming",
-        }
-    }
-}
-
 impl LogEvent<'_> {
     /// Returns the kind of the event, each of which has a rate limit of its own.
     pub(super) fn kind(&self) -> &'static str {
--- a/src/gateway/service_rollout/mod.rs
+++ b/src/gateway/service_rollout/mod.rs
@@ -23,23 +23,25 @@
 mod response_times;
 mod scores;
 mod slices;
+mod supervise;
 mod task;
 mod verdict;
+mod version_rule;
 
 pub(super) use counted_run::{CountedRun, outcome_of_failure, outcome_of_status};
 pub use counts::{
     RolloutReport, RouteCounts, RouteHash, UpstreamCounts, VersionCounts, route_hash,
 };
-pub(super) use exchange::send_reports;
 pub use fleet::FleetCounts;
 pub use grant::{GrantBook, RolloutGrant};
 pub use model::{RolloutEntry, RolloutOrder, RolloutProgress, RolloutState, RolloutStatus};
-pub(super) use orders::{RolloutOrders, VersionQuery, VersionRule};
+pub(super) use orders::RolloutOrders;
 pub use plan::{RolloutPlan, RolloutPlanSettings, RolloutStep};
 pub use request_log::{RequestLog, RequestOutcome, SentRequest, SentTo};
 pub use response_times::{RESPONSE_TIME_BUCKETS, ResponseTimes};
-pub(super) use task::run_service_rollouts;
+pub(super) use supervise::supervise;
 pub use verdict::{BadReason, Verdict, VerdictSettings, judge};
+pub(super) use version_rule::{VersionQuery, VersionRule};
 
 /// Share of all requests, in thousandths.
 const ALL_PERMILLE: u16 = 1_000;
