--- a/src/gateway/service_rollout/plan.rs
+++ b/src/gateway/service_rollout/plan.rs
@@ -25,11 +25,11 @@
 
 /// Part of the exposure before the handover that the first share uses up, and the least part of
 /// the limit that is used before the handover.
-const TRIAL_PART: f64 = 0.6;
+const TRIAL_PART: f64 = 0.7;
 const BEFORE_LOAD_MIN: f64 = 0.1;
 
 /// Highest shares before the handover, in thousandths.
-const TRIAL_PERMILLE_MAX: f64 = 450.0;
+const TRIAL_PERMILLE_MAX: f64 = 500.0;
 const WIDENED_PERMILLE_MAX: f64 = 500.0;
 
 /// Parts of the time allowed: the old version is observed alone, the share may be widened, full load
@@ -37,9 +37,9 @@
 /// required, a doubtful target is no longer waited for, and neither is one under load.
 const OBSERVED_UNTIL: f64 = 0.05;
 const WIDENED_FROM: f64 = 0.28;
-const LOADED_FROM: f64 = 0.38;
+const LOADED_FROM: f64 = 0.4;
 const LOADED_AT_ANY_COST_FROM: f64 = 0.5;
-const EVIDENCE_WAIVED_FROM: f64 = 0.48;
+const EVIDENCE_WAIVED_FROM: f64 = 0.55;
 const TRIAL_UNTIL: f64 = 0.8;
 const LOAD_UNTIL: f64 = 0.92;
 
@@ -66,10 +66,10 @@
 /// full load, to show whether both versions are affected, and bounds of their share.
 const CONTROL_PER_S: f64 = 20.0;
 const CONTROL_SHARE_MIN: f64 = 0.1;
-const CONTROL_SHARE_MAX: f64 = 0.4;
+const CONTROL_SHARE_MAX: f64 = 0.25;
 
-/// Share of the target, in thousandths, when it is suspect under load: both versions get the same.
-const RECHECK_PERMILLE: u16 = 500;
+/// Share of the target, in thousandths, while it is suspect under load.
+const RECHECK_PERMILLE: u16 = 400;
 
 /// Failures of the target from which the time until it must be stopped counts.
 const BAD_RESPONSES: u64 = 50;
@@ -390,7 +390,9 @@
             && (situation.load_evidence.answers >= answers || progress >= TRIAL_UNTIL);
         let has_answers = situation.load_evidence.answers >= answers;
         let is_doubtful = evidence.suspicion >= SUSPICION_MAX
-            || has_answers && situation.load_evidence.good_nats < 0.0;
+            || has_answers
+                && situation.load_evidence.good_nats < 0.0
+                && evidence.suspicion >= SUSPICION_MAX / 2.0;
         if is_held && is_good {
             self.hand_over(situation);
         } else if is_doubtful && situation.spent > situation.budget {
--- a/src/gateway/service_rollout/scores.rs
+++ b/src/gateway/service_rollout/scores.rs
@@ -61,8 +61,8 @@
 const HISTORY_DECAY: f64 = 0.93;
 
 /// Log-likelihood ratio that "both versions are affected in this slice" costs against "only the
-/// target is", by assumption: one slice in 12.
-const DISTURBANCE_NATS: f64 = 2.5;
+/// target is", by assumption: one slice in 33.
+const DISTURBANCE_NATS: f64 = 3.5;
 
 /// What each response of the old version in the same slice adds to that, if it is as usual.
 const UNDISTURBED_NATS: f64 = 0.5;
--- a/src/gateway/service_rollout/slices.rs
+++ b/src/gateway/service_rollout/slices.rs
@@ -65,7 +65,7 @@
 pub(super) struct TargetKey {
     pub(super) route: RouteHash,
     pub(super) upstream: u8,
-    /// Share in force at the VM from its previous report to this one, in thousandths.
+    /// Share in force at the VM at the time of the report, in thousandths.
     pub(super) permille: u16,
 }
 
@@ -79,7 +79,7 @@
 impl Slice {
     /// Adds what has changed from a VM's previous report to this one.
     pub(super) fn add_change(&mut self, report: &RolloutReport, last: Option<&RolloutReport>) {
-        let permille = last.map_or(0, |last| last.share_permille.min(report.share_permille));
+        let permille = report.share_permille;
         let no_counts = VersionCounts::default();
         for counts in &report.routes {
             let route = counts.route;
--- a/src/gateway/service_rollout/verdict.rs
+++ b/src/gateway/service_rollout/verdict.rs
@@ -197,13 +197,12 @@
     fn highest(&self, needs_control: bool) -> f64 {
         let sums = self.scores.iter().map(|slice| {
             let scores = slice.iter().filter(|score| {
-                is_in(score, self.scope)
-                    && self.excluded != Some(score.key.upstream)
-                    && (score.has_control || !needs_control)
+                is_in(score, self.scope) && self.excluded != Some(score.key.upstream)
             });
-            let nats = scores.map(|score| match score.has_control {
-                true => score.nats[self.test],
-                false => score.raw_nats[self.test],
+            let nats = scores.map(|score| match (score.has_control, needs_control) {
+                (true, _) => score.nats[self.test],
+                (false, true) => score.nats[self.test].min(0.0),
+                (false, false) => score.raw_nats[self.test],
             });
             nats.sum::<f64>()
         });
