--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -15,6 +15,7 @@
 use super::crash_guard::quarantine_task::maintain_quarantine;
 use super::event_log::{EventLog, LogEvent};
 use super::platform_api::{Platform, TrackedKind};
+use super::service_rollout;
 use super::settings::GatewaySettings;
 use super::shutdown::ShutdownPlan;
 use super::state::Gateway;
@@ -219,7 +220,7 @@
     let ordering = Arc::new(watch::Sender::new(None));
     let (lease_gateway, rollout_gateway) = (gateway.clone(), gateway.clone());
     let (lease_held, lease_ordering) = (held.clone(), ordering.clone());
-    supervisor
+    service_rollout::supervise(supervisor, gateway, held.clone())
         .child("lease", ChildSettings::default(), move |stop| {
             let (gateway, held) = (lease_gateway.clone(), lease_held.clone());
             let work = lease_task::maintain_lease(gateway, held, lease_ordering.subscribe(), stop);
--- a/src/gateway/log_event.rs
+++ b/src/gateway/log_event.rs
@@ -3,6 +3,7 @@
 use serde::Serialize;
 
 use super::attempt_failure::FailureCause;
+use super::event_log::AbortStage;
 use super::model::WeightNumber;
 use super::platform_api::TrackedKind;
 use crate::ids::{FencingNumber, ObjectVersion, StoreEra, Tokens};
@@ -153,6 +154,63 @@
         revision: ObjectVersion,
         age_ms: u64,
     },
+    /// The operator orders the rollout of a software version.
+    RolloutOrdered {
+        service: &'a str,
+        target: &'a str,
+        within_ms: u64,
+        #[serde(serialize_with = "serialize_position")]
+        revision: ObjectVersion,
+    },
+    RolloutRemoved {
+        service: &'a str,
+        #[serde(serialize_with = "serialize_position")]
+        revision: ObjectVersion,
+    },
+    /// The share that this VM may send to the target has changed.
+    RolloutShare {
+        service: &'a str,
+        target: &'a str,
+        share_permille: u16,
+        fencing: FencingNumber,
+    },
+    /// Step of the holder of the lease, with the requests of all VMs since the order.
+    RolloutStep {
+        service: &'a str,
+        target: &'a str,
+        share_permille: u16,
+        is_handover: bool,
+        sent: u64,
+        sent_to_target: u64,
+        elapsed_ms: u64,
+    },
+    /// What the holder of the lease found bad about the target.
+    RolloutBad {
+        service: &'a str,
+        target: &'a str,
+        reason: String,
+    },
+    /// This VM learns that a rollout is done or rolled back.
+    RolloutConcluded {
+        service: &'a str,
+        target: &'a str,
+        state: &'static str,
+        #[serde(serialize_with = "serialize_position")]
+        revision: ObjectVersion,
+    },
+    RolloutStatusWritten {
+        service: &'a str,
+        target: &'a str,
+        state: &'static str,
+        #[serde(serialize_with = "serialize_position")]
+        revision: ObjectVersion,
+        fencing: FencingNumber,
+    },
+    /// The status of a rollout was not written.
+    RolloutCallFailed {
+        service: &'a str,
+        reason: String,
+    },
     LeaseHeld {
         fencing: FencingNumber,
     },
@@ -346,27 +404,6 @@
     },
 }
 
-/// Progress of a request that the shutdown aborts.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-#[derive(Serialize)]
-#[serde(rename_all = "snake_case")]
-pub(super) enum AbortStage {
-    /// The caller has received nothing and gets a complete refusal.
-    BeforeResponse,
-    /// The caller has received part of a stream, which ends early.
-    Streaming,
-}
-
-impl AbortStage {
-    /// Returns the name that is used in metrics.
-    pub(super) fn name(self) -> &'static str {
-        match self {
-            Self::BeforeResponse => "before_response",
-            Self::Streaming => "streaming",
-        }
-    }
-}
-
 impl LogEvent<'_> {
     /// Returns the kind of the event, each of which has a rate limit of its own.
     pub(super) fn kind(&self) -> &'static str {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -66,6 +66,7 @@
 mod run_times;
 mod server;
 mod service_retries;
+mod service_rollout;
 mod settings;
 mod shutdown;
 mod stall;
@@ -128,8 +129,8 @@
 };
 pub use platform_api::{
     ChangeBatch, Dialect, EngineReport, Listing, ObjectChange, ObjectRecord, Order, OrderReply,
-    Platform, RequestHead, ResponseHead, Store, StoreCallFailure, TrackedKind, UpstreamHeaders,
-    WriteResult,
+    Platform, RequestHead, ResponseHead, StatusWriteResult, Store, StoreCallFailure, TrackedKind,
+    UpstreamHeaders, WriteResult,
 };
 pub use prefix_cache_index::{CachedPrefix, PrefixCacheIndex, PrefixHolder};
 pub use process_hash::{ProcessHash, hash_process};
@@ -140,6 +141,13 @@
 pub use retry_budgets::{RetryBudgetBounds, RetryBudgets};
 pub use rollout_schedule::{EngineView, RolloutAction, RolloutSchedule, RolloutSettings};
 pub use run_times::{RunTimes, RunTimesSettings};
+pub use service_rollout::{
+    BadReason, FleetCounts, GrantBook, RESPONSE_TIME_BUCKETS, RequestLog, RequestOutcome,
+    ResponseTimes, RolloutEntry, RolloutGrant, RolloutOrder, RolloutPlan, RolloutPlanSettings,
+    RolloutProgress, RolloutReport, RolloutState, RolloutStatus, RolloutStep, RouteCounts,
+    RouteHash, SentRequest, SentTo, UpstreamCounts, Verdict, VerdictSettings, VersionCounts, judge,
+    route_hash,
+};
 pub use settings::{Bounds, GatewaySettings, gateway_settings_page};
 pub use shutdown::ShutdownPlan;
 pub use stall::{SilentStream, StallSettings};
--- a/src/gateway/queue/placing.rs
+++ b/src/gateway/queue/placing.rs
@@ -275,7 +275,7 @@
         match service.filter(|_| gateway.settings.sheds_by_cost()) {
             Some(service) => PlacementError::Shed(service.queue.late_refusal(
                 ticket,
-                self.tokens_per_s(&request.service),
+                self.tokens_per_s(&request.service, gateway.now()),
                 gateway.now(),
                 &mut rand::rng(),
             )),
@@ -338,7 +338,7 @@
         let tokens_per_ms = match self.is_load_aware(service) {
             true => self.engine_speed_sum(service, now).1,
             false => {
-                let engines = self.upstreams.ready(service).count() as f64;
+                let engines = self.serving(service, now).count() as f64;
                 engines * self.placement_settings.prefill_tokens_per_ms
             }
         };
--- a/src/gateway/status.rs
+++ b/src/gateway/status.rs
@@ -4,6 +4,8 @@
 
 use super::model::{Member, RoutingConfig, TargetWeights, UpstreamEntry, UpstreamStage};
 use super::platform_api::{ObjectRecord, Store, StoreCallFailure, TrackedKind};
+use super::service_rollout::{RolloutEntry, RolloutProgress, RolloutState};
+use super::store_relay::RelayClient;
 use crate::ids::{ObjectVersion, UpstreamId};
 use crate::steward::LeaseRecord;
 
@@ -24,6 +26,10 @@
     pub unusable: Vec<(String, String)>,
     /// Target weights set by the operator.
     pub weights: Vec<TargetWeights>,
+    /// Rollouts of software versions; empty if the store does not know the kind.
+    pub rollouts: Vec<RolloutEntry>,
+    /// How far they are, from the VM that holds the lease if it replies.
+    pub rollout_progress: Vec<RolloutProgress>,
     /// Registered VMs.
     pub vms: Vec<Member>,
     /// Lease that permits orders to engines.
@@ -44,6 +50,8 @@
             upstreams: Vec::new(),
             unusable: Vec::new(),
             weights: Vec::new(),
+            rollouts: Vec::new(),
+            rollout_progress: Vec::new(),
             vms: Vec::new(),
             lease: None,
         };
@@ -60,13 +68,33 @@
             }
         }
         for tracked in TrackedKind::ALL {
-            for object in store.list(tracked).await?.objects {
+            let listed = match (tracked, store.list(tracked).await) {
+                // Only deployments with rollouts have objects of the kind.
+                (TrackedKind::Rollouts, Err(StoreCallFailure::Refused(_))) => continue,
+                (_, listed) => listed?,
+            };
+            for object in listed.objects {
                 status.add_object(object.name, object.record);
             }
         }
+        status.rollout_progress = status.read_progress().await;
         Ok(status)
     }
 
+    /// Returns how far the rollouts are; nothing if the holder of the lease does not reply.
+    async fn read_progress(&self) -> Vec<RolloutProgress> {
+        let holder = self.lease.as_ref().and_then(|lease| lease.holder.as_ref());
+        let member = holder.and_then(|holder| self.vms.iter().find(|vm| vm.vm == holder.vm));
+        let is_running = |entry: &RolloutEntry| !entry.state().is_some_and(RolloutState::is_final);
+        match member.filter(|_| self.rollouts.iter().any(is_running)) {
+            Some(member) => {
+                let mut client = RelayClient::new(member.peer_address);
+                client.rollout_progress().await.unwrap_or_default()
+            }
+            None => Vec::new(),
+        }
+    }
+
     /// Returns the state as text, one line per item.
     pub fn text(&self) -> String {
         let version = self
@@ -91,6 +119,7 @@
                 .iter()
                 .map(|target| format!("weights named: {} {}", target.model, target.weights)),
         );
+        lines.extend(self.rollouts.iter().map(|entry| self.rollout_line(entry)));
         lines.extend(self.vms.iter().map(|member| {
             format!(
                 "vm: {} in {} at {}",
@@ -114,11 +143,32 @@
         lines.join("\n")
     }
 
+    fn rollout_line(&self, entry: &RolloutEntry) -> String {
+        let order = &entry.order;
+        let state = entry.state().map_or("not begun", RolloutState::name);
+        let mut progress = self.rollout_progress.iter();
+        let progress = progress
+            .find(|progress| progress.service == order.service && progress.target == order.target);
+        let progress = progress.map(|progress| {
+            format!(
+                ", {} per mille granted, {} of {} requests in {} ms",
+                progress.share_permille,
+                progress.sent_to_target,
+                progress.sent,
+                progress.elapsed_ms
+            )
+        });
+        let (service, target) = (&order.service, &order.target);
+        let progress = progress.unwrap_or_default();
+        format!("rollout: {service} to {target}, {state}{progress}")
+    }
+
     fn add_object(&mut self, name: String, record: Option<ObjectRecord>) {
         match record {
             Some(ObjectRecord::Config(config)) => self.set_config(&config),
             Some(ObjectRecord::Upstream(entry)) => self.upstreams.push((name, entry)),
             Some(ObjectRecord::Weights(target)) => self.weights.push(target),
+            Some(ObjectRecord::Rollout(entry)) => self.rollouts.push(entry),
             Some(ObjectRecord::Unusable(reason)) => self.unusable.push((name, reason)),
             None => {}
         }
--- a/src/gateway/upstream_capacity/placing.rs
+++ b/src/gateway/upstream_capacity/placing.rs
@@ -80,7 +80,7 @@
 
     /// Returns the number of engines of a load-aware service and the sum of their prompt speeds now.
     pub(in crate::gateway) fn engine_speed_sum(&self, service: &str, now: Instant) -> (usize, f64) {
-        let engines = self.upstreams.ready(service);
+        let engines = self.serving(service, now);
         engines.fold((0, 0.0), |(count, sum), engine| {
             (count + 1, sum + self.engine_tokens_per_ms(engine, now))
         })
--- /dev/null
+++ b/tests/gateway_rollout/main.rs
@@ -0,0 +1,6 @@
+//! Rollouts of a service's software version, without a network.
+
+mod counts;
+mod grants;
+mod plans;
+mod replay;
