--- a/src/caller_memory/memory.rs
+++ b/src/caller_memory/memory.rs
@@ -268,9 +268,7 @@
             if rest.is_empty() {
                 return Ok(());
             }
-            self.reservation
-                .resize(self.held_bytes + next_segment_bytes)?;
-            self.held_bytes += next_segment_bytes;
+            self.reserve_more(next_segment_bytes)?;
             let mut content = lock(&self.store.content);
             let Content::Receiving(segments) = &mut *content else {
                 return Err(MemoryExhausted);
@@ -280,6 +278,17 @@
         Ok(())
     }
 
+    /// Reserves memory for what is kept beside the bytes, such as the head of a request.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`MemoryExhausted`] if there is no room, or if what arrived before was evicted.
+    pub(crate) fn reserve_more(&mut self, bytes: usize) -> Result<(), MemoryExhausted> {
+        self.reservation.resize(self.held_bytes + bytes)?;
+        self.held_bytes += bytes;
+        Ok(())
+    }
+
     /// Waits until what has arrived is evicted.
     pub(crate) async fn evicted(&self) {
         self.store.evicted.notified().await;
--- a/src/entry/body.rs
+++ b/src/entry/body.rs
@@ -59,7 +59,7 @@
     memory: &Arc<CallerMemory>,
 ) -> Result<Bytes, Refusal> {
     check_declared_length(headers, limits.body_max_bytes)?;
-    let read = receive_body(body, limits.body_max_bytes, memory);
+    let read = receive_body(body, head_bytes(headers), limits.body_max_bytes, memory);
     match tokio::time::timeout(limits.body_timeout, read).await {
         Ok(result) => result?.into_contiguous().map_err(|_| no_memory()),
         Err(_) => {
@@ -92,6 +92,8 @@
 
 /// Reads a whole body of at most `max_bytes` bytes into the memory of the VM.
 ///
+/// `head_bytes` is the size of the request's head, which is kept as long as the body.
+///
 /// # Errors
 ///
 /// Returns [`Code::BodyTooLarge`] if the body is larger, before any of it is read if its length says
@@ -99,6 +101,7 @@
 /// memory is used up or what had arrived was evicted.
 pub(crate) async fn receive_body(
     body: &mut Body,
+    head_bytes: usize,
     max_bytes: usize,
     memory: &Arc<CallerMemory>,
 ) -> Result<HeldBytes, Refusal> {
@@ -107,6 +110,9 @@
         return Err(body_too_large(max_bytes));
     }
     let mut receiving = memory.receive_request(Some(announced_bytes));
+    receiving
+        .reserve_more(head_bytes)
+        .map_err(|_| no_memory())?;
     loop {
         let frame = tokio::select! {
             biased;
@@ -132,6 +138,14 @@
     }
 }
 
+/// Returns the size of the headers of a request.
+pub(crate) fn head_bytes(headers: &HeaderMap) -> usize {
+    let sizes = headers
+        .iter()
+        .map(|(name, value)| name.as_str().len() + value.len());
+    sizes.sum()
+}
+
 fn no_memory() -> Refusal {
     let message = "the memory for request bodies is used up";
     Refusal::new(Code::Overloaded, message).with_retry_after(MEMORY_RETRY_AFTER)
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -29,7 +29,7 @@
 
 pub use app::App;
 pub(crate) use backpressure::apply_backpressure;
-pub(crate) use body::{discard_body, receive_body};
+pub(crate) use body::{discard_body, head_bytes, receive_body};
 pub(crate) use caller_stream::CallerStream;
 pub use connection_phase::{ConnectionAction, ConnectionPhase, ConnectionTimeouts};
 pub(crate) use connections::{ConnectionLimits, ConnectionRequestGuard, Connections};
--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -18,7 +18,7 @@
 use super::response::{draining_refusal, retryable_refusal};
 use super::state::Gateway;
 use super::table::RoutingTable;
-use crate::entry::{receive_body, strip_hop_by_hop};
+use crate::entry::{head_bytes, receive_body, strip_hop_by_hop};
 use crate::error::{Code, Refusal};
 
 /// Timeout of a request whose caller sets none.
@@ -65,7 +65,12 @@
         .min(route.timeout);
     let deadline = arrived_at + timeout;
     let left = deadline.saturating_sub(gateway.now());
-    let receive = receive_body(&mut received.body, table.body_max_bytes, &gateway.memory);
+    let receive = receive_body(
+        &mut received.body,
+        head_bytes(&received.headers),
+        table.body_max_bytes,
+        &gateway.memory,
+    );
     let body = tokio::time::timeout(left, receive).await.map_err(|_| {
         Refusal::new(
             Code::BodyTimeout,
