--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -9,6 +9,12 @@
 use crate::ini::{Accessor, Key, parse_sections};
 use crate::settings::SettingsError;
 
+/// Memory of the smallest VM, so that a deployment that names none fits every VM; its part for
+/// responses is what it was before the setting.
+const MEMORY_DEFAULT_MB: u32 = 88;
+/// Descriptors of the smallest VM.
+const DESCRIPTORS_DEFAULT: u32 = 3_075;
+
 /// Settings of a gateway.
 #[derive(Debug, Clone, PartialEq)]
 pub struct GatewaySettings {
@@ -92,8 +98,8 @@
             vm: String::new(),
             availability_zone: String::new(),
             cpu_share: 1.0,
-            memory_mb: 512,
-            max_fds: 10_250,
+            memory_mb: MEMORY_DEFAULT_MB,
+            max_fds: DESCRIPTORS_DEFAULT,
             caller_address: local(8080),
             ready_address: local(8082),
             metrics_address: local(8081),
