refactor(queue): move entry by rank and entry into queues into modules

Methods move unchanged; queue_shedding, gateway_pure, gateway_twins, gateway_load, and the platform's shedding and logs tests pass.

--- a/src/gateway/queue/placing.rs
+++ b/src/gateway/queue/placing.rs
@@ -6,17 +6,16 @@
 
 use tokio::sync::oneshot;
 
-use super::request_queue::{Offered, QueueSettings, QueuedRequest, RequestQueue, Ticket};
+use super::request_queue::{QueuedRequest, RequestQueue, Ticket};
 use super::shedding::{RequestCost, Shed};
 use crate::clock::Instant;
 use crate::gateway::announcements::spread_return;
 use crate::gateway::crash_guard::Suspect;
 use crate::gateway::event_log::LogEvent;
 use crate::gateway::placement::DispatchedRequest;
+use crate::gateway::placement::Placement;
 use crate::gateway::placement::PlacementRequest;
-use crate::gateway::placement::{Placement, first_event_time_max};
 use crate::gateway::state::{Gateway, GatewayState};
-use crate::ids::Tokens;
 
 /// Queued requests considered in one pass, which limits the time that the lock is held.
 const REQUESTS_PER_PASS_MAX: usize = 32;
@@ -26,37 +25,20 @@
 
 #[derive(Debug, Default)]
 pub(in crate::gateway) struct ServiceQueue {
-    queue: RequestQueue,
-    waiters: HashMap<Ticket, Waiter>,
+    pub(super) queue: RequestQueue,
+    pub(super) waiters: HashMap<Ticket, Waiter>,
 }
 
 #[derive(Debug)]
-struct Waiter {
-    request: PlacementRequest,
+pub(super) struct Waiter {
+    pub(super) request: PlacementRequest,
     /// [`PlacementRequest::wait_objective`] while the request may use all the room there is.
-    wait_objective: Duration,
-    sender: oneshot::Sender<PlacementResult>,
+    pub(super) wait_objective: Duration,
+    pub(super) sender: oneshot::Sender<PlacementResult>,
 }
 
 /// Result that a queued request receives.
-type PlacementResult = Result<DispatchedRequest, PlacementError>;
-
-/// Request that waits in a queue.
-#[derive(Debug)]
-struct QueueEntry {
-    ticket: Ticket,
-    receiver: oneshot::Receiver<PlacementResult>,
-    /// Whether the request may be placed before those that wait.
-    is_first: bool,
-    length_before: QueueLength,
-}
-
-/// Length of a queue before a request is added.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct QueueLength {
-    requests: usize,
-    prefill_tokens: Tokens,
-}
+pub(super) type PlacementResult = Result<DispatchedRequest, PlacementError>;
 
 /// Reason why a request was not placed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -173,128 +155,6 @@
 }
 
 impl GatewayState {
-    /// Adds a request to the queue of its service.
-    ///
-    /// # Errors
-    ///
-    /// Returns the refusal if the request would not start in time.
-    fn enqueue(
-        &mut self,
-        request: &PlacementRequest,
-        queued_request: QueuedRequest,
-        cost: RequestCost,
-        sheds_by_cost: bool,
-        now: Instant,
-    ) -> Result<QueueEntry, PlacementError> {
-        let prefill_tokens = self.prefill_tokens(request, now);
-        let engine_time_max = match request.prompt {
-            Some(_) => first_event_time_max(
-                &self.placement_settings,
-                request.wait_objective,
-                prefill_tokens,
-            ),
-            None => Duration::ZERO,
-        };
-        let latest_start = match sheds_by_cost {
-            true => cost.latest_start(engine_time_max, now),
-            false => queued_request.deadline,
-        };
-        let queued_request = QueuedRequest {
-            prefill_tokens,
-            place_by: queued_request.place_by.saturating_sub(engine_time_max),
-            deadline: queued_request.deadline.min(latest_start),
-            ..queued_request
-        };
-        let tokens_per_s = self.tokens_per_s(&request.service);
-        let requests_ahead = self
-            .queues
-            .get(&request.service)
-            .map_or(0, |queue| queue.queue.len());
-        if let Some(at) = self.late_start(request, &queued_request, requests_ahead, now) {
-            return Err(PlacementError::WouldMissDeadline(spread_return(at, now)));
-        }
-        let settings = QueueSettings {
-            shed_by_cost: sheds_by_cost,
-            ..QueueSettings::default()
-        };
-        let service = self
-            .queues
-            .entry(request.service.clone())
-            .or_insert_with(|| ServiceQueue {
-                queue: RequestQueue::new(settings),
-                waiters: HashMap::new(),
-            });
-        let length_before = QueueLength {
-            requests: service.queue.len(),
-            prefill_tokens: service.queue.prefill_tokens(),
-        };
-        let offered = match sheds_by_cost {
-            true => service
-                .queue
-                .offer(queued_request, cost, tokens_per_s, now, &mut rand::rng())
-                .map_err(PlacementError::Shed)?,
-            false => Offered {
-                ticket: service
-                    .queue
-                    .push(queued_request, tokens_per_s, now)
-                    .map_err(PlacementError::WouldMissDeadline)?,
-                is_first: false,
-                displaced: Vec::new(),
-            },
-        };
-        let ticket = offered.ticket;
-        for (displaced, shed) in offered.displaced {
-            if let Some(waiter) = service.waiters.remove(&displaced) {
-                // The receiver is gone if the caller has left.
-                drop(waiter.sender.send(Err(PlacementError::Shed(shed))));
-            }
-        }
-        let (sender, receiver) = oneshot::channel();
-        let waiter = Waiter {
-            request: request.clone(),
-            wait_objective: request.wait_objective,
-            sender,
-        };
-        service.waiters.insert(ticket, waiter);
-        Ok(QueueEntry {
-            ticket,
-            receiver,
-            is_first: offered.is_first,
-            length_before,
-        })
-    }
-
-    /// Returns the refusal of a request that waited until its latest start.
-    fn deadline_passed(
-        &self,
-        gateway: &Gateway,
-        request: &PlacementRequest,
-        ticket: Ticket,
-    ) -> PlacementError {
-        let service = self.queues.get(&request.service);
-        match service.filter(|_| gateway.settings.sheds_by_cost()) {
-            Some(service) => PlacementError::Shed(service.queue.late_refusal(
-                ticket,
-                self.tokens_per_s(&request.service),
-                gateway.now(),
-                &mut rand::rng(),
-            )),
-            None => PlacementError::DeadlinePassed,
-        }
-    }
-
-    fn room_fraction(&self, service: &str, ticket: Ticket, now: Instant) -> f64 {
-        let service = self.queues.get(service);
-        service.map_or(1.0, |service| service.queue.room_fraction(ticket, now))
-    }
-
-    fn remove_placed(&mut self, service: &str, ticket: Ticket, now: Instant) {
-        if let Some(service) = self.queues.get_mut(service) {
-            service.queue.remove_placed(ticket, now);
-            service.waiters.remove(&ticket);
-        }
-    }
-
     /// Returns the earliest time at which a request starts after some others, if its upstreams hold
     /// requests off or name limits.
     fn expected_start(
@@ -309,7 +169,7 @@
     }
 
     /// Returns the expected start of a request after some others if it is too late to wait for it.
-    fn late_start(
+    pub(super) fn late_start(
         &self,
         request: &PlacementRequest,
         queued_request: &QueuedRequest,
@@ -334,7 +194,7 @@
 
     /// Returns the nominal prompt speed, in tokens per second, of this VM's part of a service's
     /// engines.
-    fn tokens_per_s(&self, service: &str) -> f64 {
+    pub(super) fn tokens_per_s(&self, service: &str) -> f64 {
         let engines = self.upstreams.ready(service).count() as f64;
         engines * self.placement_settings.prefill_tokens_per_ms * 1_000.0 / self.fleet_size() as f64
     }
--- a/src/gateway/queue/request_queue.rs
+++ b/src/gateway/queue/request_queue.rs
@@ -5,15 +5,13 @@
 //! left; late ones use the remaining capacity. A request that would not start before its deadline,
 //! at the speed at which requests left the queue recently, is rejected immediately.
 //!
-//! With [`QueueSettings::shed_by_cost`], requests are offered by [`RequestQueue::offer`] and go by
-//! the ranks of [`shedding`](super::shedding) instead.
+//! With [`QueueSettings::shed_by_cost`], requests enter by [`RequestQueue::offer`] and go by the ranks
+//! of [`shedding`](super::shedding) instead.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use rand::Rng;
-
-use super::shedding::{Ranks, RequestCost, Shed, ShedCause};
+use super::shedding::Ranks;
 use super::throughput::Throughput;
 use crate::clock::Instant;
 use crate::ids::Tokens;
@@ -55,17 +53,6 @@
     pub deadline: Instant,
 }
 
-/// Request that has entered the queue, with the requests that were refused for it.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Offered {
-    /// Number of the request.
-    pub ticket: Ticket,
-    /// Whether no waiting request goes before it.
-    pub is_first: bool,
-    /// Requests that left the full queue.
-    pub displaced: Vec<(Ticket, Shed)>,
-}
-
 /// Expected waiting times of a request.
 #[derive(Debug, Clone, Copy)]
 struct Forecast {
@@ -78,16 +65,16 @@
 /// Queue of one service.
 #[derive(Debug, Default)]
 pub struct RequestQueue {
-    settings: QueueSettings,
-    waiting: BTreeMap<Ticket, QueuedRequest>,
-    next_ticket: Ticket,
-    prefill_tokens: Tokens,
+    pub(super) settings: QueueSettings,
+    pub(super) waiting: BTreeMap<Ticket, QueuedRequest>,
+    pub(super) next_ticket: Ticket,
+    pub(super) prefill_tokens: Tokens,
     /// Prompt tokens of all placed requests.
-    throughput: Throughput,
+    pub(super) throughput: Throughput,
     /// Prompt tokens of placed requests that were late.
     late_throughput: Throughput,
     /// Ranks of the waiting requests, with [`QueueSettings::shed_by_cost`].
-    ranks: Ranks,
+    pub(super) ranks: Ranks,
 }
 
 impl RequestQueue {
@@ -138,127 +125,6 @@
         Ok(ticket)
     }
 
-    /// Adds a request by its rank; a full queue refuses the request of the highest rank.
-    ///
-    /// # Errors
-    ///
-    /// Returns the refusal of the request.
-    pub fn offer(
-        &mut self,
-        request: QueuedRequest,
-        cost: RequestCost,
-        tokens_per_s: f64,
-        now: Instant,
-        random: &mut impl Rng,
-    ) -> Result<Offered, Shed> {
-        let ranked = self.ranks.draw(&request, &cost, random);
-        let rank = ranked.rank_at(now);
-        let before = self
-            .waiting
-            .iter()
-            .filter(|(ticket, _)| self.ranks.rank(**ticket, now) <= rank);
-        let (mut requests_ahead, mut tokens_ahead) = (0, 0);
-        for (_, other) in before {
-            requests_ahead += 1;
-            tokens_ahead += other.prefill_tokens;
-        }
-        let speed = self.speed(tokens_per_s, now);
-        let starts_in = self.ranks.inflow(now).starts_in(rank, tokens_ahead, speed);
-        let backlog = self.backlog(speed);
-        let mut refuse = |cause| Shed {
-            cause,
-            retry_after: ranked.retry_after(backlog, now, random),
-        };
-        if now + starts_in > request.deadline {
-            return Err(refuse(ShedCause::LateStart));
-        }
-        let mut displaced = Vec::new();
-        if self.waiting.len() >= self.settings.requests_max {
-            if requests_ahead >= self.waiting.len() {
-                return Err(refuse(ShedCause::FullQueue));
-            }
-            displaced = self.shed_late(tokens_per_s, now, random);
-        }
-        if self.waiting.len() >= self.settings.requests_max {
-            displaced.extend(self.displace_last(backlog, now, random));
-        }
-        self.throughput.start(now);
-        let ticket = self.next_ticket;
-        self.next_ticket += 1;
-        self.prefill_tokens += request.prefill_tokens;
-        self.waiting.insert(ticket, request);
-        self.ranks
-            .insert(ticket, ranked, request.prefill_tokens, now);
-        Ok(Offered {
-            ticket,
-            is_first: requests_ahead == 0,
-            displaced,
-        })
-    }
-
-    /// Removes the requests that can no longer start in time, by their ranks; returns each with its
-    /// refusal.
-    pub fn shed_late(
-        &mut self,
-        tokens_per_s: f64,
-        now: Instant,
-        random: &mut impl Rng,
-    ) -> Vec<(Ticket, Shed)> {
-        let speed = self.speed(tokens_per_s, now);
-        let backlog = self.backlog(speed);
-        let inflow = self.ranks.inflow(now);
-        let mut tokens_ahead = 0;
-        let mut late = Vec::new();
-        for ticket in self.placement_order(now) {
-            let request = &self.waiting[&ticket];
-            let rank = self.ranks.rank(ticket, now);
-            if now + inflow.starts_in(rank, tokens_ahead, speed) <= request.deadline {
-                tokens_ahead += request.prefill_tokens;
-                continue;
-            }
-            let retry_after = self.ranks.retry_after(ticket, backlog, now, random);
-            let cause = ShedCause::LateInQueue;
-            late.push((ticket, Shed { cause, retry_after }));
-        }
-        for (ticket, _) in &late {
-            self.remove(*ticket);
-        }
-        late
-    }
-
-    /// Returns the refusal of a waiting request whose time in the queue has ended.
-    pub fn late_refusal(
-        &self,
-        ticket: Ticket,
-        tokens_per_s: f64,
-        now: Instant,
-        random: &mut impl Rng,
-    ) -> Shed {
-        let backlog = self.backlog(self.speed(tokens_per_s, now));
-        Shed {
-            cause: ShedCause::LateInQueue,
-            retry_after: self.ranks.retry_after(ticket, backlog, now, random),
-        }
-    }
-
-    fn displace_last(
-        &mut self,
-        backlog: Duration,
-        now: Instant,
-        random: &mut impl Rng,
-    ) -> Option<(Ticket, Shed)> {
-        let ticket = self.placement_order(now).pop()?;
-        let retry_after = self.ranks.retry_after(ticket, backlog, now, random);
-        self.remove(ticket);
-        let cause = ShedCause::Displaced;
-        Some((ticket, Shed { cause, retry_after }))
-    }
-
-    /// Returns the time that the waiting requests take to start.
-    fn backlog(&self, tokens_per_s: f64) -> Duration {
-        Duration::from_secs_f64(self.prefill_tokens as f64 / tokens_per_s)
-    }
-
     /// Removes a request that was placed, and counts it in the throughput.
     pub fn remove_placed(&mut self, ticket: Ticket, now: Instant) {
         let Some(request) = self.waiting.get(&ticket) else {
@@ -370,7 +236,7 @@
     }
 
     /// Returns the measured speed, or the nominal one until it is known.
-    fn speed(&self, tokens_per_s: f64, now: Instant) -> f64 {
+    pub(super) fn speed(&self, tokens_per_s: f64, now: Instant) -> f64 {
         let expected = tokens_per_s.max(1.0);
         if self.settings.shed_by_cost {
             return self.throughput.smoothed_tokens_per_s(expected, now);
