feat(gateway): tell the other VMs of changes of plain upstreams' loads

Change: a VM that sees the slowness change by a factor of 1.25, or the requests by the slots, tells the hubs of its zone in a new datagram, at most once in 50 ms; the representative tells its zone and the others. Engines' loads are not told. The news also make the service load-aware at VMs without a response of their own.

--- a/src/gateway/announcements.rs
+++ b/src/gateway/announcements.rs
@@ -63,8 +63,12 @@
         }
         let is_load_unreadable =
             head.has_load() && state.record_server_load(instance, status, head, ended_request, now);
+        let has_load_news = !state.load_outbox.is_empty();
         drop(state);
         let upstream = &instance.id;
+        if has_load_news {
+            self.load_news_due.notify_one();
+        }
         if is_load_unreadable {
             self.event_log.log(&LogEvent::ServerLoadUnreadable {
                 code: Code::HeaderInvalid.number(),
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -18,6 +18,7 @@
 use super::settings::GatewaySettings;
 use super::shutdown::ShutdownPlan;
 use super::state::Gateway;
+use super::upstream_capacity::send_load_news;
 use super::{catch_up, gossip, lease_task, membership, rollout_task, server, store_watch};
 use crate::clock::SystemClock;
 use crate::daemon::{SharedListener, run_until_stopped, wait_for_stop_signal, wait_until_accepted};
@@ -171,6 +172,7 @@
         gateway.clone(),
     );
     let (receive_socket, send_socket) = (socket.clone(), socket.clone());
+    let (news_gateway, news_socket) = (gateway.clone(), socket.clone());
     supervisor
         .child("member", ChildSettings::default(), move |stop| {
             let gateway = member_gateway.clone();
@@ -209,6 +211,12 @@
                 stop,
             )
         })
+        .child("load_news", ChildSettings::default(), move |stop| {
+            run_until_stopped(
+                send_load_news(news_gateway.clone(), news_socket.clone()),
+                stop,
+            )
+        })
         .child("reads_by_peers", ChildSettings::default(), move |stop| {
             serve(reads.duplicate(), read_gateway.clone(), stop)
         })
--- a/src/gateway/datagram.rs
+++ b/src/gateway/datagram.rs
@@ -13,6 +13,7 @@
 use super::process_hash::ProcessHash;
 use super::state::Gateway;
 use super::stream_origin::{HistoryReply, KeeperAnswer, OriginLookup, OriginRecord};
+use super::upstream_capacity::LoadNews;
 use super::upstream_limit::{LimitNews, PermitCall, PermitReply};
 
 /// Maximum size of a datagram. The sums of a zone can exceed the usual MTU; a lost fragment only
@@ -73,6 +74,8 @@
     HistoryRequest,
     /// Reply to it.
     HistoryReply(Box<HistoryReply>),
+    /// News of the loads of plain upstreams.
+    LoadNews(Vec<LoadNews>),
 }
 
 /// Sends a message; returns whether it fits a datagram and the socket accepted it.
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -133,6 +133,7 @@
             Ok(Message::SendReport(report)) => gateway.handle_send_report(report),
             Ok(Message::HistoryRequest) => gateway.handle_history_request(from),
             Ok(Message::HistoryReply(reply)) => gateway.apply_history(*reply),
+            Ok(Message::LoadNews(news)) => gateway.apply_load_news(&news),
             Err(error) => {
                 let reason = format!("datagram cannot be decoded: {error}");
                 gateway.event_log.log(&LogEvent::BeatFailed { reason });
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -30,6 +30,7 @@
     permits: Counter<u64>,
     rejections: Counter<u64>,
     headroom_refusals: Counter<u64>,
+    load_news: Counter<u64>,
     origin_records: Counter<u64>,
     origin_lookups: Counter<u64>,
     forwards: Counter<u64>,
@@ -94,6 +95,10 @@
                 "gateway_rejections",
                 "Requests that upstreams had no room for, by whether they are known to be brittle",
             ),
+            load_news: counter(
+                "gateway_load_news",
+                "Messages between VMs with loads of upstreams, by direction",
+            ),
             headroom_refusals: counter(
                 "gateway_headroom_refusals",
                 "Engines passed over as this VM had used its share of their room, by cause",
@@ -186,6 +191,11 @@
         }
     }
 
+    pub(super) fn count_load_news(&self, direction: &'static str) {
+        self.load_news
+            .add(1, &[KeyValue::new("direction", direction)]);
+    }
+
     pub(super) fn count_origin_record(&self, outcome: &'static str) {
         self.origin_records
             .add(1, &[KeyValue::new("outcome", outcome)]);
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -65,6 +65,8 @@
     pub(super) next_request_number: AtomicU64,
     /// Triggers a heartbeat before the interval has passed.
     pub(super) heartbeat_due: Notify,
+    /// Signals that other VMs are to be told of loads of upstreams.
+    pub(super) load_news_due: Notify,
     /// Signals that a peer has seen newer revisions of the store than this VM.
     pub(super) catch_up_due: Notify,
     /// Signals that an object of the store has changed in this VM's mirrors.
@@ -101,6 +103,8 @@
     pub(super) leaving_outbox: ProcessOutbox,
     /// Services of which an upstream has announced how long work takes.
     pub(super) load_aware_services: HashSet<ServiceId>,
+    /// Plain upstreams of whose loads other VMs are to be told.
+    pub(super) load_outbox: ProcessOutbox,
     pub(super) upstream_limits: UpstreamLimits,
     pub(super) brittle_services: BrittleServices,
     pub(super) send_ledgers: SendLedgers,
@@ -174,6 +178,7 @@
             upstreams: UpstreamRegistry::new(UpstreamRegistrySettings::default()),
             leaving_outbox: ProcessOutbox::default(),
             load_aware_services: HashSet::new(),
+            load_outbox: ProcessOutbox::default(),
             upstream_limits: UpstreamLimits::default(),
             brittle_services: BrittleServices::default(),
             // Reports to an earlier process of this VM name other permits.
@@ -217,6 +222,7 @@
             pool: ConnectionPool::new(clock.clone()),
             response_memory: Arc::default(),
             heartbeat_due: Notify::new(),
+            load_news_due: Notify::new(),
             next_request_number: AtomicU64::new(0),
             catch_up_due: Notify::new(),
             mirror_changed: Notify::new(),
--- a/src/gateway/upstream_capacity/estimate.rs
+++ b/src/gateway/upstream_capacity/estimate.rs
@@ -16,6 +16,12 @@
 const STANDING_ANNOUNCEMENTS_MIN: u32 = 8;
 /// Time for which an upstream that rejected a request counts as full without a fresh announcement.
 const REJECTION_MEMORY: Duration = Duration::from_millis(200);
+/// Ratio of two slownesses, or its inverse, from which other VMs are told; smaller changes move few
+/// requests.
+const SLOWNESS_CHANGE_RATIO: f64 = 1.25;
+/// Time by which a load that another VM tells of must be newer than the known one: a message takes
+/// some time, and what it says must not look newer at each VM that forwards it.
+const NEWER_MIN: Duration = Duration::from_millis(20);
 /// Limits of the slowness that is used, so that one figure never excludes an upstream for good.
 const SLOWNESS_RANGE: std::ops::RangeInclusive<f64> = 0.25..=10.0;
 
@@ -63,23 +69,16 @@
 impl LoadRecord {
     /// Records a load that a response announces; `is_rejection` states whether the upstream
     /// rejected the request, and `ended_request` is the number of the request if the response ends
-    /// it.
+    /// it. Returns whether the load has changed so much that other VMs are to be told.
     pub fn record(
         &mut self,
         load: AnnouncedServerLoad,
         is_rejection: bool,
         ended_request: Option<u64>,
         now: Instant,
-    ) {
-        let unchanged = self.latest.filter(|latest| latest.load == load);
-        self.latest = Some(TimedLoad {
-            load,
-            at: now,
-            unchanged_since: unchanged.map_or(now, |latest| latest.unchanged_since),
-            announcements: unchanged.map_or(1, |latest| latest.announcements.saturating_add(1)),
-        });
-        self.sent_since = 0;
-        self.returned_since = 0;
+    ) -> bool {
+        let is_change = self.is_change(load, now);
+        self.set_latest(load, now);
         self.ended_request = ended_request;
         // A rejection with free slots has another cause than the number of requests.
         if is_rejection && load.running >= load.slots {
@@ -90,6 +89,43 @@
         if !is_rejection {
             self.rejected_at = None;
         }
+        is_change
+    }
+
+    /// Records a load that was announced to another VM at `at`; returns whether this VM did not know
+    /// of the change.
+    pub fn record_told(&mut self, load: AnnouncedServerLoad, at: Instant) -> bool {
+        if self.latest.is_some_and(|latest| at < latest.at + NEWER_MIN) {
+            return false;
+        }
+        let is_change = self.is_change(load, at);
+        self.set_latest(load, at);
+        self.ended_request = None;
+        is_change
+    }
+
+    fn set_latest(&mut self, load: AnnouncedServerLoad, at: Instant) {
+        let unchanged = self.latest.filter(|latest| latest.load == load);
+        self.latest = Some(TimedLoad {
+            load,
+            at,
+            unchanged_since: unchanged.map_or(at, |latest| latest.unchanged_since),
+            announcements: unchanged.map_or(1, |latest| latest.announcements.saturating_add(1)),
+        });
+        self.sent_since = 0;
+        self.returned_since = 0;
+    }
+
+    /// Returns whether a load differs much from the known one, or from an idle upstream if none is
+    /// known.
+    fn is_change(&self, load: AnnouncedServerLoad, now: Instant) -> bool {
+        let is_usable = |latest: &TimedLoad| now.saturating_sub(latest.at) < USABLE_AGE_MAX;
+        let known = self.latest.filter(is_usable).map(|latest| latest.load);
+        let known_slowness = known.and_then(|known| known.slowness).unwrap_or(1.0);
+        let ratio = load.slowness.unwrap_or(1.0) / known_slowness;
+        let known_requests = known.map_or(0, |known| known.requests());
+        ratio.max(1.0 / ratio) >= SLOWNESS_CHANGE_RATIO
+            || load.requests().abs_diff(known_requests) >= load.slots
     }
 
     /// Records that the upstream rejected a request.
@@ -119,6 +155,11 @@
         self.latest.map(|latest| latest.load)
     }
 
+    /// Returns the load that was announced last, with the time of the announcement.
+    pub fn latest_with_time(&self) -> Option<(AnnouncedServerLoad, Instant)> {
+        self.latest.map(|latest| (latest.load, latest.at))
+    }
+
     /// Returns the multiple of the usual time that work takes now.
     pub fn slowness(&self, now: Instant) -> f64 {
         self.latest.map_or(1.0, |latest| latest.slowness(now))
--- a/src/gateway/upstream_capacity/mod.rs
+++ b/src/gateway/upstream_capacity/mod.rs
@@ -7,12 +7,14 @@
 //! the present load of one upstream from the last announcement and its age, from what this VM has
 //! sent since, and from the loads of all VMs by heartbeats. [`choose_plain`] chooses among plain
 //! upstreams by expected completion time. These decide without I/O, and the time is passed in;
-//! `placing` applies them to the gateway's state. The rules hold for a service once one of its
+//! `placing` applies them to the gateway's state. Changes of plain upstreams'
+//! loads are told to the other VMs (`news`). The rules hold for a service once one of its
 //! upstreams has announced how long work takes now; other services are placed as without them.
 
 mod announced;
 mod estimate;
 mod headroom;
+mod news;
 mod placing;
 mod plain_choice;
 mod sharing;
@@ -21,6 +23,7 @@
 pub use announced::AnnouncedServerLoad;
 pub use estimate::{LoadEstimate, LoadRecord};
 pub use headroom::{Headroom, HeadroomCause, RecentUse};
+pub(super) use news::{LoadNews, send_load_news};
 pub use plain_choice::{PlainCandidate, PlainChoice, choose_plain};
 pub(super) use sharing::HeadroomRefusals;
 pub use usual_speed::UsualSpeed;
--- a/src/gateway/upstream_capacity/placing.rs
+++ b/src/gateway/upstream_capacity/placing.rs
@@ -7,6 +7,7 @@
 use crate::clock::Instant;
 use crate::gateway::placement::{Candidate, Placement, PlacementRequest, PlacementSettings};
 use crate::gateway::platform_api::ResponseHead;
+use crate::gateway::process_hash::hash_process;
 use crate::gateway::state::GatewayState;
 use crate::gateway::upstream_registry::{Upstream, UpstreamInstance};
 
@@ -43,12 +44,17 @@
             return head.unreadable_load.is_some() && upstream.load_record.record_unreadable();
         };
         let is_rejection = head.is_not_run && status == StatusCode::SERVICE_UNAVAILABLE;
-        upstream
+        let is_change = upstream
             .load_record
             .record(load, is_rejection, ended_request, now);
-        if load.slowness.is_some() && !self.load_aware_services.contains(&upstream.entry.service) {
-            let service = upstream.entry.service.clone();
-            self.load_aware_services.insert(service);
+        let service = &upstream.entry.service;
+        if load.slowness.is_some() && !self.load_aware_services.contains(service) {
+            self.load_aware_services.insert(service.clone());
+        }
+        // Engines are so many that messages with their loads would outweigh the use.
+        let is_plain = !self.engine_profiles.contains_key(service);
+        if load.slowness.is_some() && is_plain && is_change {
+            self.load_outbox.push(hash_process(instance));
         }
         false
     }
--- a/tests/upstream_capacity/main.rs
+++ b/tests/upstream_capacity/main.rs
@@ -68,3 +68,20 @@
     // What the common rule does on the same load, so that the replay is known to be hard.
     assert!(common.rejected_percent() > 10.0, "{found}");
 }
+
+/// Guards against VMs that hear of a slow server only by their own responses: here each tells the
+/// others of changes that it sees.
+#[rstest]
+#[case::two_thirds_of_the_capacity(300, 97.0)]
+#[case::five_sixths_of_the_capacity(380, 94.0)]
+fn changes_that_one_vm_tells_the_others_are_enough(
+    #[case] rate_per_s: u64,
+    #[case] in_time_min_percent: f64,
+) {
+    let by_load = Replay::run(Rule::ByLoad, Sight::News, rate_per_s, true);
+    assert!(
+        by_load.in_time_percent() >= in_time_min_percent,
+        "{by_load:?}"
+    );
+    assert!(by_load.rejected_percent() < 0.5, "{by_load:?}");
+}
--- a/tests/upstream_capacity/plain_replay.rs
+++ b/tests/upstream_capacity/plain_replay.rs
@@ -30,6 +30,8 @@
 /// Age of the loads that heartbeats tell of.
 const HEARTBEAT_AGE_US: u64 = 250_000;
 const HISTORY_STEP_US: u64 = 10_000;
+/// Time between two messages of a zone's representative with news of loads.
+const NEWS_INTERVAL_US: u64 = 50_000;
 
 /// Rule by which a VM chooses.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -47,6 +49,8 @@
     Every { interval_us: u64 },
     /// Each VM sees only the loads in the responses to its own requests.
     OwnResponses,
+    /// Besides, each VM tells the others of changes.
+    News,
 }
 
 #[derive(Debug, Clone, Copy, Default)]
@@ -84,6 +88,8 @@
     /// Load in a response, or in a reply to a question without a request.
     AtVm(usize, usize, (u32, u32, u64), Option<(Request, bool)>),
     Ask(usize, usize),
+    /// Load that a VM was told, with the time of its announcement.
+    Told(usize, (u32, u32, u64), u64),
     QueuePass(usize),
     Sample,
 }
@@ -193,6 +199,12 @@
                     self.push(now_us + interval_us, Event::Ask(vm, server));
                 }
             }
+            Event::Told(server, (running, waiting, slowness_percent), at_us) => {
+                let load = announced(running, waiting, slowness_percent);
+                for vm in &mut self.vms {
+                    vm.records[server].record_told(load, Duration::from_micros(at_us));
+                }
+            }
             Event::QueuePass(vm) => {
                 self.place_queued(vm, now_us);
                 self.push(now_us + QUEUE_PASS_US, Event::QueuePass(vm));
@@ -258,10 +270,16 @@
         now_us: u64,
     ) {
         let now = Duration::from_micros(now_us);
-        let load = AnnouncedServerLoad::new(running, waiting, SLOTS, Some(slowness_percent as f64));
+        let load = announced(running, waiting, slowness_percent);
         let is_rejected = response.is_some_and(|(_, is_rejected)| is_rejected);
         let state = &mut self.vms[vm];
-        state.records[server].record(load.unwrap(), is_rejected, None, now);
+        let is_change = state.records[server].record(load, is_rejected, None, now);
+        if is_change && self.sight == Sight::News {
+            let delay_us = LINK_US * 2 + self.random.random_range(0..NEWS_INTERVAL_US);
+            let told = Event::Told(server, (running, waiting, slowness_percent), now_us);
+            self.push(now_us + delay_us, told);
+        }
+        let state = &mut self.vms[vm];
         let Some((request, is_rejected)) = response else {
             return self.place_queued(vm, now_us);
         };
@@ -370,3 +388,7 @@
         }
     }
 }
+
+fn announced(running: u32, waiting: u32, slowness_percent: u64) -> AnnouncedServerLoad {
+    AnnouncedServerLoad::new(running, waiting, SLOTS, Some(slowness_percent as f64)).unwrap()
+}
