refactor(placement): move a prompt's prefixes into a module of their own

The share of an engine's room also hashed each engine's name again for each placement.

Change: `PromptPrefixes` moves to placement/prompt_prefixes.rs; the share is rounded by the stored hash of the engine's name.

--- a/src/gateway/placement/candidates.rs
+++ b/src/gateway/placement/candidates.rs
@@ -12,13 +12,14 @@
     Candidate, Placement, ResourceDemand, choose_candidate, prefill_time, required_memory_tokens,
 };
 use super::dispatch::DispatchedRequest;
+use super::prompt_prefixes::PromptPrefixes;
 use super::request::PlacementRequest;
 use crate::clock::Instant;
 use crate::gateway::fetch_sources::{CACHE_STORE_HOLDER, FetchSources, LONG_PREFIX_TOKENS_MIN};
 use crate::gateway::model::WeightNumber;
 use crate::gateway::name_hash::{NameHash, hash_name};
 use crate::gateway::prefix_cache_index::CachedPrefix;
-use crate::gateway::prompt::{PrefixHash, Prompt};
+use crate::gateway::prompt::PrefixHash;
 use crate::gateway::state::{Gateway, GatewayState};
 use crate::gateway::upstream_registry::{Upstream, UpstreamLoad};
 use crate::ids::Tokens;
@@ -34,12 +35,6 @@
 /// Time since target weights were set from which an engine without them costs more.
 const OLDER_WEIGHTS_GRACE: Duration = Duration::from_millis(1_300);
 
-/// Prompt of a request with its prefixes.
-struct PromptPrefixes<'a> {
-    prompt: &'a Prompt,
-    prefixes: Vec<(PrefixHash, Tokens)>,
-}
-
 /// Upstream that may receive a request, with what it has cached of the prompt.
 struct EligibleUpstream<'a> {
     upstream: &'a Upstream,
@@ -50,25 +45,6 @@
     fetch_from: Option<SocketAddr>,
 }
 
-impl<'a> PromptPrefixes<'a> {
-    /// Returns the prompt of a request with its prefixes; `None` if it has no prompt.
-    fn new(request: &'a PlacementRequest) -> Option<Self> {
-        let prompt = request.prompt.as_deref()?;
-        let prefixes = prompt.prefixes(&request.cache_group.name());
-        Some(Self { prompt, prefixes })
-    }
-
-    /// Returns the prefixes that other prompts may share: all but the whole prompt.
-    fn shared(&self) -> &[(PrefixHash, Tokens)] {
-        &self.prefixes[..self.prefixes.len().saturating_sub(1)]
-    }
-
-    /// Returns the longest shared prefix, whose hash determines the preferred engine.
-    fn longest_shared_prefix(&self) -> Option<PrefixHash> {
-        self.shared().last().map(|(prefix, _)| *prefix)
-    }
-}
-
 impl GatewayState {
     /// Chooses an upstream and counts the request in its load.
     ///
--- a/src/gateway/placement/mod.rs
+++ b/src/gateway/placement/mod.rs
@@ -9,6 +9,7 @@
 mod candidates;
 mod choice;
 mod dispatch;
+mod prompt_prefixes;
 mod request;
 
 pub(super) use candidates::older_weights_cutoff;
--- a/src/gateway/upstream_capacity/sharing.rs
+++ b/src/gateway/upstream_capacity/sharing.rs
@@ -5,7 +5,6 @@
 use crate::gateway::placement::{
     Candidate, PlacementRequest, ResourceDemand, required_memory_tokens,
 };
-use crate::gateway::process_hash::hash_process;
 use crate::gateway::state::{Gateway, GatewayState};
 use crate::gateway::upstream_registry::Upstream;
 
@@ -74,7 +73,7 @@
             let refusal = match estimate.is_full {
                 true => Some(HeadroomCause::Rejection),
                 false => {
-                    let seed = hash_process(&engine.instance) ^ gateway.incarnation;
+                    let seed = u64::from(engine.name_hash) ^ gateway.incarnation;
                     headroom.refusal(memory_tokens, engine.recent_use, seed, now)
                 }
             };
