--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -140,6 +140,7 @@
                 target,
                 is_done,
             }) => gateway.handle_rollout_conclusion(&service, &target, is_done),
+            Ok(Message::LoadNews(news)) => gateway.apply_load_news(&news),
             Err(error) => {
                 let reason = format!("datagram cannot be decoded: {error}");
                 gateway.event_log.log(&LogEvent::BeatFailed { reason });
--- a/src/gateway/placement/mod.rs
+++ b/src/gateway/placement/mod.rs
@@ -10,6 +10,7 @@
 mod candidates;
 mod choice;
 mod dispatch;
+mod prompt_prefixes;
 mod request;
 mod versions;
 
