--- a/src/gateway/service_rollout/scores.rs
+++ b/src/gateway/service_rollout/scores.rs
@@ -197,9 +197,14 @@
                         _ => sum.min(kept_times),
                     };
                     if sum > 0.0 {
-                        let part = kept.max(0.0) / sum * (1.0 - disturbed[test]);
+                        // What speaks for an upstream stays: the others may still be good.
+                        let against = of_route.iter_mut().map(|score| nats(score)[test].max(0.0));
+                        let against = against.sum::<f64>();
+                        let kept = kept.max(0.0) * (1.0 - disturbed[test]);
+                        let part = (kept + against - sum) / against;
                         for score in &mut of_route {
-                            nats(score)[test] *= part;
+                            let nats = &mut nats(score)[test];
+                            *nats *= if *nats > 0.0 { part } else { 1.0 };
                         }
                     }
                 }
