--- a/src/gateway/service_rollout/plan.rs
+++ b/src/gateway/service_rollout/plan.rs
@@ -51,6 +51,9 @@
 /// Part of the evidence for a bad target from which the share does not grow.
 const SUSPICION_MAX: f64 = 0.4;
 
+/// Part of that evidence which suffices when the exposure limit is used up.
+const EXCEEDED_SUSPICION: f64 = 0.6;
+
 /// Part of the time allowed, and bounds of the time, for which nearly all requests go to the target
 /// before the handover.
 const LOAD_PART: f64 = 0.05;
@@ -395,7 +398,7 @@
                 && evidence.suspicion >= SUSPICION_MAX / 2.0;
         if is_held && is_good {
             self.hand_over(situation);
-        } else if is_doubtful && situation.spent > situation.budget {
+        } else if evidence.suspicion >= EXCEEDED_SUSPICION && situation.spent > situation.budget {
             self.roll_back(BadReason::ExposureExceeded);
         } else if is_doubtful && permille > RECHECK_PERMILLE {
             self.load(RECHECK_PERMILLE, situation);
--- a/src/gateway/service_rollout/scores.rs
+++ b/src/gateway/service_rollout/scores.rs
@@ -47,6 +47,9 @@
 /// Younger requests are left out: those in flight are always the slower ones.
 const OVERDUE_SHARE: f64 = 0.25;
 
+/// Share of the old version's responses that are later than usual.
+const LATE_SHARE: f64 = 0.05;
+
 /// Share of the old version among the answers of a slice from which it serves as a control.
 const CONTROL_SHARE: f64 = 0.03;
 
@@ -357,9 +360,25 @@
             waiting[bucket] = nats.clamp(0.0, TIME_NATS_MAX);
         }
     }
+    // Even later than the slowest bad version expected is no better.
+    let late = usual_max(&seen);
+    for bucket in late + 1..RESPONSE_TIME_BUCKETS {
+        response[bucket] = response[bucket].max(response[bucket - 1]);
+        waiting[bucket] = waiting[bucket].max(waiting[bucket - 1]);
+    }
     TimeRatios { response, waiting }
 }
 
+/// Returns the first bucket after which at most [`LATE_SHARE`] of the responses come.
+fn usual_max(shares: &[f64; RESPONSE_TIME_BUCKETS]) -> usize {
+    let mut rest = 1.0;
+    let bucket = shares.iter().position(|share| {
+        rest -= share;
+        rest <= LATE_SHARE
+    });
+    bucket.unwrap_or(RESPONSE_TIME_BUCKETS - 1)
+}
+
 fn shares(counts: &[f64; RESPONSE_TIME_BUCKETS]) -> [f64; RESPONSE_TIME_BUCKETS] {
     let total = counts.iter().sum::<f64>().max(1.0);
     counts.map(|count| count / total)
