--- a/src/gateway/service_rollout/plan.rs
+++ b/src/gateway/service_rollout/plan.rs
@@ -396,26 +396,34 @@
             || has_answers
                 && situation.load_evidence.good_nats < 0.0
                 && evidence.suspicion >= SUSPICION_MAX / 2.0;
+        let is_recheck = permille <= RECHECK_PERMILLE;
         if is_held && is_good {
-            self.hand_over(situation);
+            match is_recheck {
+                true => self.load(load_permille(situation.rate_per_s), situation),
+                false => self.hand_over(situation),
+            }
         } else if evidence.suspicion >= EXCEEDED_SUSPICION && situation.spent > situation.budget {
             self.roll_back(BadReason::ExposureExceeded);
-        } else if is_doubtful && permille > RECHECK_PERMILLE {
-            self.load(RECHECK_PERMILLE, situation);
+        } else if is_doubtful && !is_recheck {
+            self.recheck(situation);
         } else if progress >= LOAD_UNTIL {
             self.roll_back(BadReason::TimeExceeded);
         }
     }
 
+    /// Lowers the share, as the target looks bad under load and both versions may be affected; the
+    /// second time it is bad.
+    fn recheck(&mut self, situation: &Situation<'_>) {
+        if self.has_alarmed {
+            return self.roll_back(BadReason::UnderFullLoad);
+        }
+        self.has_alarmed = true;
+        self.load(RECHECK_PERMILLE, situation);
+    }
+
     fn advance_handover(&mut self, since: Instant, situation: &Situation<'_>) {
         if situation.evidence.alarm >= 1.0 {
-            return match self.has_alarmed {
-                true => self.roll_back(BadReason::UnderFullLoad),
-                false => {
-                    self.has_alarmed = true;
-                    self.load(RECHECK_PERMILLE, situation);
-                }
-            };
+            return self.recheck(situation);
         }
         let settings = &self.settings;
         let drain = situation
