--- a/src/gateway/service_rollout/mod.rs
+++ b/src/gateway/service_rollout/mod.rs
@@ -11,6 +11,7 @@
 //! of a VM, [`FleetCounts`] is what the holder knows.
 
 mod counts;
+mod exposure;
 mod fleet;
 mod grant;
 mod model;
@@ -26,8 +27,8 @@
 };
 pub use fleet::FleetCounts;
 pub use grant::{GrantBook, RolloutGrant};
-pub use model::{RolloutOrder, RolloutState, RolloutStatus};
-pub use plan::{RolloutPlan, RolloutPlanSettings, RolloutStep};
+pub use model::{RolloutOrder, RolloutPlanSettings, RolloutState, RolloutStatus};
+pub use plan::{RolloutPlan, RolloutStep};
 pub use request_log::{RequestLog, RequestOutcome, SentRequest, SentTo};
 pub use response_times::{RESPONSE_TIME_BUCKETS, ResponseTimes};
 pub use verdict::{BadReason, Verdict, VerdictSettings, judge};
--- a/src/gateway/service_rollout/plan.rs
+++ b/src/gateway/service_rollout/plan.rs
@@ -7,31 +7,12 @@
 use std::time::Duration;
 
 use super::ALL_PERMILLE;
+use super::exposure::Exposure;
 use super::fleet::{Drain, FleetCounts};
-use super::model::RolloutState;
-use super::verdict::{BadReason, Evidence, VerdictSettings, weigh};
+use super::model::{RolloutPlanSettings, RolloutState};
+use super::verdict::{BadReason, Evidence, weigh};
 use crate::clock::Instant;
 
-/// Requests to the target after which a bad one is found at the latest, apart from delays: five
-/// failures of 20 in 100.
-const EVIDENCE_REQUESTS: f64 = 25.0;
-
-/// Part of the exposure limit that is planned with: the rate of requests may fall.
-const PLANNED_PART: f64 = 0.97;
-const FUTURE_PART: f64 = 0.95;
-
-/// Part of the intervals of reports and grants that passes until most of the fleet has acted.
-const DELAY_PART: f64 = 0.8;
-
-/// Part of the exposure before the handover that the first share uses up, and the least part of
-/// the limit that is used before the handover.
-const TRIAL_PART: f64 = 0.7;
-const BEFORE_LOAD_MIN: f64 = 0.1;
-
-/// Highest shares before the handover, in thousandths.
-const TRIAL_PERMILLE_MAX: f64 = 500.0;
-const WIDENED_PERMILLE_MAX: f64 = 500.0;
-
 /// Parts of the time allowed: the old version is observed alone, the share may be widened, full load
 /// may begin, it begins even if the exposure limit does not cover it, evidence is no longer
 /// required, a doubtful target is no longer waited for, and neither is one under load.
@@ -43,6 +24,9 @@
 const TRIAL_UNTIL: f64 = 0.8;
 const LOAD_UNTIL: f64 = 0.92;
 
+/// Part of the time allowed for which the first share is planned at least.
+const TRIAL_PART_MIN: f64 = 0.1;
+
 /// Evidence (as a log-likelihood ratio) required for a larger share, 1 in 100, and that against the
 /// target with which one that is not found bad is accepted at the end.
 const STEP_NATS: f64 = 4.6;
@@ -65,51 +49,12 @@
 const LOAD_ANSWERS_MIN: f64 = 5.0;
 const LOAD_ANSWERS_MAX: f64 = 200.0;
 
-/// Requests per second that the old version gets at least while the target is tried under nearly
-/// full load, to show whether both versions are affected, and bounds of their share.
-const CONTROL_PER_S: f64 = 20.0;
-const CONTROL_SHARE_MIN: f64 = 0.1;
-const CONTROL_SHARE_MAX: f64 = 0.25;
-
 /// Share of the target, in thousandths, while it is suspect under load.
 const RECHECK_PERMILLE: u16 = 400;
 
 /// Failures of the target from which the time until it must be stopped counts.
 const BAD_RESPONSES: u64 = 50;
 
-/// Bounds and times of a rollout.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct RolloutPlanSettings {
-    /// Maximum share of the service's requests, from the order to its end, that a bad target gets.
-    pub exposure_share: f64,
-    /// Requests that a bad target may get besides.
-    pub exposure_slack: u32,
-    /// Time after its 50th bad response from which a bad target gets nothing new.
-    pub rollback_time: Duration,
-    /// Time without contact after which a VM sends the target nothing new.
-    pub contact_timeout: Duration,
-    /// Interval of the reports of one VM.
-    pub report_interval: Duration,
-    /// Interval of the grants to one VM.
-    pub grant_interval: Duration,
-    /// Error rates of the verdict.
-    pub verdict: VerdictSettings,
-}
-
-impl Default for RolloutPlanSettings {
-    fn default() -> Self {
-        Self {
-            exposure_share: 0.1,
-            exposure_slack: 50,
-            rollback_time: Duration::from_millis(5_000),
-            contact_timeout: Duration::from_millis(3_000),
-            report_interval: Duration::from_millis(500),
-            grant_interval: Duration::from_millis(500),
-            verdict: VerdictSettings::default(),
-        }
-    }
-}
-
 /// What the holder grants and writes now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RolloutStep {
@@ -161,11 +106,7 @@
     progress: f64,
     /// Time allowed for the target, which may have registered late.
     span: Duration,
-    rate_per_s: f64,
-    /// Requests that may be exposed before the end.
-    budget: f64,
-    /// Requests exposed, with those not reported yet.
-    spent: f64,
+    exposure: Exposure,
     evidence: Evidence,
     /// Evidence for the target from VMs that apply the present share.
     load_evidence: Evidence,
@@ -245,23 +186,17 @@
         let settings = &self.settings;
         let (start, span) = self.target_span(fleet, elapsed, now);
         let progress = elapsed.saturating_sub(start).as_secs_f64() / span.as_secs_f64().max(0.001);
-        let rate_per_s = fleet.rate_per_s();
-        let left = (start + span).saturating_sub(elapsed).as_secs_f64();
-        let requests = fleet.sent() as f64 + FUTURE_PART * rate_per_s * left;
-        let limit = settings.exposure_share * requests + f64::from(settings.exposure_slack);
-        let unreported = rate_per_s * settings.report_interval.as_secs_f64() / 2.0;
-        let share = f64::from(self.phase.permille()) / 1_000.0;
+        let left = (start + span).saturating_sub(elapsed);
+        let permille = self.phase.permille();
         Situation {
             fleet,
             elapsed,
             now,
             progress,
             span,
-            rate_per_s,
-            budget: PLANNED_PART * limit,
-            spent: fleet.sent_to_target() as f64 + share * unreported,
+            exposure: Exposure::new(fleet, settings, permille, left),
             evidence: weigh(fleet, &settings.verdict, 0),
-            load_evidence: weigh(fleet, &settings.verdict, self.phase.permille()),
+            load_evidence: weigh(fleet, &settings.verdict, permille),
         }
     }
 
@@ -290,7 +225,9 @@
         match self.phase {
             Phase::Observing => {
                 if self.is_observed(situation) {
-                    let permille = self.trial_permille(situation);
+                    let left = (LOADED_FROM - situation.progress).max(TRIAL_PART_MIN);
+                    let time = situation.span.mul_f64(left);
+                    let permille = situation.exposure.trial_permille(time);
                     self.phase = Phase::Trial { permille };
                 }
             }
@@ -298,9 +235,9 @@
             Phase::Trial { .. } if fleet.sent_to_target() == 0 => {}
             Phase::Trial { permille } => self.advance_trial(permille, situation),
             Phase::Widened { since, .. } => {
-                let is_reported = situation.now.saturating_sub(since) >= self.delay(situation);
+                let is_reported = situation.now.saturating_sub(since) >= situation.exposure.delay();
                 if is_reported && self.may_load(situation) {
-                    self.load(load_permille(situation.rate_per_s), situation);
+                    self.load(situation.exposure.load_permille(), situation);
                 } else {
                     self.end_doubtful_trial(situation);
                 }
@@ -323,15 +260,14 @@
 
     fn advance_trial(&mut self, permille: u16, situation: &Situation<'_>) {
         if self.may_load(situation) {
-            let widened = self.widened_permille(situation);
+            let widened = situation.exposure.widened_permille();
             let is_late = situation.progress >= LOADED_FROM;
             if !is_late && widened >= permille.saturating_mul(2) {
                 self.widen(widened, situation);
             } else if is_late {
-                self.load(load_permille(situation.rate_per_s), situation);
+                self.load(situation.exposure.load_permille(), situation);
             }
-        } else if situation.spent > self.before_load(situation) + BEFORE_LOAD_MIN * situation.budget
-        {
+        } else if situation.exposure.is_trial_used_up() {
             // What is left is kept for the handover.
             self.phase = Phase::Trial { permille: 0 };
         }
@@ -368,8 +304,7 @@
             return false;
         }
         let is_covered =
-            situation.spent + self.exposure_until_found(1.0, situation) <= situation.budget;
-        let is_covered = is_covered || progress >= LOADED_AT_ANY_COST_FROM;
+            situation.exposure.covers_full_load() || progress >= LOADED_AT_ANY_COST_FROM;
         let is_trusted =
             situation.evidence.suspicion < SUSPICION_MAX || progress >= EVIDENCE_WAIVED_FROM;
         is_covered
@@ -385,7 +320,7 @@
         let is_held = situation.now.saturating_sub(since) >= hold;
         let evidence = &situation.evidence;
         let required = required_nats(progress, EVIDENCE_WAIVED_FROM, TRIAL_UNTIL);
-        let answers = situation.rate_per_s * LOAD_ANSWERS_TIME.as_secs_f64();
+        let answers = situation.exposure.rate_per_s() * LOAD_ANSWERS_TIME.as_secs_f64();
         let answers = answers.clamp(LOAD_ANSWERS_MIN, LOAD_ANSWERS_MAX);
         let is_good = evidence.good_nats >= required
             && situation.load_evidence.good_nats >= 0.0
@@ -399,10 +334,10 @@
         let is_recheck = permille <= RECHECK_PERMILLE;
         if is_held && is_good {
             match is_recheck {
-                true => self.load(load_permille(situation.rate_per_s), situation),
+                true => self.load(situation.exposure.load_permille(), situation),
                 false => self.hand_over(situation),
             }
-        } else if evidence.suspicion >= EXCEEDED_SUSPICION && situation.spent > situation.budget {
+        } else if evidence.suspicion >= EXCEEDED_SUSPICION && situation.exposure.is_exceeded() {
             self.roll_back(BadReason::ExposureExceeded);
         } else if is_doubtful && !is_recheck {
             self.recheck(situation);
@@ -439,38 +374,6 @@
             self.conclusion = Some(RolloutState::Done);
         }
     }
-
-    /// Returns the time from a change of the share until most VMs have applied it, answers have
-    /// arrived and are reported.
-    fn delay(&self, situation: &Situation<'_>) -> Duration {
-        let intervals = self.settings.report_interval + self.settings.grant_interval;
-        intervals.mul_f64(DELAY_PART) + situation.fleet.old_response_time()
-    }
-
-    /// Returns the requests that a target which is bad at this share gets until it is stopped.
-    fn exposure_until_found(&self, share: f64, situation: &Situation<'_>) -> f64 {
-        let delay = self.delay(situation).as_secs_f64();
-        EVIDENCE_REQUESTS + share * situation.rate_per_s * delay
-    }
-
-    /// Returns the requests that may be exposed before the handover.
-    fn before_load(&self, situation: &Situation<'_>) -> f64 {
-        let rest = situation.budget - self.exposure_until_found(1.0, situation);
-        rest.max(BEFORE_LOAD_MIN * situation.budget)
-    }
-
-    fn trial_permille(&self, situation: &Situation<'_>) -> u16 {
-        let requests = TRIAL_PART * (self.before_load(situation) - situation.spent);
-        let left = (LOADED_FROM - situation.progress).max(0.1);
-        let time = situation.span.mul_f64(left).as_secs_f64();
-        permille(requests, situation.rate_per_s * time, TRIAL_PERMILLE_MAX)
-    }
-
-    fn widened_permille(&self, situation: &Situation<'_>) -> u16 {
-        let requests = self.before_load(situation) - situation.spent;
-        let time = self.delay(situation).as_secs_f64();
-        permille(requests, situation.rate_per_s * time, WIDENED_PERMILLE_MAX)
-    }
 }
 
 impl Phase {
@@ -485,18 +388,6 @@
     }
 }
 
-/// Returns the share of the target under nearly full load, in thousandths.
-fn load_permille(rate_per_s: f64) -> u16 {
-    let control = CONTROL_PER_S / rate_per_s.max(1.0);
-    let control = control.clamp(CONTROL_SHARE_MIN, CONTROL_SHARE_MAX);
-    (1_000.0 * (1.0 - control)) as u16
-}
-
-/// Returns the share of `all` that `requests` are, in thousandths, at least one.
-fn permille(requests: f64, all: f64, max: f64) -> u16 {
-    (1_000.0 * requests.max(0.0) / all.max(1.0)).clamp(1.0, max) as u16
-}
-
 /// Returns the evidence required for the next step: [`STEP_NATS`] until `from`, then falling to
 /// none at `to`, and beyond to what [`DOUBT_NATS`] accepts.
 fn required_nats(progress: f64, from: f64, to: f64) -> f64 {
--- a/tests/gateway_rollout/plans.rs
+++ b/tests/gateway_rollout/plans.rs
@@ -1,6 +1,11 @@
 //! Whole rollouts, and counted rates of false conclusions.
 
-use celerylever::gateway::RolloutState;
+use std::time::Duration;
+
+use celerylever::gateway::{
+    FleetCounts, GrantBook, RequestLog, RequestOutcome, RolloutGrant, RolloutPlan,
+    RolloutPlanSettings, RolloutState, RolloutStep, SentTo, route_hash,
+};
 
 use super::replay::{Fault, Outcome, Scenario, replay};
 
@@ -151,3 +156,133 @@
         }
     }
 }
+
+/// VMs that report every 500 ms under the share that the plan gave last.
+struct Reports {
+    logs: Vec<RequestLog>,
+    grants: Vec<GrantBook>,
+    fleet: FleetCounts,
+    plan: RolloutPlan,
+    now: Duration,
+}
+
+impl Reports {
+    fn new(vms: usize) -> Self {
+        let log = |_| RequestLog::new("lookup".into(), "v2".into(), Duration::ZERO);
+        let grants = |_| GrantBook::new(Duration::from_millis(1_500));
+        let settings = RolloutPlanSettings::default();
+        Self {
+            logs: (0..vms).map(log).collect(),
+            grants: (0..vms).map(grants).collect(),
+            fleet: FleetCounts::new(),
+            plan: RolloutPlan::new(Duration::from_secs(12), None, settings),
+            now: Duration::ZERO,
+        }
+    }
+
+    /// Lets half a second pass in which each VM sends ten requests, reports (unless it is `silent`)
+    /// and has `old_in_flight` requests at old upstreams.
+    fn advance(&mut self, silent: Option<usize>, old_in_flight: [u32; 2]) -> RolloutStep {
+        self.now += Duration::from_millis(500);
+        let step = self
+            .plan
+            .next(&self.fleet, self.fleet.elapsed(self.now), self.now);
+        for vm in 0..self.logs.len() {
+            if silent == Some(vm) {
+                continue;
+            }
+            let (log, grants) = (&mut self.logs[vm], &mut self.grants[vm]);
+            let grant = RolloutGrant {
+                service: "lookup".into(),
+                target: "v2".into(),
+                share_permille: step.share_permille,
+                fencing: 1,
+                sequence: self.now.as_millis() as u32,
+            };
+            grants.record(grant, self.now);
+            for number in 0..20_u16 {
+                let is_target = number * 50 < step.share_permille;
+                let sent_to = match is_target {
+                    true => SentTo::Target(["a", "b"][usize::from(number) % 2]),
+                    false => SentTo::Old,
+                };
+                let request = log.start(route_hash("/"), sent_to, self.now);
+                let answered_at = self.now + Duration::from_millis(30);
+                log.conclude(request, RequestOutcome::Success, answered_at);
+            }
+            let now = self.now + Duration::from_millis(100);
+            let report = log.report(format!("vm-{vm}"), 1, old_in_flight[vm], grants, now);
+            self.fleet.record(report, now);
+        }
+        step
+    }
+}
+
+/// Guards against old upstreams that are stopped while requests or streams are in flight there, or
+/// while a VM still sends them new ones.
+#[test]
+fn a_rollout_is_done_only_when_nothing_is_in_flight_at_old_upstreams() {
+    let mut reports = Reports::new(2);
+    for _ in 0..30 {
+        let step = reports.advance(None, [0, 1]);
+        assert_eq!(step.conclusion, None, "{:?}", reports.now);
+    }
+    assert!(reports.advance(None, [0, 1]).is_handover);
+    reports.advance(None, [0, 0]);
+    let step = reports.advance(None, [0, 0]);
+    assert_eq!(step.conclusion, Some(RolloutState::Done));
+}
+
+/// Guards against a VM without contact that blocks a rollout forever, and against one that is
+/// passed over at once although it may still have requests at old upstreams.
+#[rstest::rstest]
+#[case(0, Duration::from_secs(9))]
+#[case(3, Duration::from_secs(11))]
+fn a_silent_vm_delays_a_rollout_only_for_a_while(
+    #[case] old_in_flight: u32,
+    #[case] done_by: Duration,
+) {
+    let mut reports = Reports::new(2);
+    let mut conclusion = None;
+    while conclusion.is_none() && reports.now < Duration::from_secs(12) {
+        let is_silent = reports.now >= Duration::from_secs(3);
+        let step = reports.advance(is_silent.then_some(1), [0, old_in_flight]);
+        conclusion = step.conclusion;
+    }
+    assert_eq!(conclusion, Some(RolloutState::Done));
+    let done_at = reports.now;
+    let earliest = Duration::from_secs(if old_in_flight > 0 { 9 } else { 6 });
+    assert!(earliest <= done_at && done_at <= done_by, "{done_at:?}");
+}
+
+/// Guards against a verdict that is reversed, by the same holder or by a successor that has read it.
+#[test]
+fn a_conclusion_never_changes() {
+    let mut reports = Reports::new(2);
+    for conclusion in [RolloutState::Done, RolloutState::RolledBack] {
+        let settings = RolloutPlanSettings::default();
+        reports.plan = RolloutPlan::new(Duration::from_secs(12), Some(conclusion), settings);
+        for _ in 0..4 {
+            let step = reports.advance(None, [0, 0]);
+            assert_eq!(step.conclusion, Some(conclusion));
+            assert_eq!(step.is_handover, conclusion == RolloutState::Done);
+        }
+    }
+}
+
+/// Guards against a rollout to a version without upstreams that is concluded.
+#[test]
+fn a_rollout_to_an_unknown_version_stays_running() {
+    let mut fleet = FleetCounts::new();
+    let settings = RolloutPlanSettings::default();
+    let mut plan = RolloutPlan::new(Duration::from_secs(12), None, settings);
+    let mut log = RequestLog::new("lookup".into(), "v9".into(), Duration::ZERO);
+    let grants = GrantBook::new(Duration::from_millis(1_500));
+    for half_seconds in 1..60 {
+        let now = Duration::from_millis(500 * half_seconds);
+        let request = log.start(route_hash("/"), SentTo::Old, now);
+        log.conclude(request, RequestOutcome::Success, now);
+        fleet.record(log.report("vm-0".into(), 1, 0, &grants, now), now);
+        assert_eq!(plan.next(&fleet, fleet.elapsed(now), now).conclusion, None);
+    }
+}
