--- a/tests/gateway_rollout/main.rs
+++ b/tests/gateway_rollout/main.rs
@@ -3,4 +3,5 @@
 mod counts;
 mod grants;
 mod plans;
+mod rates;
 mod replay;
