--- a/src/gateway/service_rollout/mod.rs
+++ b/src/gateway/service_rollout/mod.rs
@@ -13,6 +13,7 @@
 mod counted_run;
 mod counts;
 mod exchange;
+mod exposure;
 mod fleet;
 mod grant;
 mod held_rollout;
@@ -34,9 +35,11 @@
 };
 pub use fleet::FleetCounts;
 pub use grant::{GrantBook, RolloutGrant};
-pub use model::{RolloutEntry, RolloutOrder, RolloutProgress, RolloutState, RolloutStatus};
+pub use model::{
+    RolloutEntry, RolloutOrder, RolloutPlanSettings, RolloutProgress, RolloutState, RolloutStatus,
+};
 pub(super) use orders::RolloutOrders;
-pub use plan::{RolloutPlan, RolloutPlanSettings, RolloutStep};
+pub use plan::{RolloutPlan, RolloutStep};
 pub use request_log::{RequestLog, RequestOutcome, SentRequest, SentTo};
 pub use response_times::{RESPONSE_TIME_BUCKETS, ResponseTimes};
 pub(super) use supervise::supervise;
