fix(gateway): leave an idle engine that rejects requests alone until its order is complete

Each VM tried it again every 200 ms.

In a load-aware service such a rejection makes the VM take the engine for one in a rollout for 0.5 to 1 s, until it answers or has newer weights. The VMs that see it first name it among the engines in a rollout in their heartbeats, and the sums of a zone unite these lists.

--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -290,6 +290,11 @@
         0 => state.peers.known_addresses(KNOWN_VMS_MAX),
         _ => Vec::new(),
     };
+    let assumed_in_rollout = state
+        .upstreams
+        .iter()
+        .filter(|upstream| upstream.is_order_announced(now))
+        .map(|upstream| upstream.name_hash);
     Heartbeat {
         incarnation: gateway.incarnation,
         sequence,
@@ -309,6 +314,7 @@
             .engines_in_rollout
             .iter()
             .map(|id| hash_name(id))
+            .chain(assumed_in_rollout)
             .collect(),
         unlisted_weights: state.unlisted_weights(),
         unreachable_engines: state.unreachable_engines(now),
@@ -382,8 +388,10 @@
     if other.lease.is_some() {
         sum.lease.clone_from(&other.lease);
     }
-    if !other.engines_in_rollout.is_empty() {
-        sum.engines_in_rollout.clone_from(&other.engines_in_rollout);
+    for engine in &other.engines_in_rollout {
+        if !sum.engines_in_rollout.contains(engine) {
+            sum.engines_in_rollout.push(*engine);
+        }
     }
     sum.unlisted_weights.extend(&other.unlisted_weights);
 }
--- a/src/gateway/placement/candidates.rs
+++ b/src/gateway/placement/candidates.rs
@@ -357,7 +357,8 @@
             has_older_weights: self.has_older_weights(upstream, request, now),
             is_share_used: false,
             is_last_resort: upstream.is_rejecting(now)
-                || (request.prompt.is_some() && self.is_in_rollout(eligible.name_hash, upstream)),
+                || (request.prompt.is_some()
+                    && self.is_in_rollout(eligible.name_hash, upstream, now)),
         }
     }
 
@@ -376,8 +377,9 @@
         since.is_some_and(|since| now.saturating_sub(since) >= OLDER_WEIGHTS_GRACE)
     }
 
-    fn is_in_rollout(&self, name_hash: NameHash, upstream: &Upstream) -> bool {
+    fn is_in_rollout(&self, name_hash: NameHash, upstream: &Upstream, now: Instant) -> bool {
         self.engines_in_rollout.contains(&upstream.instance.id)
+            || upstream.is_order_assumed(now)
             || self.peer_view.is_in_rollout(name_hash)
     }
 }
--- a/src/gateway/placement/dispatch.rs
+++ b/src/gateway/placement/dispatch.rs
@@ -6,12 +6,14 @@
 use std::time::Duration;
 
 use http::StatusCode;
+use rand::Rng;
 
 use super::choice::PlacementSettings;
 use crate::clock::Instant;
 use crate::gateway::brittle_upstream::{SendKeeper, SendPermit};
 use crate::gateway::event_log::LogEvent;
 use crate::gateway::model::{ServiceId, SoftwareVersion, WeightNumber};
+use crate::gateway::name_hash::hash_name;
 use crate::gateway::platform_api::ResponseHead;
 use crate::gateway::process_hash::hash_process;
 use crate::gateway::service_rollout::{CountedRun, RequestOutcome};
@@ -28,6 +30,11 @@
 /// Limits of a speed sample.
 const SPEED_RANGE_TOKENS_PER_MS: std::ops::RangeInclusive<f64> = 10.0..=500.0;
 
+/// Time for which an engine that rejects requests while it is idle is assumed to execute an order.
+/// Loading weights takes up to a second; the spread lets few VMs at a time try whether it is over.
+const ASSUMED_ORDER_TIME: std::ops::Range<Duration> =
+    Duration::from_millis(500)..Duration::from_millis(1_000);
+
 /// Multiple of a request's expected work after which its response is overdue.
 const OVERDUE_WORK_FACTOR: u32 = 3;
 /// Time added to the due time of each response.
@@ -255,9 +262,21 @@
         if let Some(upstream) = state.upstreams.get(&self.instance.id) {
             fleet_requests = state.total_load(upstream).requests;
         }
+        // The estimate tells that the service is load-aware.
+        let may_assume_order = self.load_estimate.is_some() && rejections_max.is_none();
+        let is_known_by_peers = state.peer_view.is_in_rollout(hash_name(&self.instance.id));
         let Some(upstream) = state.upstreams.instance_mut(&self.instance) else {
             return;
         };
+        let has_hold_off = upstream.held_off_until(now).is_some();
+        let is_order_assumed = may_assume_order
+            && !has_hold_off
+            && !upstream.entry.models.is_empty()
+            && upstream.load_record.is_idle_rejection();
+        if is_order_assumed {
+            let time = rand::rng().random_range(ASSUMED_ORDER_TIME);
+            upstream.assume_order(now + time, !is_known_by_peers);
+        }
         upstream.record_rejection(now);
         upstream.load_record.record_rejection(now);
         let announced = upstream.load_record.latest();
@@ -276,6 +295,9 @@
         drop(state);
         let is_brittle = rejections_max.is_some();
         self.gateway.metrics.count_rejection(is_brittle);
+        if is_order_assumed && !is_known_by_peers {
+            self.gateway.heartbeat_due.notify_one();
+        }
         self.gateway.event_log.log(&event);
     }
 
--- a/src/gateway/upstream_capacity/estimate.rs
+++ b/src/gateway/upstream_capacity/estimate.rs
@@ -22,6 +22,9 @@
 /// Time by which a load that another VM tells of must be newer than the known one: a message takes
 /// some time, and what it says must not look newer at each VM that forwards it.
 const NEWER_MIN: Duration = Duration::from_millis(20);
+/// An upstream that rejects a request while it has no more requests than its slots divided by this is
+/// not full: it is busy with an order, and rejects everything until the order is complete.
+const IDLE_SLOTS_DIVISOR: u32 = 4;
 /// Limits of the slowness that is used, so that one figure never excludes an upstream for good.
 const SLOWNESS_RANGE: std::ops::RangeInclusive<f64> = 0.25..=10.0;
 
@@ -36,6 +39,8 @@
     /// Waiting places, from the figures in rejections.
     waiting_places: Option<u32>,
     rejected_at: Option<Instant>,
+    /// Whether the latest figures came with a rejection although most slots were free.
+    is_idle_rejection: bool,
     is_unreadable_logged: bool,
 }
 
@@ -80,6 +85,8 @@
         let is_change = self.is_change(load, now);
         self.set_latest(load, now);
         self.ended_request = ended_request;
+        self.is_idle_rejection =
+            is_rejection && load.requests().saturating_mul(IDLE_SLOTS_DIVISOR) <= load.slots;
         // A rejection with free slots has another cause than the number of requests.
         if is_rejection && load.running >= load.slots {
             self.waiting_places = Some(load.waiting);
@@ -133,6 +140,11 @@
         self.rejected_at = Some(now);
     }
 
+    /// Returns whether the latest response rejected a request although most slots were free.
+    pub fn is_idle_rejection(&self) -> bool {
+        self.is_idle_rejection
+    }
+
     /// Records that this VM has sent a request.
     pub fn record_sent(&mut self) {
         self.sent_since = self.sent_since.saturating_add(1);
--- a/src/gateway/upstream_registry.rs
+++ b/src/gateway/upstream_registry.rs
@@ -99,6 +99,8 @@
     unreachable_until: Instant,
     responded_at: Option<Instant>,
     rejecting_until: Instant,
+    /// Order that the upstream is assumed to execute, as it rejects requests while it is idle.
+    assumed_order: Option<AssumedOrder>,
     /// Time at which the first event or response of each request of this VM is overdue, by request
     /// number.
     responses_due: BTreeMap<u64, Instant>,
@@ -109,6 +111,14 @@
     permit_wait_until: Instant,
 }
 
+/// Order that an upstream is assumed to execute.
+#[derive(Debug, Clone, Copy)]
+struct AssumedOrder {
+    until: Instant,
+    /// Whether this VM tells the others.
+    is_announced: bool,
+}
+
 impl Upstream {
     fn new(id: &str, entry: UpstreamEntry) -> Self {
         let mut upstream = Self {
@@ -127,6 +137,7 @@
             unreachable_until: Instant::ZERO,
             responded_at: None,
             rejecting_until: Instant::ZERO,
+            assumed_order: None,
             responses_due: BTreeMap::new(),
             unlisted_at: None,
             held_off_until: Instant::ZERO,
@@ -145,7 +156,10 @@
     /// Records the weights of a model; lower ones than known are ignored.
     pub fn record_weights(&mut self, model: &str, number: WeightNumber) {
         let known = self.weights.entry(model.to_owned()).or_insert(number);
-        *known = number.max(*known);
+        if number > *known {
+            *known = number;
+            self.assumed_order = None;
+        }
     }
 
     /// Records the weights of the upstream's only model; ignored if it has several models or none.
@@ -161,6 +175,7 @@
         self.failure_rate *= 1.0 - FAILURE_RATE_SMOOTHING;
         self.avoided_until = Instant::ZERO;
         self.unreachable_until = Instant::ZERO;
+        self.assumed_order = None;
         self.responded_at = Some(now);
     }
 
@@ -201,6 +216,26 @@
         self.rejecting_until = now + REJECTION_BACKOFF;
     }
 
+    /// Records that the upstream rejects requests although it is idle, and is assumed to execute an
+    /// order until a time; `is_announced` states whether this VM tells the others.
+    pub fn assume_order(&mut self, until: Instant, is_announced: bool) {
+        self.assumed_order = Some(AssumedOrder {
+            until,
+            is_announced,
+        });
+    }
+
+    /// Returns whether the upstream is assumed to execute an order.
+    pub fn is_order_assumed(&self, now: Instant) -> bool {
+        self.assumed_order.is_some_and(|order| now < order.until)
+    }
+
+    /// Returns whether this VM tells the others that the upstream is assumed to execute an order.
+    pub fn is_order_announced(&self, now: Instant) -> bool {
+        let order = self.assumed_order.filter(|order| now < order.until);
+        order.is_some_and(|order| order.is_announced)
+    }
+
     /// Returns whether the upstream rejected a request recently.
     pub fn is_rejecting(&self, now: Instant) -> bool {
         now < self.rejecting_until
--- a/tests/upstream_capacity/estimates.rs
+++ b/tests/upstream_capacity/estimates.rs
@@ -2,7 +2,11 @@
 
 use std::time::Duration;
 
-use celerylever::gateway::{AnnouncedServerLoad, LoadEstimate, LoadRecord};
+use celerylever::gateway::{
+    AnnouncedServerLoad, LoadEstimate, LoadRecord, LoadedModel, Upstream, UpstreamEntry,
+    UpstreamRegistry, UpstreamRegistrySettings, UpstreamStage,
+};
+use rstest::rstest;
 
 const MS: fn(u64) -> Duration = Duration::from_millis;
 const SLOTS: u32 = 6;
@@ -16,6 +20,26 @@
     record.estimate(0, 2, 4, now)
 }
 
+/// Returns an engine that has the weights 1 of the model `m`.
+fn engine_upstream() -> Upstream {
+    let mut upstreams = UpstreamRegistry::new(UpstreamRegistrySettings::default());
+    let entry = UpstreamEntry {
+        service: "lm".to_owned(),
+        address: ([127, 0, 0, 1], 9).into(),
+        availability_zone: "a".to_owned(),
+        slots: SLOTS,
+        software: None,
+        stage: UpstreamStage::Ready,
+        models: vec![LoadedModel {
+            model: "m".to_owned(),
+            weights: 1,
+        }],
+        born_ms: 1,
+    };
+    upstreams.apply("e0", Some(entry), MS(0));
+    upstreams.get("e0").unwrap().clone()
+}
+
 #[test]
 fn without_an_announcement_the_heartbeats_and_the_entry_count() {
     let estimate = estimate(&LoadRecord::default(), MS(0));
@@ -118,3 +142,41 @@
     assert!(record.record_unreadable());
     assert!(!record.record_unreadable());
 }
+
+/// Guards against requests that all VMs send to an engine that loads weights: it is idle, looks free
+/// and rejects everything until it is done.
+#[rstest]
+#[case::idle(0, 0, true)]
+#[case::few_left(3, 0, true)]
+#[case::full(64, 4, false)]
+#[case::half_full(32, 0, false)]
+fn a_rejection_by_an_idle_upstream_shows_an_order(
+    #[case] running: u32,
+    #[case] waiting: u32,
+    #[case] is_idle: bool,
+) {
+    let load = AnnouncedServerLoad::new(running, waiting, 64, Some(100.0)).unwrap();
+    let mut record = LoadRecord::default();
+    record.record(load, true, None, MS(0));
+    assert_eq!(record.is_idle_rejection(), is_idle);
+    record.record(load, false, None, MS(10));
+    assert!(!record.is_idle_rejection());
+}
+
+/// Guards against an engine that is left alone although it has loaded the weights.
+#[test]
+fn an_assumed_order_ends_with_its_time_with_newer_weights_or_with_a_response() {
+    let engine = || {
+        let mut upstream = engine_upstream();
+        upstream.assume_order(MS(700), true);
+        assert!(upstream.is_order_assumed(MS(699)) && upstream.is_order_announced(MS(699)));
+        upstream
+    };
+    assert!(!engine().is_order_assumed(MS(700)));
+    let mut loaded = engine();
+    loaded.record_weights("m", 2);
+    assert!(!loaded.is_order_assumed(MS(100)));
+    let mut answering = engine();
+    answering.record_success(MS(100));
+    assert!(!answering.is_order_assumed(MS(100)));
+}
