fix(gateway): without settings, the limit on requests in flight is met first, as before

The defaults of 88 MB and 3,075 descriptors allow 641 connections of callers, so that 1,800 requests in flight were never reached: a_refusal_for_too_many_requests_bears_the_id_of_its_request (request_path) found no refusal within 45 s.

--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -9,11 +9,11 @@
 use crate::ini::{Accessor, Key, parse_sections};
 use crate::settings::SettingsError;
 
-/// Memory of the smallest VM, so that a deployment that names none fits every VM; its part for
-/// responses is what it was before the setting.
-const MEMORY_DEFAULT_MB: u32 = 88;
-/// Descriptors of the smallest VM.
-const DESCRIPTORS_DEFAULT: u32 = 3_075;
+/// Memory of a VM whose deployment names none: the least with which the limit on requests in flight is
+/// met before that on connections, as it was before the setting.
+const MEMORY_DEFAULT_MB: u32 = 200;
+/// Descriptors of a VM whose deployment names none, those of the largest VM.
+const DESCRIPTORS_DEFAULT: u32 = 10_250;
 
 /// Settings of a gateway.
 #[derive(Debug, Clone, PartialEq)]
