--- a/tests/gateway_settings.rs
+++ b/tests/gateway_settings.rs
@@ -95,6 +95,9 @@
         ("Bounds.QuotaOverage", "0.1"),
         ("Bounds.QuotaSlack", "140000"),
         ("Bounds.QuotaWindowS", "8"),
+        ("Bounds.ExposureShare", "0.1"),
+        ("Bounds.ExposureSlack", "50"),
+        ("Bounds.RollbackMs", "5000"),
     ] {
         text = text.replace(&format!("{{{{#{name}}}}}"), "");
         text = text.replace(&format!("{{{{/{name}}}}}"), "");
@@ -106,6 +109,9 @@
     assert_eq!(settings.bounds.allowance_slack, 140_000);
     assert_eq!(settings.bounds.allowance_window, Duration::from_secs(8));
     assert_eq!(settings.cpu_share, 0.25);
+    assert_eq!(settings.bounds.exposure_share, Some(0.1));
+    assert_eq!(settings.bounds.exposure_slack, 50);
+    assert_eq!(settings.bounds.rollback_timeout, Duration::from_secs(5));
     assert_eq!(settings.bounds.contact_timeout, Duration::from_secs(3));
     assert_eq!(settings.peer_seeds.len(), 2);
 }
