--- a/tests/gateway_rollout/plans.rs
+++ b/tests/gateway_rollout/plans.rs
@@ -187,7 +187,7 @@
         let step = self
             .plan
             .next(&self.fleet, self.fleet.elapsed(self.now), self.now);
-        for vm in 0..self.logs.len() {
+        for (vm, old_in_flight) in old_in_flight.into_iter().enumerate() {
             if silent == Some(vm) {
                 continue;
             }
@@ -211,7 +211,7 @@
                 log.conclude(request, RequestOutcome::Success, answered_at);
             }
             let now = self.now + Duration::from_millis(100);
-            let report = log.report(format!("vm-{vm}"), 1, old_in_flight[vm], grants, now);
+            let report = log.report(format!("vm-{vm}"), 1, old_in_flight, grants, now);
             self.fleet.record(report, now);
         }
         step
