fix(gateway): one bad upstream of the target no longer rolls a good version back

The rule of rollback_ms counted the failures of the bad upstream, and the others had to reach only a threshold lowered by 3 nats: 2 of 80 replayed good versions with one bad upstream were rolled back at 1,000 requests a second and more. The rule leaves that upstream out, and the threshold of the others is lowered by 1.2. The share is widened from 34 % and full load begins from 45 % of the time allowed.

--- a/src/gateway/service_rollout/fleet.rs
+++ b/src/gateway/service_rollout/fleet.rs
@@ -112,9 +112,17 @@
         self.target_sum(|counts| counts.sent)
     }
 
-    /// Returns the number of requests that failed at the target.
-    pub fn target_failures(&self) -> u64 {
-        self.target_sum(|counts| counts.failures)
+    /// Returns the number of requests that failed at the target, without the upstream with most
+    /// failures if there are several.
+    pub(super) fn target_failures(&self) -> u64 {
+        let mut failures = BTreeMap::<u8, u64>::new();
+        let routes = self.reports().flat_map(|report| &report.routes);
+        for target in routes.flat_map(|route| &route.target) {
+            *failures.entry(target.upstream).or_default() += u64::from(target.counts.failures);
+        }
+        let most = failures.values().copied().max().unwrap_or_default();
+        let excluded = if failures.len() > 1 { most } else { 0 };
+        failures.values().sum::<u64>() - excluded
     }
 
     /// Returns the time since the first request to the target; zero if there was none.
--- a/src/gateway/service_rollout/plan.rs
+++ b/src/gateway/service_rollout/plan.rs
@@ -14,12 +14,13 @@
 use crate::clock::Instant;
 
 /// Parts of the time allowed: the old version is observed alone, the share may be widened, full load
-/// may begin, it begins even if the exposure limit does not cover it, evidence is no longer
-/// required, a doubtful target is no longer waited for, and neither is one under load.
+/// may begin, it begins even if the exposure limit does not cover it, less evidence is required, none
+/// is, a doubtful target is no longer waited for, and neither is one under load.
 const OBSERVED_UNTIL: f64 = 0.05;
-const WIDENED_FROM: f64 = 0.28;
-const LOADED_FROM: f64 = 0.4;
+const WIDENED_FROM: f64 = 0.34;
+const LOADED_FROM: f64 = 0.45;
 const LOADED_AT_ANY_COST_FROM: f64 = 0.5;
+const EVIDENCE_FULL_UNTIL: f64 = 0.4;
 const EVIDENCE_WAIVED_FROM: f64 = 0.55;
 const TRIAL_UNTIL: f64 = 0.8;
 const LOAD_UNTIL: f64 = 0.92;
@@ -52,8 +53,10 @@
 /// Share of the target, in thousandths, while it is suspect under load.
 const RECHECK_PERMILLE: u16 = 400;
 
-/// Failures of the target from which the time until it must be stopped counts.
-const BAD_RESPONSES: u64 = 50;
+/// Failures of the target from which the time until it must be stopped counts, without those of the
+/// upstream with most failures: half of 50, as there may be only two upstreams. With that upstream,
+/// good versions with one bad upstream were rolled back.
+const BAD_RESPONSES: u64 = 25;
 
 /// What the holder grants and writes now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -168,7 +171,8 @@
         let delays = (settings.report_interval + settings.grant_interval) * 2;
         let time = settings.rollback_time.saturating_sub(delays);
         let is_due = situation.now.saturating_sub(failures_at) >= time;
-        let is_suspect = is_due && evidence.suspicion >= SUSPICION_MAX && evidence.good_nats < 0.0;
+        let is_suspect =
+            is_due && evidence.suspicion >= EXCEEDED_SUSPICION && evidence.good_nats < 0.0;
         evidence.bad.or(evidence.suspect.filter(|_| is_suspect))
     }
 
@@ -311,7 +315,7 @@
             && is_trusted
             && situation.evidence.answers > 0.0
             && situation.evidence.good_nats
-                >= required_nats(progress, LOADED_FROM, EVIDENCE_WAIVED_FROM)
+                >= required_nats(progress, EVIDENCE_FULL_UNTIL, EVIDENCE_WAIVED_FROM)
     }
 
     fn advance_load(&mut self, permille: u16, since: Instant, situation: &Situation<'_>) {
--- a/src/gateway/service_rollout/verdict.rs
+++ b/src/gateway/service_rollout/verdict.rs
@@ -11,8 +11,9 @@
 use super::fleet::FleetCounts;
 use super::scores::{FAILURES, Score, TESTS, TIMES};
 
-/// Probability that one upstream of a good target is bad, as assumed before any answer.
-const BAD_UPSTREAM_SHARE: f64 = 0.05;
+/// Probability that one upstream of a good target is bad, as assumed before any answer. With 0.05, a
+/// replayed good version with one bad upstream was found bad by what its other upstreams failed.
+const BAD_UPSTREAM_SHARE: f64 = 0.3;
 
 /// Share of the target's and the old version's answers from which a route must be found good.
 const ROUTE_SHARE_MIN: f64 = 0.02;
