--- a/tests/gateway_rollout/plans.rs
+++ b/tests/gateway_rollout/plans.rs
@@ -157,7 +157,7 @@
     }
 }
 
-/// VMs that report every 500 ms under the share that the plan gave last.
+/// Two VMs that report every 500 ms under the share that the plan gave last.
 struct Reports {
     logs: Vec<RequestLog>,
     grants: Vec<GrantBook>,
@@ -167,13 +167,13 @@
 }
 
 impl Reports {
-    fn new(vms: usize) -> Self {
+    fn new() -> Self {
         let log = |_| RequestLog::new("lookup".into(), "v2".into(), Duration::ZERO);
         let grants = |_| GrantBook::new(Duration::from_millis(1_500));
         let settings = RolloutPlanSettings::default();
         Self {
-            logs: (0..vms).map(log).collect(),
-            grants: (0..vms).map(grants).collect(),
+            logs: (0..2).map(log).collect(),
+            grants: (0..2).map(grants).collect(),
             fleet: FleetCounts::new(),
             plan: RolloutPlan::new(Duration::from_secs(12), None, settings),
             now: Duration::ZERO,
@@ -187,7 +187,7 @@
         let step = self
             .plan
             .next(&self.fleet, self.fleet.elapsed(self.now), self.now);
-        for vm in 0..self.logs.len() {
+        for (vm, old_in_flight) in old_in_flight.into_iter().enumerate() {
             if silent == Some(vm) {
                 continue;
             }
@@ -211,7 +211,7 @@
                 log.conclude(request, RequestOutcome::Success, answered_at);
             }
             let now = self.now + Duration::from_millis(100);
-            let report = log.report(format!("vm-{vm}"), 1, old_in_flight[vm], grants, now);
+            let report = log.report(format!("vm-{vm}"), 1, old_in_flight, grants, now);
             self.fleet.record(report, now);
         }
         step
@@ -222,7 +222,7 @@
 /// while a VM still sends them new ones.
 #[test]
 fn a_rollout_is_done_only_when_nothing_is_in_flight_at_old_upstreams() {
-    let mut reports = Reports::new(2);
+    let mut reports = Reports::new();
     for _ in 0..30 {
         let step = reports.advance(None, [0, 1]);
         assert_eq!(step.conclusion, None, "{:?}", reports.now);
@@ -242,7 +242,7 @@
     #[case] old_in_flight: u32,
     #[case] done_by: Duration,
 ) {
-    let mut reports = Reports::new(2);
+    let mut reports = Reports::new();
     let mut conclusion = None;
     while conclusion.is_none() && reports.now < Duration::from_secs(12) {
         let is_silent = reports.now >= Duration::from_secs(3);
@@ -258,7 +258,7 @@
 /// Guards against a verdict that is reversed, by the same holder or by a successor that has read it.
 #[test]
 fn a_conclusion_never_changes() {
-    let mut reports = Reports::new(2);
+    let mut reports = Reports::new();
     for conclusion in [RolloutState::Done, RolloutState::RolledBack] {
         let settings = RolloutPlanSettings::default();
         reports.plan = RolloutPlan::new(Duration::from_secs(12), Some(conclusion), settings);
