revert: send nothing to an engine that is still busy with an overdue order

Where VMs know that all engines are in the rollout, none is a regular one and requests go to any of them; that is the suspected cause and is not traced. What rejections by idle engines tell stays.

--- a/src/gateway/rollout_schedule.rs
+++ b/src/gateway/rollout_schedule.rs
@@ -94,20 +94,6 @@
     phase: Phase,
     /// Whether it counted as unreachable when it was chosen.
     was_unreachable: bool,
-    /// Whether the last call found it busy with an order. It rejects requests until the order is
-    /// complete.
-    is_busy: bool,
-    /// Whether it has exceeded the timeout of its order and delays no other engine.
-    is_overdue: bool,
-}
-
-impl RolloutEntry {
-    fn is_overdue_at(&self, give_up_timeout: Duration, now: Instant) -> bool {
-        match self.phase {
-            Phase::Loading { ordered_at, .. } => now.saturating_sub(ordered_at) > give_up_timeout,
-            Phase::Draining(_) | Phase::CallPending(_) => false,
-        }
-    }
 }
 
 /// What has gone wrong with an engine that is behind.
@@ -172,17 +158,6 @@
 
     /// Records that an order was sent, whatever the response.
     pub fn record_order(&mut self, instance: &UpstreamInstance, now: Instant) {
-        self.set_busy(instance, false);
-        self.schedule_check(instance, now);
-    }
-
-    /// Records that an engine is busy with an order.
-    pub fn record_still_loading(&mut self, instance: &UpstreamInstance, now: Instant) {
-        self.set_busy(instance, true);
-        self.schedule_check(instance, now);
-    }
-
-    fn schedule_check(&mut self, instance: &UpstreamInstance, now: Instant) {
         let settings = self.settings;
         self.set_phase(instance, |earlier| Phase::Loading {
             ordered_at: earlier.unwrap_or(now),
@@ -193,6 +168,11 @@
         });
     }
 
+    /// Records that an engine is still busy.
+    pub fn record_still_loading(&mut self, instance: &UpstreamInstance, now: Instant) {
+        self.record_order(instance, now);
+    }
+
     /// Removes an engine that did not respond to a call in time, and allows its next call more
     /// time.
     pub fn record_lost_call(&mut self, instance: &UpstreamInstance) {
@@ -214,18 +194,11 @@
         self.entries.retain(|_, entry| entry.instance != *instance);
     }
 
-    /// Returns the engines that drain or load, overdue ones included.
+    /// Returns the engines that drain or load.
     pub fn engines_in_rollout(&self) -> impl Iterator<Item = &UpstreamId> {
         self.entries.keys()
     }
 
-    fn set_busy(&mut self, instance: &UpstreamInstance, is_busy: bool) {
-        let entry = self.entries.get_mut(&instance.id);
-        if let Some(entry) = entry.filter(|entry| entry.instance == *instance) {
-            entry.is_busy = is_busy;
-        }
-    }
-
     fn set_phase(&mut self, instance: &UpstreamInstance, phase: impl Fn(Option<Instant>) -> Phase) {
         let entry = self.entries.get_mut(&instance.id);
         let Some(entry) = entry.filter(|entry| entry.instance == *instance) else {
@@ -253,9 +226,6 @@
     }
 
     /// Removes engines that have left or restarted, have the weights, or exceed the timeout.
-    ///
-    /// An engine that exceeds the timeout and is busy with its order stays, as it would reject what
-    /// the VMs send to it, but it no longer counts among those that may load at the same time.
     fn remove_finished(&mut self, target: WeightNumber, engines: &[EngineView], now: Instant) {
         let give_up_timeout = self.settings.give_up_timeout;
         self.failures.retain(|_, failures| {
@@ -268,9 +238,12 @@
             let view = engines.iter().find(|view| view.instance.id == *id);
             let is_same = view.is_some_and(|view| view.instance == *instance);
             let is_behind = view.is_some_and(|view| is_behind(view, target));
-            let is_overdue = entry.is_overdue_at(give_up_timeout, now);
-            entry.is_overdue |= is_overdue && entry.is_busy;
-            let is_given_up = is_overdue && !entry.is_busy;
+            let is_given_up = match entry.phase {
+                Phase::Loading { ordered_at, .. } => {
+                    now.saturating_sub(ordered_at) > give_up_timeout
+                }
+                Phase::Draining(_) | Phase::CallPending(_) => false,
+            };
             if is_same && is_behind && is_given_up {
                 given_up.push(instance.clone());
             }
@@ -340,15 +313,11 @@
         });
         let (unreachable, reachable): (Vec<_>, Vec<_>) =
             behind.into_iter().partition(|view| view.is_unreachable);
-        let counted = self.entries.values().filter(|entry| !entry.is_overdue);
-        let (unreachable_count, reachable_count) =
-            counted.fold((0, 0), |counts, entry| match entry.was_unreachable {
-                true => (counts.0 + 1, counts.1),
-                false => (counts.0, counts.1 + 1),
-            });
+        let entries = self.entries.values();
+        let unreachable_count = entries.filter(|entry| entry.was_unreachable).count();
         let reachable_free = self
             .reachable_max(engines, time_left, target)
-            .saturating_sub(reachable_count);
+            .saturating_sub(self.entries.len() - unreachable_count);
         // Unreachable engines also take the places that the others leave.
         let left_free = reachable_free.saturating_sub(reachable.len());
         let unreachable_free = (self.unreachable_max(engines, time_left, target) + left_free)
@@ -360,8 +329,6 @@
                 instance: view.instance.clone(),
                 phase: Phase::Draining(now),
                 was_unreachable: view.is_unreachable,
-                is_busy: false,
-                is_overdue: false,
             };
             self.entries.insert(view.instance.id.clone(), entry);
         }
