revert(gateway): share the last room of engines between the VMs

VMs passed over engines that had room, and requests with one attempt left the engines that hold their prefixes.

The estimate, the choice of plain upstreams, the speeds of engines and the engines that reject while idle stay.

--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -10,7 +10,6 @@
 use super::event_log::AbortStage;
 use super::platform_api::TrackedKind;
 use super::service_rollout::{RequestOutcome, RolloutState};
-use super::upstream_capacity::HeadroomRefusals;
 use crate::error::Code;
 use crate::ids::ObjectVersion;
 
@@ -32,7 +31,6 @@
     reports: Counter<u64>,
     permits: Counter<u64>,
     rejections: Counter<u64>,
-    headroom_refusals: Counter<u64>,
     load_news: Counter<u64>,
     origin_records: Counter<u64>,
     origin_lookups: Counter<u64>,
@@ -112,10 +110,6 @@
                 "gateway_load_news",
                 "Messages between VMs with loads of upstreams, by direction",
             ),
-            headroom_refusals: counter(
-                "gateway_headroom_refusals",
-                "Engines passed over as this VM had used its share of their room, by cause",
-            ),
             origin_records: counter(
                 "gateway_stream_records",
                 "Streams whose origin other VMs were told of, by outcome",
@@ -228,15 +222,6 @@
             .add(1, &[KeyValue::new("brittle", is_brittle)]);
     }
 
-    pub(super) fn count_headroom_refusals(&self, refusals: &HeadroomRefusals) {
-        for (cause, engines) in refusals.by_cause() {
-            if engines > 0 {
-                let labels = [KeyValue::new("cause", cause.name())];
-                self.headroom_refusals.add(engines, &labels);
-            }
-        }
-    }
-
     pub(super) fn count_load_news(&self, direction: &'static str) {
         self.load_news
             .add(1, &[KeyValue::new("direction", direction)]);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -159,8 +159,8 @@
 };
 pub use table::RoutingTable;
 pub use upstream_capacity::{
-    AnnouncedServerLoad, Headroom, HeadroomCause, LoadEstimate, LoadRecord, PlainCandidate,
-    PlainChoice, RecentUse, UsualSpeed, choose_plain,
+    AnnouncedServerLoad, LoadEstimate, LoadRecord, PlainCandidate, PlainChoice, UsualSpeed,
+    choose_plain,
 };
 pub use upstream_limit::{
     AnnouncedLimit, LimitChange, LimitNews, PermitAccounts, PermitDecision, PermitRequest,
--- a/src/gateway/placement/candidates.rs
+++ b/src/gateway/placement/candidates.rs
@@ -65,7 +65,7 @@
         let eligible_upstreams =
             self.eligible_upstreams(gateway, request, versions, prefixes.as_ref(), now)?;
         let is_load_aware = self.is_load_aware(&request.service);
-        let mut candidates: Vec<Candidate> = eligible_upstreams
+        let candidates: Vec<Candidate> = eligible_upstreams
             .iter()
             .enumerate()
             .map(|(rank, eligible)| {
@@ -73,20 +73,15 @@
                     .as_ref()
                     .is_some_and(|prefixes| prefixes.longest_shared_prefix().is_some());
                 let rank = if has_shared_prefix { rank } else { 0 };
-                self.candidate(gateway, request, eligible, rank, now)
+                let candidate = self.candidate(gateway, request, eligible, rank, now);
+                let speed =
+                    is_load_aware.then(|| self.engine_tokens_per_ms(eligible.upstream, now));
+                Candidate {
+                    prefill_tokens_per_ms: speed,
+                    ..candidate
+                }
             })
             .collect();
-        if is_load_aware && prefixes.is_some() {
-            let engines = eligible_upstreams.iter().map(|eligible| eligible.upstream);
-            let refusals = self.apply_engine_loads(
-                gateway,
-                request,
-                &resource_demand,
-                engines.zip(&mut candidates),
-                now,
-            );
-            gateway.metrics.count_headroom_refusals(&refusals);
-        }
         let placement = match is_load_aware && prefixes.is_none() {
             true => {
                 let upstreams = eligible_upstreams.iter().map(|eligible| eligible.upstream);
@@ -131,9 +126,6 @@
         if let Some(upstream) = self.upstreams.get_mut(&dispatched.instance.id) {
             upstream.own_load = upstream.own_load.plus(load);
             upstream.load_record.record_sent();
-            if is_load_aware {
-                upstream.recent_use.record_sent(load.memory_tokens, now);
-            }
             upstream.expect_response(dispatched.number(), due);
         }
         self.record_limited_choice(&request.service, &dispatched, now);
@@ -355,7 +347,6 @@
                 || (self.peer_view.is_reported_unreachable(upstream.name_hash)
                     && !upstream.has_responded_recently(now)),
             has_older_weights: self.has_older_weights(upstream, request, now),
-            is_share_used: false,
             is_last_resort: upstream.is_rejecting(now)
                 || (request.prompt.is_some()
                     && self.is_in_rollout(eligible.name_hash, upstream, now)),
--- a/src/gateway/placement/choice.rs
+++ b/src/gateway/placement/choice.rs
@@ -89,8 +89,6 @@
     pub is_avoided: bool,
     /// Whether its weights are older than the target weights.
     pub has_older_weights: bool,
-    /// Whether this VM has used its share of the little room that is left.
-    pub is_share_used: bool,
     /// Whether it is chosen only if all candidates are last resorts: it takes part in a weight
     /// rollout, or rejected a request recently.
     pub is_last_resort: bool,
@@ -161,9 +159,6 @@
     if candidate.requests == 0 {
         return true;
     }
-    if candidate.is_share_used {
-        return false;
-    }
     let memory = candidate.memory_tokens + required_memory_tokens(demand, candidate.cached_tokens);
     let memory_max = candidate.memory_capacity_tokens as f64 * settings.memory_fraction;
     let wait = prefill_time(candidate.speed(settings), candidate.prefill_tokens);
--- a/src/gateway/placement/dispatch.rs
+++ b/src/gateway/placement/dispatch.rs
@@ -334,15 +334,9 @@
 
 impl Drop for DispatchedRequest {
     fn drop(&mut self) {
-        let now = self.gateway.now();
         if let Some(upstream) = self.gateway.state().upstreams.instance_mut(&self.instance) {
             upstream.clear_expected_response(self.number);
             upstream.load_record.record_returned(self.number);
-            if self.load_estimate.is_some() {
-                upstream
-                    .recent_use
-                    .record_ended(self.load.memory_tokens, now);
-            }
             let own_load = &mut upstream.own_load;
             own_load.requests = own_load.requests.saturating_sub(1);
             own_load.memory_tokens = own_load
--- a/src/gateway/upstream_capacity/mod.rs
+++ b/src/gateway/upstream_capacity/mod.rs
@@ -13,17 +13,13 @@
 
 mod announced;
 mod estimate;
-mod headroom;
 mod news;
 mod placing;
 mod plain_choice;
-mod sharing;
 mod usual_speed;
 
 pub use announced::AnnouncedServerLoad;
 pub use estimate::{LoadEstimate, LoadRecord};
-pub use headroom::{Headroom, HeadroomCause, RecentUse};
 pub(super) use news::{LoadNews, send_load_news};
 pub use plain_choice::{PlainCandidate, PlainChoice, choose_plain};
-pub(super) use sharing::HeadroomRefusals;
 pub use usual_speed::UsualSpeed;
--- a/src/gateway/upstream_registry.rs
+++ b/src/gateway/upstream_registry.rs
@@ -10,7 +10,7 @@
 
 use super::model::{UpstreamEntry, UpstreamStage, WeightNumber};
 use super::name_hash::{NameHash, hash_name};
-use super::upstream_capacity::{LoadRecord, RecentUse, UsualSpeed};
+use super::upstream_capacity::{LoadRecord, UsualSpeed};
 use crate::clock::Instant;
 use crate::ids::{ModelId, Tokens, UpstreamId};
 
@@ -89,8 +89,6 @@
     pub own_load: UpstreamLoad,
     /// Load that it announced, with what this VM sent since.
     pub load_record: LoadRecord,
-    /// What this VM has sent to it lately.
-    pub recent_use: RecentUse,
     /// Its measured speed.
     pub usual_speed: UsualSpeed,
     weights: HashMap<ModelId, WeightNumber>,
@@ -129,7 +127,6 @@
             name_hash: hash_name(id),
             own_load: UpstreamLoad::default(),
             load_record: LoadRecord::default(),
-            recent_use: RecentUse::default(),
             usual_speed: UsualSpeed::default(),
             weights: HashMap::new(),
             failure_rate: 0.0,
