fix(entry): say when a connection could not be accepted

The accept loop that replaced the library's waited after an error and went on without a word, so that a VM that has no descriptors left looked like one without callers.

--- a/src/entry/listener.rs
+++ b/src/entry/listener.rs
@@ -1,5 +1,6 @@
 //! Accepts connections and serves them with bounded buffers.
 
+use std::io;
 use std::net::SocketAddr;
 use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
@@ -26,19 +27,25 @@
 
 /// Accepts connections until dropped; open ones are served further.
 ///
-/// `accept` returns `None` for a connection that is not served.
+/// `accept` returns `None` for a connection that is not served; `on_error` is told of connections that
+/// could not be accepted.
 pub(crate) async fn serve_connections(
     listener: TcpListener,
     connections: &Connections,
     new_handler: impl NewHandler + 'static,
     accept: impl Fn(TcpStream) -> Option<CallerStream>,
+    on_error: impl Fn(&io::Error),
 ) {
     let new_handler = Arc::new(new_handler);
     loop {
         connections.wait_for_room().await;
-        let Ok((stream, peer)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
+        let (stream, peer) = match listener.accept().await {
+            Ok(accepted) => accepted,
+            Err(error) => {
+                on_error(&error);
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
         };
         if let Some(stream) = accept(stream) {
             tokio::spawn(serve_connection(stream, peer, new_handler.clone()));
--- a/src/entry/operator.rs
+++ b/src/entry/operator.rs
@@ -26,14 +26,17 @@
         })
     };
     let connections = &accept_app.operator_connections;
-    serve_connections(listener, connections, new_handler, |stream| {
-        let connection = connections.accept(stream.peer_addr().ok()?)?;
-        Some(CallerStream::new(
-            stream,
-            connection,
-            accept_app.metrics.clone(),
-        ))
-    })
+    let metrics = &accept_app.metrics;
+    serve_connections(
+        listener,
+        connections,
+        new_handler,
+        |stream| {
+            let connection = connections.accept(stream.peer_addr().ok()?)?;
+            Some(CallerStream::new(stream, connection, metrics.clone()))
+        },
+        |_| metrics.record_accept_failure(),
+    )
     .await;
 }
 
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -48,9 +48,13 @@
         let app = Arc::clone(&app);
         Ok(move |state: State| respond(app, state))
     };
-    serve_connections(listener, &accept_app.connections, new_handler, |stream| {
-        accept_connection(&accept_app, stream)
-    })
+    serve_connections(
+        listener,
+        &accept_app.connections,
+        new_handler,
+        |stream| accept_connection(&accept_app, stream),
+        |_| accept_app.metrics.record_accept_failure(),
+    )
     .await;
 }
 
--- a/src/gateway/log_event.rs
+++ b/src/gateway/log_event.rs
@@ -43,6 +43,10 @@
         closed_connections: u64,
         held_bytes: u64,
     },
+    /// A connection of a caller or another VM could not be accepted.
+    AcceptFailed {
+        reason: String,
+    },
     StoreLost {
         tracked: TrackedKind,
         reason: String,
@@ -430,6 +434,8 @@
             | Self::ServerLoadUnreadable { .. }
             | Self::UpstreamLimit { .. } => "upstream",
             Self::ObjectUnusable { .. } => "object_unusable",
+            // Up to 50 a second at each listener while descriptors are used up.
+            Self::AcceptFailed { .. } => "accept_failed",
             Self::CallerMemoryFull { .. } => "caller_memory",
             Self::StoreLost { .. } | Self::StoreBack { .. } | Self::StoreRestored { .. } => "store",
             _ => "state",
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -47,9 +47,13 @@
         Ok(move |state: State| respond(gateway, state))
     };
     let connections = &accept_gateway.connections;
-    serve_connections(listener, connections, new_handler, |stream| {
-        accept_connection(&accept_gateway, connections, stream)
-    })
+    serve_connections(
+        listener,
+        connections,
+        new_handler,
+        |stream| accept_connection(&accept_gateway, connections, stream),
+        |error| record_accept_failure(&accept_gateway, error),
+    )
     .await;
 }
 
@@ -77,9 +81,13 @@
         })
     };
     let connections = &accept_gateway.fleet_connections;
-    serve_connections(listener, connections, new_handler, |stream| {
-        accept_connection(&accept_gateway, connections, stream)
-    })
+    serve_connections(
+        listener,
+        connections,
+        new_handler,
+        |stream| accept_connection(&accept_gateway, connections, stream),
+        |error| record_accept_failure(&accept_gateway, error),
+    )
     .await;
 }
 
@@ -243,6 +251,12 @@
     Some(CallerStream::new(stream, connection, metrics))
 }
 
+fn record_accept_failure(gateway: &Gateway, error: &std::io::Error) {
+    gateway.telemetry.metrics().record_accept_failure();
+    let reason = error.to_string();
+    gateway.event_log.log(&LogEvent::AcceptFailed { reason });
+}
+
 fn configure(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -38,6 +38,7 @@
     child_restarts: Counter<u64>,
     peer_drops: Counter<u64>,
     handler_panics: Counter<u64>,
+    accept_failures: Counter<u64>,
     events: Counter<u64>,
     configuration_version: Gauge<u64>,
     peer_certificate_expiry: Gauge<i64>,
@@ -70,6 +71,10 @@
             child_restarts: counter("child_restarts", "Restarts of supervised tasks"),
             peer_drops: counter("peer_messages_dropped", "Messages of peers dropped"),
             handler_panics: counter("handler_panics", "Panics caught in request handlers"),
+            accept_failures: counter(
+                "accept_failures",
+                "Connections that could not be accepted, for example for want of descriptors",
+            ),
             events: counter("events", "Changes of state"),
             configuration_version: meter
                 .u64_gauge("configuration_version")
@@ -174,6 +179,11 @@
         self.instruments.handler_panics.add(1, &[]);
     }
 
+    /// Counts a connection that could not be accepted.
+    pub fn record_accept_failure(&self) {
+        self.instruments.accept_failures.add(1, &[]);
+    }
+
     /// Counts a state change.
     pub fn record_event(&self, event: Event) {
         let labels = [KeyValue::new("event", event.label())];
