--- a/src/gateway/log_event.rs
+++ b/src/gateway/log_event/mod.rs
@@ -1,5 +1,7 @@
 //! Decisions and state changes that the gateway logs.
 
+mod kind;
+
 use serde::Serialize;
 
 use super::attempt_failure::FailureCause;
@@ -13,7 +15,7 @@
 #[derive(Debug, Clone)]
 #[derive(Serialize)]
 #[serde(tag = "event", rename_all = "snake_case")]
-pub(super) enum LogEvent<'a> {
+pub(in crate::gateway) enum LogEvent<'a> {
     Started {
         availability_zone: &'a str,
         store: String,
@@ -407,38 +409,3 @@
         lines: u64,
     },
 }
-
-impl LogEvent<'_> {
-    /// Returns the kind of the event, each of which has a rate limit of its own.
-    pub(super) fn kind(&self) -> &'static str {
-        match self {
-            Self::Admitted { .. } => "admitted",
-            Self::Queued { .. } => "queued",
-            Self::Placed { .. } => "placed",
-            Self::Forwarded { .. } => "forwarded",
-            Self::Answered { .. } => "answered",
-            Self::Refused { .. } => "refused",
-            Self::Shed { .. } => "shed",
-            Self::OriginUnknown { .. } => "origin_unknown",
-            Self::AttemptFailed { .. } | Self::TakenUp { .. } | Self::Resumed { .. } => "failed",
-            // Not suppressed by the attempts that fail at the same time.
-            Self::StreamBroken { .. } | Self::Aborted { .. } => "broken",
-            Self::OlderWeightsUsed { .. } => "older_weights_used",
-            Self::CallerLeft { .. } => "caller_left",
-            Self::UpstreamRejected { .. } => "rejected",
-            Self::UpstreamListed { .. }
-            | Self::UpstreamGone { .. }
-            | Self::UpstreamLeaving { .. }
-            | Self::UpstreamCrashed { .. }
-            | Self::UpstreamHeldOff { .. }
-            | Self::ServerLoadUnreadable { .. }
-            | Self::UpstreamLimit { .. } => "upstream",
-            Self::ObjectUnusable { .. } => "object_unusable",
-            // Up to 50 a second at each listener while descriptors are used up.
-            Self::AcceptFailed { .. } => "accept_failed",
-            Self::CallerMemoryFull { .. } => "caller_memory",
-            Self::StoreLost { .. } | Self::StoreBack { .. } | Self::StoreRestored { .. } => "store",
-            _ => "state",
-        }
-    }
-}
