--- a/review/standins-2/caller.rs
+++ b/review/standins-2/caller.rs
@@ -67,7 +67,9 @@
     }
 
     pub fn is_complete(&self) -> bool {
-        self.attempts.last().is_some_and(|attempt| attempt.is_complete)
+        self.attempts
+            .last()
+            .is_some_and(|attempt| attempt.is_complete)
     }
 
     pub fn left(&self) -> Duration {
@@ -93,7 +95,10 @@
             ("Request-Id", id.clone()),
             ("Model", "m".to_owned()),
             ("Token-Count", "1460,80".to_owned()),
-            ("Prefix-Hash", format!("{:x}:1000,c{:x}:460", self.number, self.number)),
+            (
+                "Prefix-Hash",
+                format!("{:x}:1000,c{:x}:460", self.number, self.number),
+            ),
             ("Deadline-Ms", left.as_millis().to_string()),
             ("Authorization", "Bearer key-teifi".to_owned()),
         ];
--- a/review/standins-2/crowd.rs
+++ b/review/standins-2/crowd.rs
@@ -37,17 +37,39 @@
 fn kinds() -> [Kind; 4] {
     const LIMIT: usize = 4_194_304;
     let plain: &[u8] = vec![b'a'; 65_536].leak();
-    let large_chunk: &[u8] = [b"10000\r\n".as_slice(), &[b'a'; 0x10000], b"\r\n"].concat().leak();
+    let large_chunk: &[u8] = [b"10000\r\n".as_slice(), &[b'a'; 0x10000], b"\r\n"]
+        .concat()
+        .leak();
     let small_chunks: &[u8] = b"1\r\na\r\n".repeat(4_000).leak();
     [
         // Large bodies of legal size that stop just short of their end.
-        Kind { clients: 600, announced: Some(LIMIT), part: plain, bytes: LIMIT - 10 },
+        Kind {
+            clients: 600,
+            announced: Some(LIMIT),
+            part: plain,
+            bytes: LIMIT - 10,
+        },
         // Bodies in very small chunks that stop short of their end.
-        Kind { clients: 900, announced: None, part: small_chunks, bytes: 1_200_000 },
+        Kind {
+            clients: 900,
+            announced: None,
+            part: small_chunks,
+            bytes: 1_200_000,
+        },
         // Bodies far over the limit that are just sent.
-        Kind { clients: 600, announced: None, part: large_chunk, bytes: 4 * LIMIT },
+        Kind {
+            clients: 600,
+            announced: None,
+            part: large_chunk,
+            bytes: 4 * LIMIT,
+        },
         // Small bodies that stop just short of their end.
-        Kind { clients: 600, announced: Some(16_000), part: plain, bytes: 15_990 },
+        Kind {
+            clients: 600,
+            announced: Some(16_000),
+            part: plain,
+            bytes: 15_990,
+        },
     ]
 }
 
@@ -66,7 +88,10 @@
     let mut fleet = Fleet::start_with_memory(folder, &["v1", "v1"], stream, 1, MEMORY_MB)?;
     let address = fleet.gateways[0].callers;
     let pid = fleet.gateways[0].pid();
-    let text = format!("one gateway of {MEMORY_MB} MB, at rest {} kB", memory_kb(pid, "VmHWM:"));
+    let text = format!(
+        "one gateway of {MEMORY_MB} MB, at rest {} kB",
+        memory_kb(pid, "VmHWM:")
+    );
     record.line("start", &text);
     let is_over = Arc::new(AtomicBool::new(false));
     let ordinary = {
@@ -89,9 +114,7 @@
         if has_trouble {
             let writers: Vec<_> = (0..WRITERS)
                 .map(|writer| {
-                    std::thread::spawn(move || {
-                        write_all(address, wave * 10 + writer, kinds, until)
-                    })
+                    std::thread::spawn(move || write_all(address, wave * 10 + writer, kinds, until))
                 })
                 .collect();
             let sums = writers.into_iter().filter_map(|writer| writer.join().ok());
@@ -105,13 +128,22 @@
             return Ok(Outcome::Broken);
         }
         most_kb = most_kb.max(memory_kb(pid, "VmHWM:"));
-        let text = format!("peak {most_kb} kB of {MEMORY_KB} kB, now {} kB", memory_kb(pid, "VmRSS:"));
+        let text = format!(
+            "peak {most_kb} kB of {MEMORY_KB} kB, now {} kB",
+            memory_kb(pid, "VmRSS:")
+        );
         record.line("memory", &text);
     }
     is_over.store(true, Ordering::SeqCst);
     let streams = ordinary.join().map_err(|_| "the ordinary caller ended")?;
-    let began = streams.iter().filter(|stream| !stream.attempts[0].events.is_empty()).count();
-    let text = format!("ordinary streams: {}, began: {began}; peak {most_kb} kB", streams.len());
+    let began = streams
+        .iter()
+        .filter(|stream| !stream.attempts[0].events.is_empty())
+        .count();
+    let text = format!(
+        "ordinary streams: {}, began: {began}; peak {most_kb} kB",
+        streams.len()
+    );
     record.line("result", &text);
     Ok(match most_kb > MEMORY_KB {
         true => Outcome::Broken,
@@ -131,7 +163,11 @@
     let most = kinds.iter().map(|kind| kind.clients).max().unwrap_or(0);
     // Clients of all kinds come in turn.
     for number in (writer % WRITERS..most).step_by(WRITERS) {
-        for (index, kind) in kinds.iter().enumerate().filter(|(_, kind)| number < kind.clients) {
+        for (index, kind) in kinds
+            .iter()
+            .enumerate()
+            .filter(|(_, kind)| number < kind.clients)
+        {
             let Ok(stream) = TcpStream::connect_timeout(&address, Duration::from_secs(1)) else {
                 continue;
             };
--- a/review/standins-2/drill.rs
+++ b/review/standins-2/drill.rs
@@ -48,7 +48,10 @@
         desks.push(desk);
     }
     std::thread::sleep(Duration::from_secs(2));
-    record.line("start", "2 gateways, 3 engines of the service desk; bookings begin");
+    record.line(
+        "start",
+        "2 gateways, 3 engines of the service desk; bookings begin",
+    );
     let is_over = Arc::new(AtomicBool::new(false));
     let all: Arc<Mutex<Vec<Sent>>> = Arc::default();
     let addresses = fleet.addresses();
@@ -74,7 +77,10 @@
     std::thread::sleep(COPY_AGE_AT_LEAVING);
     fleet.store.delete("servers", "d-2");
     desks[2].leave();
-    record.line("state", "engine d-2 leaves: its entry is removed, and its answers say so");
+    record.line(
+        "state",
+        "engine d-2 leaves: its entry is removed, and its answers say so",
+    );
     std::thread::sleep(UNTIL_DRILL);
     if has_trouble {
         fleet.store.set_down(true);
@@ -101,8 +107,11 @@
         *at = (*at).min(sent.answered_at);
     }
     let (mut late, mut lost) = (0, 0);
-    let reached: HashMap<String, Instant> =
-        desks[2].ran().into_iter().map(|(at, id)| (id, at)).collect();
+    let reached: HashMap<String, Instant> = desks[2]
+        .ran()
+        .into_iter()
+        .map(|(at, id)| (id, at))
+        .collect();
     for sent in all.iter() {
         let Some(at) = reached.get(&sent.id) else {
             continue;
@@ -130,7 +139,11 @@
     if told_at.is_empty() {
         return Err("no answer said that the engine leaves".into());
     }
-    Ok(if late > 0 { Outcome::Broken } else { Outcome::Held })
+    Ok(if late > 0 {
+        Outcome::Broken
+    } else {
+        Outcome::Held
+    })
 }
 
 fn book(id: &str, gateway: usize, address: std::net::SocketAddr) -> Sent {
@@ -143,13 +156,19 @@
     let request = Request {
         method: "POST".into(),
         target: "/book/a".into(),
-        headers: headers.iter().map(|(name, value)| (name.to_string(), value.to_string())).collect(),
+        headers: headers
+            .iter()
+            .map(|(name, value)| (name.to_string(), value.to_string()))
+            .collect(),
         body: b"bale".to_vec(),
     };
     let at = Instant::now();
     let response = send(address, &request, Duration::from_secs(4));
     let (status, is_leaving) = match response {
-        Ok(response) => (response.status, find(&response.headers, "server-leaving") == "1"),
+        Ok(response) => (
+            response.status,
+            find(&response.headers, "server-leaving") == "1",
+        ),
         Err(_) => (0, false),
     };
     Sent {
--- a/review/standins-2/engine.rs
+++ b/review/standins-2/engine.rs
@@ -64,7 +64,9 @@
     }
 
     fn listen(&mut self) -> io::Result<()> {
-        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let now = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
         self.born_ms = now.as_millis() as u64;
         self.is_killed = Arc::default();
         let (id, state, is_killed) = (self.id.clone(), self.state.clone(), self.is_killed.clone());
@@ -104,7 +106,9 @@
     /// Returns the requests that all its processes ran, with the time at which they reached it.
     pub fn ran(&self) -> Vec<(Instant, String)> {
         let states = self.earlier.iter().chain([&self.state]);
-        states.flat_map(|state| state.lock().unwrap().ran.clone()).collect()
+        states
+            .flat_map(|state| state.lock().unwrap().ran.clone())
+            .collect()
     }
 
     /// Returns its entry in the store.
@@ -170,10 +174,17 @@
         if is_killed.load(Ordering::SeqCst) {
             return Ok(false);
         }
-        if state.lock().unwrap().is_leaving && crate::http::find_pair(&headers, "Server-Leaving").is_none() {
+        if state.lock().unwrap().is_leaving
+            && crate::http::find_pair(&headers, "Server-Leaving").is_none()
+        {
             headers.push(("Server-Leaving", "1".to_owned()));
         }
-        return respond(stream, 200, &headers, &format!("{software} ran {request_id}"));
+        return respond(
+            stream,
+            200,
+            &headers,
+            &format!("{software} ran {request_id}"),
+        );
     }
     let mut head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\
                     Transfer-Encoding: chunked\r\n"
--- a/review/standins-2/fleet.rs
+++ b/review/standins-2/fleet.rs
@@ -76,6 +76,9 @@
     }
 
     pub fn addresses(&self) -> Vec<SocketAddr> {
-        self.gateways.iter().map(|gateway| gateway.callers).collect()
+        self.gateways
+            .iter()
+            .map(|gateway| gateway.callers)
+            .collect()
     }
 }
--- a/review/standins-2/gateway.rs
+++ b/review/standins-2/gateway.rs
@@ -27,7 +27,9 @@
 /// Returns the program of the deploy file.
 fn program() -> PathBuf {
     let deploy = std::fs::read_to_string("deploy/system.toml").unwrap_or_default();
-    let run = deploy.lines().find_map(|line| line.strip_prefix("run = \""));
+    let run = deploy
+        .lines()
+        .find_map(|line| line.strip_prefix("run = \""));
     let word = run.and_then(|run| run.split(' ').next());
     PathBuf::from(word.unwrap_or("target/release/celerylever-gateway"))
 }
@@ -35,7 +37,12 @@
 /// Returns the address of a gateway on a loopback network of this process.
 fn ip(number: usize) -> [u8; 4] {
     let pid = std::process::id();
-    [127, (pid % 200 + 10) as u8, (pid / 200 % 250 + 1) as u8, number as u8 + 1]
+    [
+        127,
+        (pid % 200 + 10) as u8,
+        (pid / 200 % 250 + 1) as u8,
+        number as u8 + 1,
+    ]
 }
 
 impl Gateway {
@@ -49,7 +56,9 @@
     ) -> io::Result<Self> {
         let at = |port: u16| SocketAddr::from((ip(number), port));
         let name = format!("front-{zone}-{number}");
-        let seeds: Vec<String> = (0..3).map(|number| format!("{}", SocketAddr::from((ip(number), 8608)))).collect();
+        let seeds: Vec<String> = (0..3)
+            .map(|number| format!("{}", SocketAddr::from((ip(number), 8608))))
+            .collect();
         let text = format!(
             "[process]\nvm = {name}\navailability_zone = {zone}\ncpu_share = 0.25\nmemory_mb = {memory_mb}\n\
              max_fds = 4100\ncaller_address = {}\nready_address = {}\nmetrics_address = {}\n\n\
@@ -58,7 +67,11 @@
              [bounds]\ncontact_ms = 3000\ndrain_ms = 2000\nlease_ms = 3000\ngrace_s = 8\n\
              weights_ms = 6000\nretry_ratio = 0.2\nretry_slack = 56\nallowance_overage = 0.1\n\
              allowance_slack = 140000\nallowance_window_s = 8\n",
-            at(8606), at(8605), at(9464), at(8608), seeds.join(","),
+            at(8606),
+            at(8605),
+            at(9464),
+            at(8608),
+            seeds.join(","),
         );
         let settings = folder.join(format!("{name}.ini"));
         std::fs::write(&settings, text)?;
@@ -74,7 +87,10 @@
     }
 
     pub fn start(&mut self) -> io::Result<()> {
-        let log = std::fs::File::options().create(true).append(true).open(&self.log)?;
+        let log = std::fs::File::options()
+            .create(true)
+            .append(true)
+            .open(&self.log)?;
         self.started_at = Instant::now();
         let child = Command::new(program())
             .arg("--settings")
@@ -85,7 +101,10 @@
             .spawn()?;
         // By this the script ends what a case that was interrupted has left.
         let pids = self.settings.with_extension("pid");
-        let mut pids = std::fs::File::options().create(true).append(true).open(pids)?;
+        let mut pids = std::fs::File::options()
+            .create(true)
+            .append(true)
+            .open(pids)?;
         writeln!(pids, "{}", child.id())?;
         self.child = Some(child);
         Ok(())
--- a/review/standins-2/http.rs
+++ b/review/standins-2/http.rs
@@ -45,7 +45,9 @@
 /// Returns the value of a header of a response that is being made.
 pub fn find_pair<'a>(headers: &'a [(&str, String)], name: &str) -> Option<&'a str> {
     let mut headers = headers.iter();
-    headers.find(|(key, _)| *key == name).map(|(_, value)| value.as_str())
+    headers
+        .find(|(key, _)| *key == name)
+        .map(|(_, value)| value.as_str())
 }
 
 /// Server that can be stopped like a process that is killed.
@@ -157,7 +159,10 @@
         headers: read_headers(reader)?,
         body: Vec::new(),
     };
-    if request.header("transfer-encoding").eq_ignore_ascii_case("chunked") {
+    if request
+        .header("transfer-encoding")
+        .eq_ignore_ascii_case("chunked")
+    {
         while let Some(chunk) = read_chunk(reader)? {
             request.body.extend(chunk);
         }
@@ -185,7 +190,10 @@
     headers: &[(&str, String)],
     body: &str,
 ) -> io::Result<bool> {
-    let mut text = format!("HTTP/1.1 {status} Status\r\nContent-Length: {}\r\n", body.len());
+    let mut text = format!(
+        "HTTP/1.1 {status} Status\r\nContent-Length: {}\r\n",
+        body.len()
+    );
     for (name, value) in headers {
         text.push_str(&format!("{name}: {value}\r\n"));
     }
--- a/review/standins-2/killed.rs
+++ b/review/standins-2/killed.rs
@@ -20,7 +20,10 @@
     let stream = (44, Duration::from_millis(250));
     let mut fleet = Fleet::start(folder, &["v1", "v1", "v1"], stream, GATEWAYS)?;
     let addresses = fleet.addresses();
-    record.line("start", "4 gateways, 3 engines of software v1; 24 streams begin");
+    record.line(
+        "start",
+        "4 gateways, 3 engines of software v1; 24 streams begin",
+    );
     let begun_at = Instant::now();
     let callers: Vec<_> = (0..STREAMS)
         .map(|number| {
@@ -32,7 +35,10 @@
                 let leave_after = (!has_trouble).then_some(5);
                 stream.attempt(addresses[number % GATEWAYS], leave_after);
                 for (turn, wait_ms) in BACKOFF_MS.into_iter().enumerate() {
-                    let retry_after = stream.attempts.last().map_or(0.0, |last| last.retry_after_s);
+                    let retry_after = stream
+                        .attempts
+                        .last()
+                        .map_or(0.0, |last| last.retry_after_s);
                     let wait = Duration::from_millis(wait_ms);
                     let wait = wait.max(Duration::from_secs_f64(retry_after));
                     if stream.is_complete() || stream.left() < wait + Duration::from_secs(1) {
@@ -60,7 +66,12 @@
         record.line("state", "all gateways are ready");
     }
     let back_at = match has_trouble {
-        true => fleet.gateways.iter().map(|gateway| gateway.started_at).max().unwrap_or(begun_at),
+        true => fleet
+            .gateways
+            .iter()
+            .map(|gateway| gateway.started_at)
+            .max()
+            .unwrap_or(begun_at),
         false => begun_at,
     };
     let in_touch_at = back_at + CONTACT;
@@ -77,9 +88,14 @@
             })
         })
         .collect();
-    let new: Vec<Stream> = new.into_iter().filter_map(|caller| caller.join().ok()).collect();
-    let streams: Vec<Stream> =
-        callers.into_iter().filter_map(|caller| caller.join().ok()).collect();
+    let new: Vec<Stream> = new
+        .into_iter()
+        .filter_map(|caller| caller.join().ok())
+        .collect();
+    let streams: Vec<Stream> = callers
+        .into_iter()
+        .filter_map(|caller| caller.join().ok())
+        .collect();
     let is_taken_up = |stream: &Stream, attempt: &Attempt| {
         attempt.sent_at >= in_touch_at
             && stream.attempts[0].events.last().is_some()
@@ -98,13 +114,19 @@
             );
             record.line_at(attempt.sent_at, "sent", &text);
         }
-        let mut tries = stream.attempts.iter().filter(|attempt| is_taken_up(stream, attempt));
+        let mut tries = stream
+            .attempts
+            .iter()
+            .filter(|attempt| is_taken_up(stream, attempt));
         let first = tries.next();
         taken_up += usize::from(first.is_some());
         let has_events = |attempt: &Attempt| !attempt.events.is_empty();
         went_on += usize::from(first.is_some_and(has_events) || tries.any(has_events));
     }
-    let began = new.iter().filter(|stream| !stream.attempts[0].events.is_empty()).count();
+    let began = new
+        .iter()
+        .filter(|stream| !stream.attempts[0].events.is_empty())
+        .count();
     record.line(
         "result",
         &format!(
--- a/review/standins-2/parts.rs
+++ b/review/standins-2/parts.rs
@@ -76,8 +76,12 @@
         let counted = |index: usize| counts[index].load(Ordering::SeqCst);
         let text = format!(
             "sent {}, served {}, refused or failed {}; memory of {}: now {} kB, peak {} kB of {MEMORY_KB} kB",
-            counted(0), counted(1), counted(2), fleet.gateways[0].name,
-            memory_kb(pid, "VmRSS:"), memory_kb(pid, "VmHWM:"),
+            counted(0),
+            counted(1),
+            counted(2),
+            fleet.gateways[0].name,
+            memory_kb(pid, "VmRSS:"),
+            memory_kb(pid, "VmHWM:"),
         );
         record.line("load", &text);
         if fleet.gateways[0].has_ended() || memory_kb(pid, "VmHWM:") > MEMORY_KB {
@@ -148,7 +152,10 @@
     Request {
         method: "POST".into(),
         target: "/note/a".into(),
-        headers: headers.into_iter().map(|(name, value)| (name.to_owned(), value)).collect(),
+        headers: headers
+            .into_iter()
+            .map(|(name, value)| (name.to_owned(), value))
+            .collect(),
         body: b"sheet".to_vec(),
     }
 }
--- a/review/standins-2/store.rs
+++ b/review/standins-2/store.rs
@@ -114,7 +114,10 @@
     let revision = state.now.revision;
     let stored = Stored {
         revision,
-        spec: spec.clone().or(known.map(|known| known.spec)).unwrap_or(Json::Null),
+        spec: spec
+            .clone()
+            .or(known.map(|known| known.spec))
+            .unwrap_or(Json::Null),
         status: Json::Null,
     };
     match spec {
@@ -202,7 +205,10 @@
             }
         }
         ("DELETE", Some(name)) => {
-            let is_known = state.now.objects.contains_key(&(kind.to_owned(), name.to_owned()));
+            let is_known = state
+                .now
+                .objects
+                .contains_key(&(kind.to_owned(), name.to_owned()));
             if is_known {
                 write(state, kind, name, None);
             }
@@ -213,12 +219,21 @@
 }
 
 fn list(state: &State, kind: &str, after: &str) -> (u16, String) {
-    let of_kind = state.now.objects.iter().filter(|((of, name), _)| of == kind && **name > *after);
-    let items = of_kind.map(|((_, name), stored)| object(name, stored)).collect();
+    let of_kind = state
+        .now
+        .objects
+        .iter()
+        .filter(|((of, name), _)| of == kind && **name > *after);
+    let items = of_kind
+        .map(|((_, name), stored)| object(name, stored))
+        .collect();
     let body = Json::Object(vec![
         ("items".into(), Json::List(items)),
         ("HasMore".into(), Json::Bool(false)),
-        ("StoreRevision".into(), Json::Number(state.now.revision.to_string())),
+        (
+            "StoreRevision".into(),
+            Json::Number(state.now.revision.to_string()),
+        ),
     ]);
     (200, body.to_string())
 }
@@ -229,12 +244,17 @@
     after: u64,
     request: &Request,
 ) -> (u16, String) {
-    let wait_ms = request.query("WaitMs").and_then(|text| text.parse().ok()).unwrap_or(0);
+    let wait_ms = request
+        .query("WaitMs")
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(0);
     let until = Instant::now() + Duration::from_millis(wait_ms);
     let mut state = shared.0.lock().unwrap();
     let era = state.era;
     loop {
-        if state.is_down || state.era != era || after < state.history_from
+        if state.is_down
+            || state.era != era
+            || after < state.history_from
             || after > state.now.revision
         {
             return (410, String::new());
@@ -249,7 +269,10 @@
         if !events.is_empty() || left.is_zero() {
             let body = Json::Object(vec![
                 ("Events".into(), Json::List(events)),
-                ("StoreRevision".into(), Json::Number(state.now.revision.to_string())),
+                (
+                    "StoreRevision".into(),
+                    Json::Number(state.now.revision.to_string()),
+                ),
             ]);
             return (200, body.to_string());
         }
--- a/review/standins-2/upgraded.rs
+++ b/review/standins-2/upgraded.rs
@@ -47,7 +47,10 @@
         fleet.engines[1].start_again("v2").map_err(problem)?;
         fleet.store.put("servers", "i-1", fleet.engines[1].entry());
     }
-    record.line("state", "engine i-1 starts again under its id, with software v2");
+    record.line(
+        "state",
+        "engine i-1 starts again under its id, with software v2",
+    );
     std::thread::sleep(Duration::from_millis(700));
     record.line("state", "streams begin");
     let callers: Vec<_> = (0..STREAMS)
@@ -70,13 +73,18 @@
         fleet.store.put("servers", "i-1", fleet.engines[1].entry());
         record.line("state", "the store answers again, and engine i-1 registers");
     }
-    let streams: Vec<Stream> =
-        callers.into_iter().filter_map(|caller| caller.join().ok()).collect();
+    let streams: Vec<Stream> = callers
+        .into_iter()
+        .filter_map(|caller| caller.join().ok())
+        .collect();
     let mut mixed = 0;
     for stream in &streams {
         let attempt = &stream.attempts[0];
-        let made: Vec<String> =
-            attempt.events.iter().map(|(id, software)| format!("{id}{software}")).collect();
+        let made: Vec<String> = attempt
+            .events
+            .iter()
+            .map(|(id, software)| format!("{id}{software}"))
+            .collect();
         let text = format!(
             "stream {} {}: status {}, whole: {}, events {}",
             stream.number,
@@ -93,12 +101,19 @@
             record.line_at(at, "ran", &format!("{} at {}", id, engine.id));
         }
     }
-    let served = streams.iter().filter(|stream| stream.attempts[0].status == 200).count();
+    let served = streams
+        .iter()
+        .filter(|stream| stream.attempts[0].status == 200)
+        .count();
     let text = format!("{served} of {STREAMS} streams began, {mixed} hold events of two versions");
     record.line("result", &text);
     if served < STREAMS / 2 {
         return Err("few streams began".into());
     }
     // More than two such streams break the rule.
-    Ok(if mixed > 2 { Outcome::Broken } else { Outcome::Held })
+    Ok(if mixed > 2 {
+        Outcome::Broken
+    } else {
+        Outcome::Held
+    })
 }
