review: case 9, a stop cuts streams that were moved from a silent engine

Cause: a gateway that stops moves a silent stream after 1.3 s and closes its engine, whatever time the stop leaves. The other engine may not have begun it when the stop aborts what is left.

--- a/review/standins-2/engine.rs
+++ b/review/standins-2/engine.rs
@@ -16,6 +16,10 @@
     events: u64,
     pause: Duration,
     silent_until: Option<Instant>,
+    /// Time before which it begins no request that arrives.
+    queues_until: Option<Instant>,
+    /// Runs: request id, time of the first event and of the end.
+    runs: Vec<(String, Instant, Instant)>,
     is_leaving: bool,
     /// Requests that it ran: time, request id, caller's first request of the stream.
     ran: Vec<(Instant, String)>,
@@ -98,6 +102,18 @@
         self.state.lock().unwrap().silent_until = Some(Instant::now() + time);
     }
 
+    /// Sends nothing at all for a time: requests that arrive are not begun.
+    pub fn pause(&self, time: Duration) {
+        let mut state = self.state.lock().unwrap();
+        state.silent_until = Some(Instant::now() + time);
+        state.queues_until = state.silent_until;
+    }
+
+    /// Returns the runs of its present process: request id, first event and end.
+    pub fn runs(&self) -> Vec<(String, Instant, Instant)> {
+        self.state.lock().unwrap().runs.clone()
+    }
+
     /// States in all answers from now on that it leaves.
     pub fn leave(&self) {
         self.state.lock().unwrap().is_leaving = true;
@@ -128,6 +144,8 @@
         events,
         pause,
         silent_until: None,
+        queues_until: None,
+        runs: Vec::new(),
         is_leaving: false,
         ran: Vec::new(),
     }))
@@ -186,6 +204,16 @@
             &format!("{software} ran {request_id}"),
         );
     }
+    loop {
+        let queues_until = state.lock().unwrap().queues_until;
+        match queues_until {
+            Some(until) if Instant::now() < until => std::thread::sleep(Duration::from_millis(10)),
+            _ => break,
+        }
+        if is_closed(stream) {
+            return Ok(false);
+        }
+    }
     let mut head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\
                     Transfer-Encoding: chunked\r\n"
         .to_owned();
@@ -194,21 +222,69 @@
     }
     stream.write_all(format!("{head}\r\n").as_bytes())?;
     let after: u64 = request.header("last-event-id").parse().unwrap_or(0);
-    for number in after + 1..=events {
+    let mut begun_at = None;
+    let sent = send_events(
+        stream,
+        after + 1..=events,
+        pause,
+        &software,
+        state,
+        is_killed,
+        &mut begun_at,
+    );
+    if let Some(begun_at) = begun_at {
+        let run = (request_id, begun_at, Instant::now());
+        state.lock().unwrap().runs.push(run);
+    }
+    if sent? {
+        stream.write_all(b"0\r\n\r\n")?;
+        return Ok(true);
+    }
+    Ok(false)
+}
+
+/// Sends events; returns whether all were sent. Stops at once when the connection is closed.
+fn send_events(
+    stream: &mut TcpStream,
+    events: std::ops::RangeInclusive<u64>,
+    pause: Duration,
+    software: &str,
+    state: &Mutex<State>,
+    is_killed: &AtomicBool,
+    begun_at: &mut Option<Instant>,
+) -> io::Result<bool> {
+    for number in events {
         std::thread::sleep(pause);
         loop {
             let silent_until = state.lock().unwrap().silent_until;
             match silent_until {
-                Some(until) if Instant::now() < until => std::thread::sleep(pause),
+                Some(until) if Instant::now() < until => {
+                    std::thread::sleep(Duration::from_millis(10))
+                }
                 _ => break,
             }
+            if is_closed(stream) {
+                return Ok(false);
+            }
         }
         if is_killed.load(Ordering::SeqCst) {
             return Ok(false);
         }
         let event = format!("id: {number}\ndata: {software}\n\n");
         stream.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
+        begun_at.get_or_insert(Instant::now());
     }
-    stream.write_all(b"0\r\n\r\n")?;
     Ok(true)
 }
+
+/// Returns whether the other side has closed the connection.
+fn is_closed(stream: &TcpStream) -> bool {
+    let _ = stream.set_nonblocking(true);
+    let mut byte = [0];
+    let peeked = stream.peek(&mut byte);
+    let _ = stream.set_nonblocking(false);
+    match peeked {
+        Ok(count) => count == 0,
+        Err(error) => error.kind() != io::ErrorKind::WouldBlock,
+    }
+}
--- a/review/standins-2/gateway.rs
+++ b/review/standins-2/gateway.rs
@@ -140,6 +140,16 @@
         }
     }
 
+    /// Asks the process to stop with SIGTERM.
+    pub fn terminate(&self) {
+        const SIGTERM: i32 = 15;
+        unsafe extern "C" {
+            fn kill(pid: i32, signal: i32) -> i32;
+        }
+        // SAFETY: the call takes two numbers, and the process was started here and not waited for.
+        unsafe { kill(self.pid() as i32, SIGTERM) };
+    }
+
     /// Returns whether the process ended by itself.
     pub fn has_ended(&mut self) -> bool {
         let child = self.child.as_mut();
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -16,6 +16,7 @@
 mod parts;
 mod record;
 mod store;
+mod takeover;
 mod upgraded;
 
 use std::path::Path;
@@ -49,6 +50,7 @@
         "drill" => drill::play(&mut record, folder, has_trouble),
         "killed" => killed::play(&mut record, folder, has_trouble),
         "parts" => parts::play(&mut record, folder, has_trouble),
+        "takeover" => takeover::play(&mut record, folder, has_trouble),
         "upgraded" => upgraded::play(&mut record, folder, has_trouble),
         _ => Err(format!("no case {case}")),
     };
