review: case 10 sends its bookings evenly

Cause: callers in step sent few bookings in the time that matters: single ones were late in some runs, and none in 1 of 5 with the engine's end 0.9 s after the drill.

Change: 18 callers that are spread in place of 12 in step, 0.6 s of work a booking, the engine's end 0.7 s after the drill. The check and its bound are as before.

--- a/review/standins-2/drill.rs
+++ b/review/standins-2/drill.rs
@@ -14,9 +14,9 @@
 use crate::record::Record;
 
 const GATEWAYS: usize = 2;
-const CALLERS: usize = 12;
+const CALLERS: usize = 18;
 /// Time that an engine works on a request.
-const WORK: Duration = Duration::from_millis(400);
+const WORK: Duration = Duration::from_millis(600);
 /// Time from the copy to the removal of the engine's entry.
 const COPY_AGE_AT_LEAVING: Duration = Duration::from_millis(500);
 /// Time from the removal to the drill, in which the engine goes on: `DrainMs` and a little longer.
@@ -24,7 +24,7 @@
 /// Time for which the store is away.
 const AWAY: Duration = Duration::from_millis(400);
 /// Time from the return of the store to the end of the engine, and to the repeated removal.
-const UNTIL_END: Duration = Duration::from_millis(500);
+const UNTIL_END: Duration = Duration::from_millis(700);
 
 /// One request of a caller.
 struct Sent {
@@ -59,6 +59,8 @@
         .map(|caller| {
             let (is_over, all, addresses) = (is_over.clone(), all.clone(), addresses.clone());
             std::thread::spawn(move || {
+                // So that requests arrive evenly.
+                std::thread::sleep(WORK * caller as u32 / CALLERS as u32);
                 for turn in 0.. {
                     if is_over.load(Ordering::SeqCst) {
                         return;
@@ -66,7 +68,7 @@
                     let gateway = caller % GATEWAYS;
                     let sent = book(&format!("b{caller}-{turn}"), gateway, addresses[gateway]);
                     all.lock().unwrap().push(sent);
-                    std::thread::sleep(Duration::from_millis(30));
+                    std::thread::sleep(Duration::from_millis(20 + 3 * (caller as u64 % 7)));
                 }
             })
         })
